Build the packages of a first whole path

Cause: there was nothing; the users ask for a router whose decisions are a core without clock, socket or randomness, driven by daemons.

Ruled out: one replicated store of our own (the users' operators will not look after one); all-to-all heartbeats (27 KB/s at 550 hosts).

Before: empty repository.

--- /dev/null
+++ b/packages/backend/src/index.ts
@@ -0,0 +1,12 @@
+export {
+	type BackendError, type BackendErrorCode, backendErrorOf, certainlyDidNotRun,
+} from './backend-error.js';
+export type {
+	CacheEvent, Engine, EngineAnswer, EngineChunk, EngineReport, EngineRequest, EngineState, LoadOrder,
+} from './engine.js';
+export {
+	type HttpEngineOptions, HttpEngine, declinedError, engineHeaders,
+} from './http-engine.js';
+export {
+	type PlainService, type PlainServiceOptions, type ServiceAnswer, type ServiceRequest, HttpPlainService,
+} from './plain-service.js';
--- /dev/null
+++ b/packages/coordination/src/epoch-maintenance.ts
@@ -0,0 +1,86 @@
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ContactTable} from './contact-table.js';
+import {type Epoch, type HostRecord} from './epoch.js';
+
+export type EpochMaintenanceOptions = {
+	readonly self: string;
+	/** A host unheard of for this long leaves the epoch. */
+	readonly removalAfter: Milliseconds;
+	/** After a quorum holds a joint epoch, a host that missed it must have stopped after this long. */
+	readonly settleAfter: Milliseconds;
+};
+
+/** The membership to write next, if the stored one has not changed meanwhile. */
+export type EpochProposal = {readonly replaces: number; readonly epoch: Epoch};
+
+/**
+ * Proposes changes of membership: first a joint epoch, in which shares of rate only shrink,
+ * then, once every host outside the quorum must have stopped by the contact rule, the settled one.
+ */
+export class EpochMaintenance {
+	readonly #options: EpochMaintenanceOptions;
+	readonly #startedAt: Milliseconds;
+	#heldByQuorumSince: {readonly epoch: number; readonly at: Milliseconds} | undefined;
+
+	constructor(options: EpochMaintenanceOptions, startedAt: Milliseconds) {
+		this.#options = options;
+		this.#startedAt = startedAt;
+	}
+
+	/**
+	 * Judges the membership once a tick.
+	 *
+	 * @param contact - What was heard of each host.
+	 * @param registered - The hosts that have registered in the store.
+	 * @param now - The moment of the tick.
+	 * @returns The proposal that is due, if any.
+	 */
+	propose(contact: ContactTable, registered: readonly HostRecord[], now: Milliseconds): EpochProposal | undefined {
+		const epoch = contact.epoch;
+		if (epoch === undefined || !contact.isReady || !this.#isMaintainer(contact, epoch, now)) {
+			return undefined;
+		}
+
+		return epoch.previousHosts === undefined ? this.#proposeJoint(contact, epoch, registered, now) : this.#proposeSettled(contact, epoch, now);
+	}
+
+	// One proposer at a time is enough; two are harmless, since the store takes one of them.
+	#isMaintainer(contact: ContactTable, epoch: Epoch, now: Milliseconds): boolean {
+		const candidates = epoch.hosts.map(host => host.id).filter(id => id === this.#options.self || contact.isFresh(id, now));
+		return candidates.toSorted()[0] === this.#options.self;
+	}
+
+	#isGone(contact: ContactTable, hostId: string, now: Milliseconds): boolean {
+		const heardAt = contact.heardAt(hostId) ?? this.#startedAt;
+		return hostId !== this.#options.self && now - heardAt > this.#options.removalAfter;
+	}
+
+	#proposeJoint(contact: ContactTable, epoch: Epoch, registered: readonly HostRecord[], now: Milliseconds): EpochProposal | undefined {
+		const known = new Map([...epoch.hosts, ...registered].map(host => [host.id, host]));
+		const members = new Set(epoch.hosts.map(host => host.id));
+		const hosts = [...known.values()]
+			.filter(host => (members.has(host.id) ? !this.#isGone(contact, host.id, now) : contact.isFresh(host.id, now)))
+			.toSorted((left, right) => (left.id < right.id ? -1 : 1));
+		if (JSON.stringify(hosts) === JSON.stringify(epoch.hosts) || hosts.length === 0) {
+			return undefined;
+		}
+
+		return {replaces: epoch.number, epoch: {number: epoch.number + 1, hosts, previousHosts: epoch.hosts}};
+	}
+
+	#proposeSettled(contact: ContactTable, epoch: Epoch, now: Milliseconds): EpochProposal | undefined {
+		if (!contact.isEpochHeldByQuorum()) {
+			return undefined;
+		}
+
+		if (this.#heldByQuorumSince?.epoch !== epoch.number) {
+			this.#heldByQuorumSince = {epoch: epoch.number, at: now};
+		}
+
+		if (now - this.#heldByQuorumSince.at < this.#options.settleAfter) {
+			return undefined;
+		}
+
+		return {replaces: epoch.number, epoch: {number: epoch.number + 1, hosts: epoch.hosts}};
+	}
+}
--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,20 @@
+export {
+	type Claim, type ClaimDecision, type KeptAnswer, claimSchema, judgeClaim,
+} from './claim.js';
+export {
+	type ContactAges, type ContactOptions, type ContactState, type HostAge, ContactTable,
+} from './contact-table.js';
+export {
+	type Charge, type ChargeOutcome, type CreditLimit, type CreditOptions, type Loan, CreditTable,
+} from './credit-table.js';
+export {
+	type EpochMaintenanceOptions, type EpochProposal, EpochMaintenance,
+} from './epoch-maintenance.js';
+export {
+	type Epoch, type HostRecord, epochSchema, hostRecordSchema, hostsOf, isQuorum, majorityOf,
+} from './epoch.js';
+export {type TicketChanges, TicketTable} from './ticket-table.js';
+export {
+	type BackendState, type DrainingObject, type KeyState, type ModelState, type ObjectKind, type Register, type RouteState,
+	type Ticket, type TicketObject, type WorkspaceState, objectKinds, registerSchema, registersOf, ticketSchema,
+} from './ticket.js';
--- /dev/null
+++ b/packages/router/src/completion-run.ts
@@ -0,0 +1,409 @@
+import {
+	type BackendError, type EngineAnswer, type EngineChunk, certainlyDidNotRun,
+} from '@lacewingpoint/backend';
+import {
+	type Placement, type PlacementRequest, type ServerRow, StreamProgress, cacheSalt, hashBlocks,
+} from '@lacewingpoint/routing';
+import {type Tokens, hashText} from '@lacewingpoint/shared';
+import {type Result} from 'true-myth';
+import {type Admission, uncachedTokens} from './admission.js';
+import {authorize} from './authorization.js';
+import type {BackendLinks} from './backend-links.js';
+import type {CallerStream} from './caller-response.js';
+import type {Clock} from './clock.js';
+import {type CompletionCall, fingerprintOf} from './completion-call.js';
+import type {NamedRoute} from './configuration-view.js';
+import type {InFlightTable} from './in-flight-table.js';
+import type {Metrics} from './metrics.js';
+import {type Refusal, mayHaveRun, notRun} from './router-error.js';
+import {type Tables, homeBlocks} from './tables.js';
+
+/** What a completion needs of the router. */
+export type CompletionContext = {
+	readonly tables: Tables;
+	readonly admission: Admission;
+	readonly backends: BackendLinks;
+	readonly inFlight: InFlightTable;
+	readonly metrics: Metrics;
+	readonly clock: Clock;
+	/** An engine that has not begun to answer this long after its predicted time is given up. */
+	readonly slowStart: number;
+};
+
+/** One caller's completion. */
+export type CompletionInput = {
+	readonly requestId: string;
+	readonly call: CompletionCall;
+	readonly named: NamedRoute<'model'>;
+	readonly workspace: string;
+	readonly secret: string | undefined;
+	readonly arrivedAt: number;
+	/** Aborted when the caller has gone. */
+	readonly signal: AbortSignal;
+};
+
+/** A whole answer that is not a stream. */
+export type WholeAnswer = {readonly status: number; readonly text: string};
+
+/** How a completion ended. */
+export type CompletionEnd
+	= | {readonly type: 'streamed'}
+		| {readonly type: 'answered'; readonly answer: WholeAnswer}
+		| {readonly type: 'gone'}
+		| {readonly type: 'refused'; readonly refusal: Refusal};
+
+type AttemptEnd = CompletionEnd | {readonly type: 'failed'; readonly error: BackendError};
+
+const longestAttempts = 4;
+const statusServerError = 500;
+
+/** Runs one completion: places it, passes its answer on, and resumes elsewhere what breaks off. */
+export class CompletionRun {
+	readonly #context: CompletionContext;
+	readonly #input: CompletionInput;
+	readonly #progress = new StreamProgress();
+	readonly #failedServers = new Set<string>();
+	readonly #fingerprint: number;
+	readonly #blocksByVersion = new Map<string, readonly number[]>();
+	#mayHaveRun = false;
+	#hasFirstToken = false;
+	#usedTokens: Tokens | undefined;
+
+	constructor(context: CompletionContext, input: CompletionInput) {
+		this.#context = context;
+		this.#input = input;
+		this.#fingerprint = fingerprintOf(input.workspace, input.call);
+	}
+
+	/** The tokens that ran, as far as it is known; the basis of what the workspace pays. */
+	get usedTokens(): Tokens {
+		const {call} = this.#input;
+		return this.#usedTokens ?? (this.#mayHaveRun ? call.promptTokens + this.#progress.lastSequence + 1 : 0);
+	}
+
+	/**
+	 * Runs the completion to its end.
+	 *
+	 * @param stream - The caller's stream; unused when the answer is not a stream.
+	 * @returns How it ended; a stream's own ending has not been sent yet when it is refused.
+	 */
+	async run(stream: CallerStream): Promise<CompletionEnd> {
+		this.#context.tables.retries.noteRequest();
+		for (let attempt = 1; ; attempt++) {
+			const end = await this.#attempt(stream);
+			if (end.type !== 'failed') {
+				return end;
+			}
+
+			this.#context.metrics.count('attempts_failed', {code: end.error.code});
+			this.#mayHaveRun ||= !certainlyDidNotRun(end.error);
+			if (attempt >= longestAttempts || !this.#context.tables.retries.take()) {
+				return this.#giveUp(end.error);
+			}
+		}
+	}
+
+	async #attempt(stream: CallerStream): Promise<AttemptEnd> {
+		const {tables, clock} = this.#context;
+		const {call, named, secret, signal} = this.#input;
+		const verdict = tables.quarantine.judge(this.#fingerprint, clock.now());
+		if (verdict === 'quarantined') {
+			return this.#refuse('quarantined', 'backend servers died of this request; it is not run again');
+		}
+
+		const request = this.#placementRequest(verdict === 'suspect');
+		const placed = await this.#context.admission.place({
+			workspace: this.#input.workspace, priority: named.route.priority, model: named.route.model, placement: request, signal,
+		});
+		if (placed.isErr) {
+			return this.#refusal(placed.error);
+		}
+
+		const reserved = uncachedTokens(request, placed.value);
+		const row = tables.servers.get(placed.value.server);
+		const authorized = authorize(tables, clock, named.route, secret);
+		if (authorized.isErr || row === undefined || signal.aborted) {
+			tables.servers.notePrefilled(placed.value.server, reserved);
+			return this.#afterPlacement(authorized, signal);
+		}
+
+		return this.#dispatch(stream, {
+			row, placement: placed.value, reserved, isSuspect: verdict === 'suspect', blocks: request.blocksFor(row.weightsVersion), call,
+		});
+	}
+
+	#afterPlacement(authorized: Result<unknown, Refusal>, signal: AbortSignal): AttemptEnd {
+		if (signal.aborted) {
+			return {type: 'gone'};
+		}
+
+		return authorized.isErr
+			? this.#refusal(authorized.error)
+			: {type: 'failed', error: {layer: 'backend', code: 'not-sent', message: 'the server left the configuration'}};
+	}
+
+	async #dispatch(stream: CallerStream, dispatch: Dispatch): Promise<AttemptEnd> {
+		const {tables, inFlight, backends, clock} = this.#context;
+		const {requestId, signal} = this.#input;
+		const {row, placement, reserved} = dispatch;
+		const abort = new AbortController();
+		const cancelled = AbortSignal.any([signal, abort.signal]);
+		const sentAt = clock.now();
+		let isReserved = true;
+		const release = () => {
+			if (isReserved) {
+				isReserved = false;
+				tables.servers.notePrefilled(placement.server, reserved);
+				this.#context.admission.pump();
+			}
+		};
+
+		inFlight.add({
+			requestId, server: placement.server, fingerprint: this.#fingerprint, isSuspect: dispatch.isSuspect,
+		});
+		// Blocks count as cached from now on: whoever follows queues behind this prefill.
+		tables.prefixes.learn(placement.server, row.incarnation ?? '', dispatch.blocks, sentAt);
+		this.#guardSlowStart(placement, abort, () => isReserved);
+		try {
+			const started = await backends.engine(row).start(this.#engineRequest(row), cancelled);
+			const end = started.isErr
+				? {type: 'failed' as const, error: started.error}
+				: await this.#pass(stream, started.value, dispatch, () => {
+					this.#noteFirstToken(dispatch, sentAt);
+					release();
+				});
+			return await this.#afterAttempt(end, row, abort);
+		} finally {
+			abort.abort();
+			release();
+			inFlight.remove(requestId);
+		}
+	}
+
+	async #afterAttempt(end: AttemptEnd, row: ServerRow, abort: AbortController): Promise<AttemptEnd> {
+		if (end.type !== 'failed') {
+			return end;
+		}
+
+		if (this.#input.signal.aborted) {
+			return {type: 'gone'};
+		}
+
+		this.#failedServers.add(row.description.id);
+		if (end.error.code === 'declined') {
+			this.#context.tables.servers.noteFailure(row.description.id, this.#context.clock.now());
+		} else if (!abort.signal.aborted) {
+			await this.#context.backends.investigate(row);
+		}
+
+		return end;
+	}
+
+	async #pass(stream: CallerStream, answer: EngineAnswer, dispatch: Dispatch, onFirst: () => void): Promise<AttemptEnd> {
+		if (answer.report !== undefined) {
+			this.#context.backends.takeReport(dispatch.row.description.id, answer.report);
+		}
+
+		this.#mayHaveRun = true;
+		return dispatch.call.streams && answer.status === 200
+			? this.#passStream(stream, answer, onFirst)
+			: this.#passWhole(answer, onFirst);
+	}
+
+	async #passWhole(answer: EngineAnswer, onFirst: () => void): Promise<AttemptEnd> {
+		const text = await answer.text();
+		if (text.isErr) {
+			return {type: 'failed', error: text.error};
+		}
+
+		if (answer.status >= statusServerError) {
+			return {type: 'failed', error: {layer: 'backend', code: 'broken', message: `the engine answered ${answer.status}`}};
+		}
+
+		onFirst();
+		this.#noteUsage(text.value);
+		return {type: 'answered', answer: {status: answer.status, text: text.value}};
+	}
+
+	async #passStream(stream: CallerStream, answer: EngineAnswer, onFirst: () => void): Promise<AttemptEnd> {
+		for await (const result of answer.chunks) {
+			if (result.isErr) {
+				return {type: 'failed', error: result.error};
+			}
+
+			onFirst();
+			const end = await this.#passChunk(stream, result.value);
+			if (end !== undefined) {
+				return end;
+			}
+		}
+
+		return {type: 'failed', error: {layer: 'backend', code: 'incomplete', message: 'the stream ended early'}};
+	}
+
+	async #passChunk(stream: CallerStream, chunk: EngineChunk): Promise<AttemptEnd | undefined> {
+		if (chunk.type === 'done') {
+			this.#progress.finish();
+			stream.finish();
+			return {type: 'streamed'};
+		}
+
+		const verdict = this.#progress.take(chunk.sequence, textOf(chunk.data));
+		if (verdict === 'gap') {
+			return {type: 'failed', error: {layer: 'backend', code: 'out-of-order', message: `chunk ${chunk.sequence} after ${this.#progress.lastSequence}`}};
+		}
+
+		// A repeated number is an engine's fault as well: its content may differ from what the caller has.
+		if (verdict === 'repeated') {
+			return {type: 'failed', error: {layer: 'backend', code: 'out-of-order', message: `chunk ${chunk.sequence} came twice`}};
+		}
+
+		if (chunk.data.includes('"usage"')) {
+			this.#noteUsage(chunk.data);
+		}
+
+		return await stream.send(chunk.sequence, chunk.data) ? undefined : {type: 'gone'};
+	}
+
+	#engineRequest(row: ServerRow) {
+		const {call, requestId} = this.#input;
+		const isResumed = this.#progress.lastSequence >= 0;
+		return {
+			requestId, path: call.path, streams: call.streams, body: this.#engineBody(row, isResumed), ...(isResumed ? {resumeAfter: this.#progress.lastSequence} : {}),
+		};
+	}
+
+	#engineBody(row: ServerRow, isResumed: boolean): string {
+		const {call, named} = this.#input;
+		return JSON.stringify({
+			...call.body,
+			model: named.route.adapter ?? named.route.model,
+			max_tokens: call.answerTokens,
+			cache_salt: this.#salt(row.weightsVersion),
+			priority: named.route.priority === 'high' ? 0 : 1,
+			resume_text: isResumed ? this.#progress.text : undefined,
+		});
+	}
+
+	#salt(weightsVersion: string | undefined): string {
+		const {named, workspace} = this.#input;
+		return cacheSalt({
+			workspace, model: named.route.model, adapter: named.route.adapter, weightsVersion: weightsVersion ?? '',
+		});
+	}
+
+	#placementRequest(isSuspect: boolean): PlacementRequest {
+		const {call} = this.#input;
+		const blocksFor = (weightsVersion: string | undefined) => {
+			const version = weightsVersion ?? '';
+			const held = this.#blocksByVersion.get(version) ?? hashBlocks(this.#salt(weightsVersion), call.prompt);
+			this.#blocksByVersion.set(version, held);
+			return held;
+		};
+
+		const avoided = isSuspect ? new Set([...this.#failedServers, ...this.#context.inFlight.serversWithSuspects()]) : this.#failedServers;
+		return {
+			promptTokens: call.promptTokens, homeKey: this.#homeKey(), avoided, blocksFor,
+		};
+	}
+
+	#homeKey(): number | undefined {
+		const blocks = hashBlocks(this.#salt(undefined), this.#input.call.prompt.slice(0, homeCharacters));
+		return blocks.at(-1) ?? hashText(this.#input.call.prompt);
+	}
+
+	#guardSlowStart(placement: Placement, abort: AbortController, isWaiting: () => boolean): void {
+		const {tables, slowStart, clock} = this.#context;
+		const timer = setTimeout(() => {
+			if (isWaiting() && !this.#input.call.streams) {
+				return;
+			}
+
+			if (isWaiting() && tables.retries.take()) {
+				tables.servers.noteFailure(placement.server, clock.now());
+				this.#context.metrics.count('slow_starts', {server: placement.server});
+				abort.abort();
+			}
+		}, placement.predicted + slowStart);
+		timer.unref();
+		abort.signal.addEventListener('abort', () => {
+			clearTimeout(timer);
+		}, {once: true});
+	}
+
+	#noteFirstToken(dispatch: Dispatch, sentAt: number): void {
+		if (this.#hasFirstToken) {
+			return;
+		}
+
+		this.#hasFirstToken = true;
+		const {tables, metrics, clock} = this.#context;
+		const now = clock.now();
+		const {row, placement, reserved} = dispatch;
+		if (this.#input.call.streams) {
+			metrics.time('first_token', now - this.#input.arrivedAt, {workspace: this.#input.workspace});
+			tables.servers.noteSpeed(row.description.id, placement.queuedTokens + reserved, now - sentAt);
+		}
+	}
+
+	#noteUsage(text: string): void {
+		const usage = readUsage(text);
+		if (usage === undefined) {
+			return;
+		}
+
+		this.#usedTokens = usage.total_tokens ?? undefined;
+		this.#context.metrics.count('prompt_tokens', {workspace: this.#input.workspace}, usage.prompt_tokens ?? 0);
+		this.#context.metrics.count('cached_tokens', {workspace: this.#input.workspace}, usage.prompt_tokens_details?.cached_tokens ?? 0);
+	}
+
+	#giveUp(error: BackendError): CompletionEnd {
+		return this.#mayHaveRun
+			? {type: 'refused', refusal: mayHaveRun(this.#hasFirstToken ? 'stream-broken' : 'backend-failed', 'the backend servers failed this request', error)}
+			: {type: 'refused', refusal: {...notRun('no-backend-server', 'no backend server took this request', error.retryAfter ?? retryAfterFailure), cause: error}};
+	}
+
+	// Once an engine may have run part of the request, no refusal says that it did not.
+	#refusal(refusal: Refusal): CompletionEnd {
+		return {type: 'refused', refusal: this.#mayHaveRun ? {...refusal, run: 'unknown'} : refusal};
+	}
+
+	#refuse(code: Refusal['code'], message: string): CompletionEnd {
+		return this.#refusal(notRun(code, message));
+	}
+}
+
+type Dispatch = {
+	readonly row: ServerRow;
+	readonly placement: Placement;
+	readonly reserved: Tokens;
+	readonly isSuspect: boolean;
+	readonly blocks: readonly number[];
+	readonly call: CompletionCall;
+};
+
+type Usage = {
+	readonly total_tokens?: number;
+	readonly prompt_tokens?: number;
+	readonly prompt_tokens_details?: {readonly cached_tokens?: number};
+};
+
+const retryAfterFailure = 1000;
+const homeCharacters = homeBlocks * 256;
+
+function readUsage(text: string): Usage | undefined {
+	try {
+		return (JSON.parse(text) as {readonly usage?: Usage | undefined}).usage ?? undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function textOf(data: string): string {
+	try {
+		const {choices} = JSON.parse(data) as {readonly choices?: ReadonlyArray<{readonly delta?: {readonly content?: string}; readonly text?: string}>};
+		return choices?.[0]?.delta?.content ?? choices?.[0]?.text ?? '';
+	} catch {
+		return '';
+	}
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,23 @@
+export {type AddressQuestion, type EntryHost, rankEntryHosts} from './address-ranking.js';
+export {type Priority, type QueuedRequest, FairQueue} from './fair-queue.js';
+export {
+	type Placement, type PlacementPolicy, type PlacementRequest, type PredictedTimeOptions, PredictedTimePlacement,
+} from './placement.js';
+export {
+	type CacheChange, type PrefixIndexOptions, type PrefixSnapshot, PrefixIndex,
+} from './prefix-index.js';
+export {
+	type CacheScope, cacheSalt, charactersPerBlock, charactersPerToken, countTokens, hashBlocks, promptText, tokensPerBlock,
+} from './prompt.js';
+export {
+	type QuarantineOptions, type ServerDeath, type SuspectDeath, Quarantine,
+} from './quarantine.js';
+export {type RetryBudgetOptions, RetryBudget} from './retry-budget.js';
+export {chooseSubset, spreadOverDomains} from './server-subset.js';
+export {
+	type LoadReport, type ServerDescription, type ServerRow, type ServerTableOptions, ServerTable, isUsable, queuedTokens,
+} from './server-table.js';
+export {type ChunkVerdict, StreamProgress} from './stream-progress.js';
+export {
+	type DesiredWeights, type EngineView, type ReconciliationOptions, type ReconciliationStep, dueSteps,
+} from './weights-reconciliation.js';
--- /dev/null
+++ b/packages/routing/src/server-table.ts
@@ -0,0 +1,235 @@
+import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
+
+/** What the configuration says of a backend server. */
+export type ServerDescription = {
+	readonly id: string;
+	readonly address: string;
+	readonly failureDomain: string;
+	/** The model that an engine serves, or the name of a plain service. */
+	readonly serves: string;
+	readonly isDrained: boolean;
+};
+
+/** A report of load; it is late by the time it is read. */
+export type LoadReport = {
+	readonly incarnation: string;
+	readonly weightsVersion: string;
+	readonly queuedTokens: Tokens;
+	readonly runningRequests: number;
+};
+
+export type ServerTableOptions = {
+	/** Assumed until answers have shown a server's speed. */
+	readonly initialTokensPerSecond: number;
+	/** How long a server is passed over after its first failure in a row; doubled for each further one. */
+	readonly firstBackoff: Milliseconds;
+	readonly longestBackoff: Milliseconds;
+};
+
+/** One backend server with all that is known of it. */
+export type ServerRow = {
+	readonly description: ServerDescription;
+	readonly incarnation: string | undefined;
+	readonly weightsVersion: string | undefined;
+	readonly isLeaving: boolean;
+	readonly isLoading: boolean;
+	/** Uncached prompt tokens that this router has sent and that have not answered yet. */
+	readonly ownTokens: Tokens;
+	readonly ownRequests: number;
+	/** Prompt tokens of other routers, as of `reportedAt`. */
+	readonly otherTokens: Tokens;
+	readonly reportedAt: Milliseconds;
+	readonly runningRequests: number;
+	readonly tokensPerSecond: number;
+	readonly failures: number;
+	readonly passedOverUntil: Milliseconds;
+};
+
+const speedWeight = 0.1;
+const smallestSampleTokens = 256;
+
+/** The backend servers that this router works with. */
+export class ServerTable {
+	readonly #options: ServerTableOptions;
+	readonly #rows = new Map<string, ServerRow>();
+
+	constructor(options: ServerTableOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Takes the servers that the configuration names; others are dropped.
+	 *
+	 * @param descriptions - The configured servers.
+	 */
+	configure(descriptions: readonly ServerDescription[]): void {
+		const kept = new Set(descriptions.map(description => description.id));
+		for (const id of this.#rows.keys()) {
+			if (!kept.has(id)) {
+				this.#rows.delete(id);
+			}
+		}
+
+		for (const description of descriptions) {
+			const row = this.#rows.get(description.id);
+			// Another address is another server, whatever its name.
+			const isSame = row?.description.address === description.address;
+			this.#rows.set(description.id, isSame ? {...row, description} : this.#newRow(description));
+		}
+	}
+
+	get(id: string): ServerRow | undefined {
+		return this.#rows.get(id);
+	}
+
+	/** @returns All rows. */
+	rows(): ServerRow[] {
+		return [...this.#rows.values()];
+	}
+
+	/**
+	 * Lists the servers that may receive new work.
+	 *
+	 * @param serves - The model or plain service.
+	 * @param now - The present moment.
+	 * @returns The usable servers.
+	 */
+	usable(serves: string, now: Milliseconds): ServerRow[] {
+		return this.rows().filter(row => row.description.serves === serves && isUsable(row, now));
+	}
+
+	/**
+	 * Takes in a report of load.
+	 *
+	 * @param id - The server.
+	 * @param report - The report.
+	 * @param now - When it was composed, at the latest.
+	 */
+	report(id: string, report: LoadReport, now: Milliseconds): void {
+		this.#change(id, row => ({
+			...row,
+			incarnation: report.incarnation,
+			weightsVersion: report.weightsVersion,
+			otherTokens: Math.max(report.queuedTokens - row.ownTokens, 0),
+			runningRequests: report.runningRequests,
+			reportedAt: now,
+			failures: 0,
+			passedOverUntil: 0,
+		}));
+	}
+
+	/**
+	 * Marks a server as leaving; only a new incarnation undoes it, never the lagging host list.
+	 *
+	 * @param id - The server.
+	 * @param isLeaving - What the source says.
+	 * @param incarnation - The incarnation that says it of itself, when it does.
+	 */
+	setLeaving(id: string, isLeaving: boolean, incarnation?: string): void {
+		this.#change(id, row => {
+			const isNew = incarnation !== undefined && row.incarnation !== undefined && incarnation !== row.incarnation;
+			return {...row, isLeaving: isLeaving || (row.isLeaving && !isNew)};
+		});
+	}
+
+	setLoading(id: string, isLoading: boolean): void {
+		this.#change(id, row => ({...row, isLoading}));
+	}
+
+	/**
+	 * Counts a request as sent.
+	 *
+	 * @param id - The server.
+	 * @param tokens - Its uncached prompt tokens.
+	 */
+	noteSent(id: string, tokens: Tokens): void {
+		this.#change(id, row => ({...row, ownTokens: row.ownTokens + tokens, ownRequests: row.ownRequests + 1}));
+	}
+
+	/**
+	 * Counts a request's prefill as done or given up.
+	 *
+	 * @param id - The server.
+	 * @param tokens - The tokens passed to {@link noteSent}.
+	 */
+	notePrefilled(id: string, tokens: Tokens): void {
+		this.#change(id, row => ({...row, ownTokens: Math.max(row.ownTokens - tokens, 0), ownRequests: Math.max(row.ownRequests - 1, 0)}));
+	}
+
+	/**
+	 * Learns a server's speed from one answer.
+	 *
+	 * @param id - The server.
+	 * @param tokens - The tokens ahead of and in the request when it was sent.
+	 * @param elapsed - The time to its first token.
+	 */
+	noteSpeed(id: string, tokens: Tokens, elapsed: Milliseconds): void {
+		if (tokens < smallestSampleTokens || elapsed <= 0) {
+			return;
+		}
+
+		const sample = tokens * millisecondsPerSecond / elapsed;
+		this.#change(id, row => ({...row, tokensPerSecond: (row.tokensPerSecond * (1 - speedWeight)) + (sample * speedWeight)}));
+	}
+
+	/**
+	 * Passes a server over for a while after it failed.
+	 *
+	 * @param id - The server.
+	 * @param now - The present moment.
+	 */
+	noteFailure(id: string, now: Milliseconds): void {
+		this.#change(id, row => {
+			const backoff = Math.min(this.#options.firstBackoff * (2 ** row.failures), this.#options.longestBackoff);
+			return {...row, failures: row.failures + 1, passedOverUntil: now + backoff};
+		});
+	}
+
+	#change(id: string, change: (row: ServerRow) => ServerRow): void {
+		const row = this.#rows.get(id);
+		if (row !== undefined) {
+			this.#rows.set(id, change(row));
+		}
+	}
+
+	#newRow(description: ServerDescription): ServerRow {
+		return {
+			description,
+			incarnation: undefined,
+			weightsVersion: undefined,
+			isLeaving: false,
+			isLoading: false,
+			ownTokens: 0,
+			ownRequests: 0,
+			otherTokens: 0,
+			reportedAt: 0,
+			runningRequests: 0,
+			tokensPerSecond: this.#options.initialTokensPerSecond,
+			failures: 0,
+			passedOverUntil: 0,
+		};
+	}
+}
+
+/**
+ * Tells whether a server may receive new work.
+ *
+ * @param row - The server.
+ * @param now - The present moment.
+ * @returns False while it is drained, leaving, loading weights or passed over.
+ */
+export function isUsable(row: ServerRow, now: Milliseconds): boolean {
+	return !row.description.isDrained && !row.isLeaving && !row.isLoading && row.passedOverUntil <= now;
+}
+
+/**
+ * Estimates the prompt tokens that wait at a server.
+ *
+ * @param row - The server.
+ * @param now - The present moment.
+ * @returns Own tokens and what is left of the others' after the time since the report.
+ */
+export function queuedTokens(row: ServerRow, now: Milliseconds): Tokens {
+	const worked = (now - row.reportedAt) * row.tokensPerSecond / millisecondsPerSecond;
+	return row.ownTokens + Math.max(row.otherTokens - worked, 0);
+}
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,3 @@
+export {
+	type Deployment, type DeploymentHost, deploymentSchema, findHost, readDeployment,
+} from './deployment.js';
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,14 @@
+export {type Disposable, DisposableStore} from './disposable-store.js';
+export {hashText, rankByRendezvous, rendezvousWeight} from './hashing.js';
+export {
+	type Layer, type LayerError, describeError, messageOf,
+} from './layer-error.js';
+export {
+	type LogFields, type Logger, createLogger, silentLogger,
+} from './logger.js';
+export {type RandomSource, createSeededRandom} from './random-source.js';
+export {startRepeatingTask} from './repeating-task.js';
+export {type SettingsError, type SettingsFault, readSettings} from './settings-text.js';
+export {
+	type Bytes, type Milliseconds, type Tokens, bytesPerMebibyte, millisecondsPerSecond,
+} from './units.js';
--- /dev/null
+++ b/scripts/build.js
@@ -0,0 +1,21 @@
+import {build} from 'esbuild';
+
+const programs = {
+	'lacewingpoint-router': 'packages/router/src/main.ts',
+	'lacewingpoint-controller': 'packages/controller/src/main.ts',
+	lacewingpointctl: 'packages/command-line/src/main.ts',
+	'stand-in': 'packages-private/stand-ins/src/main.ts',
+};
+
+await build({
+	entryPoints: programs,
+	outdir: 'dist',
+	outExtension: {'.js': '.mjs'},
+	bundle: true,
+	platform: 'node',
+	format: 'esm',
+	target: 'node20',
+	// Bundled CommonJS libraries ask for `require`.
+	banner: {js: 'import {createRequire as createRequireOfBundle} from \'node:module\';\nconst require = createRequireOfBundle(import.meta.url);'},
+	logLevel: 'warning',
+});
