Count only what was heard after its start when a restarted host becomes ready

Cause: a restarted host took ages that peers relayed from before its start. It could become ready without a ticket that its earlier incarnation had acknowledged, and its own voice then counted in majorities without the ticket.

Ruled out: asking the store only (a herd restart with the store out could then never be served by peers); counting the restarted host's own voice.

Before: the directed test fails ('it would answer for a ticket that it acknowledged and forgot'). The random property did not find it in 20,000 runs; three deliberate mutations of the rule are found by it.

--- a/packages/coordination/src/contact-table.ts
+++ b/packages/coordination/src/contact-table.ts
@@ -25,6 +25,8 @@
 	readonly self: string;
 	/** New work is taken only on knowledge that is at most this old. */
 	readonly bound: Milliseconds;
+	/** When this incarnation of the host started. */
+	readonly startedAt: Milliseconds;
 };
 
 type HostRow = {readonly heardAt: Milliseconds; readonly epoch: number; readonly isLeaving: boolean};
@@ -208,7 +210,7 @@
 		}
 
 		const lists = [epoch.hosts, epoch.previousHosts ?? []].filter(list => list.length > 0);
-		const isHeard = (id: string) => id !== this.#options.self && this.isFresh(id, now);
+		const isHeard = (id: string) => id !== this.#options.self && this.isFresh(id, now) && this.#rows.get(id)!.heardAt >= this.#options.startedAt;
 		this.#ready = hostsOf(epoch).length > 1
 			&& lists.every(list => list.filter(host => isHeard(host.id)).length >= majorityOf(list.length));
 	}
--- a/packages/coordination/src/ticket.ts
+++ b/packages/coordination/src/ticket.ts
@@ -6,7 +6,7 @@
 /** The kinds of object that are replicated: those of tickets, and the marks that controllers set. */
 export type ObjectKind = (typeof objectKinds)[number] | 'draining';
 
-const nameSchema = v.pipe(v.string(), v.regex(/^[\w.:-]{1,120}$/v, '1 to 120 letters, digits, or any of _ . : -'));
+const nameSchema = v.pipe(v.string(), v.regex(/^[\w.:\-]{1,120}$/v, '1 to 120 letters, digits, or any of _ . : -'));
 const positive = v.pipe(v.number(), v.minValue(0), v.finite());
 const addressSchema = v.pipe(v.string(), v.regex(/^(?:\d{1,3}\.){3}\d{1,3}:\d{1,5}$/v, 'an IP number and port, such as 10.0.0.1:8080'));
 
--- a/packages/router/src/tables.ts
+++ b/packages/router/src/tables.ts
@@ -40,7 +40,7 @@
 	return {
 		tickets: new TicketTable(),
 		configuration: new ConfigurationView(),
-		contact: new ContactTable({self: self.id, bound: contact.boundMilliseconds}),
+		contact: new ContactTable({self: self.id, bound: contact.boundMilliseconds, startedAt: now}),
 		credit: new CreditTable({
 			self: self.id,
 			homeHosts: credit.homeHosts,
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -14,6 +14,8 @@
 	bundle: true,
 	platform: 'node',
 	format: 'esm',
+	// The UMD build of jsonc-parser cannot be bundled; its module build can.
+	mainFields: ['module', 'main'],
 	target: 'node20',
 	// Bundled CommonJS libraries ask for `require`.
 	banner: {js: 'import {createRequire as createRequireOfBundle} from \'node:module\';\nconst require = createRequireOfBundle(import.meta.url);'},
