Prove rate shares by property and directed tests; settle an epoch once all hold it

Cause: (1) nothing proved the shares of rate; (2) every change of membership waited out the contact bound, in which growing shares stand still: a test that spends all there is saw the rate come back only 10 s after a planned join; (3) admission was written against promises, so measurements could not run it.

Ruled out: cumulative gift counters and returns of capacity by message (more state, and a lost return lowers a cap for long); refunds up to the cap (a directed test shows a window of burst plus refund).

Before: none of the mutations (loans not reserved, no smaller share in a joint epoch, plain refunds, no wait after a restart, loans that never expire) was noticed. After: each fails a test. Dropping refill without contact or over a gap is not noticed: learning the new epoch before contact already covers both; they stay as a second line.

--- a/packages/coordination/__tests__/fake-fleet.ts
+++ b/packages/coordination/__tests__/fake-fleet.ts
@@ -170,7 +170,7 @@
 	maintainEpoch(id: string): void {
 		const host = this.host(id);
 		const proposal = host.maintenance.propose(host.contact, this.hosts.map(candidate => recordOf(candidate.id)), this.now);
-		if (proposal !== undefined && proposal.replaces === this.#store.epoch.number) {
+		if (proposal?.replaces === this.#store.epoch.number) {
 			this.#store = {...this.#store, epoch: proposal.epoch};
 		}
 	}
@@ -193,7 +193,7 @@
 		const credit = new CreditTable({
 			self: id, homeHosts: 9, loanLifetime, loanMargin, longestGap: 1000,
 		}, this.now);
-		credit.setLimit(workspace, {tokensPerSecond: 100, burstTokens: 300});
+		credit.setLimit(workspace, {tokensPerSecond: 600, burstTokens: 300});
 		return {
 			id,
 			incarnation: this.#incarnation,
--- a/packages/coordination/src/contact-table.ts
+++ b/packages/coordination/src/contact-table.ts
@@ -194,6 +194,16 @@
 		return epoch !== undefined && isQuorum(epoch, id => id === this.#options.self || (this.#rows.get(id)?.epoch ?? 0) >= epoch.number);
 	}
 
+	/**
+	 * Tells whether every member of the present epoch, old and new, is known to hold it.
+	 *
+	 * @returns True when no host can still act on an earlier one.
+	 */
+	isEpochHeldByAll(): boolean {
+		const epoch = this.#epoch;
+		return epoch !== undefined && hostsOf(epoch).every(host => host.id === this.#options.self || (this.#rows.get(host.id)?.epoch ?? 0) >= epoch.number);
+	}
+
 	#noteHost(id: string, row: HostRow): void {
 		const held = this.#rows.get(id);
 		if (held === undefined || held.heardAt < row.heardAt) {
--- a/packages/coordination/src/epoch-maintenance.ts
+++ b/packages/coordination/src/epoch-maintenance.ts
@@ -15,7 +15,7 @@
 
 /**
  * Proposes changes of membership: first a joint epoch, in which shares of rate only shrink,
- * then, once every host outside the quorum must have stopped by the contact rule, the settled one.
+ * then, once every host has acknowledged it or must have stopped by the contact rule, the settled one.
  */
 export class EpochMaintenance {
 	readonly #options: EpochMaintenanceOptions;
@@ -77,7 +77,8 @@
 			this.#heldByQuorumSince = {epoch: epoch.number, at: now};
 		}
 
-		if (now - this.#heldByQuorumSince.at < this.#options.settleAfter) {
+		const hasStopped = now - this.#heldByQuorumSince.at >= this.#options.settleAfter;
+		if (!hasStopped && !contact.isEpochHeldByAll()) {
 			return undefined;
 		}
 
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -2,11 +2,11 @@
 	type BackendError, type EngineAnswer, type EngineChunk, certainlyDidNotRun,
 } from '@lacewingpoint/backend';
 import {
-	type Placement, type PlacementRequest, type ServerRow, StreamProgress, cacheSalt, hashBlocks,
+	type Placement, type PlacementRequest, type ServerRow, StreamProgress, cacheSalt, charactersPerBlock, hashBlocks, placementOptions, uncachedTokens,
 } from '@lacewingpoint/routing';
 import {type Tokens, hashText} from '@lacewingpoint/shared';
 import {type Result} from 'true-myth';
-import {type Admission, uncachedTokens} from './admission.js';
+import type {AdmissionService} from './admission-service.js';
 import {authorize} from './authorization.js';
 import type {BackendLinks} from './backend-links.js';
 import type {CallerStream} from './caller-response.js';
@@ -16,12 +16,12 @@
 import type {InFlightTable} from './in-flight-table.js';
 import type {Metrics} from './metrics.js';
 import {type Refusal, mayHaveRun, notRun} from './router-error.js';
-import {type Tables, homeBlocks} from './tables.js';
+import type {Tables} from './tables.js';
 
 /** What a completion needs of the router. */
 export type CompletionContext = {
 	readonly tables: Tables;
-	readonly admission: Admission;
+	readonly admission: AdmissionService;
 	readonly backends: BackendLinks;
 	readonly inFlight: InFlightTable;
 	readonly metrics: Metrics;
@@ -113,8 +113,12 @@
 
 		const request = this.#placementRequest(verdict === 'suspect');
 		const placed = await this.#context.admission.place({
-			workspace: this.#input.workspace, priority: named.route.priority, model: named.route.model, placement: request, signal,
-		});
+			workspace: this.#input.workspace,
+			weight: tables.configuration.workspaces.get(this.#input.workspace)?.weight ?? 1,
+			priority: named.route.priority,
+			model: named.route.model,
+			placement: request,
+		}, signal);
 		if (placed.isErr) {
 			return this.#refusal(placed.error);
 		}
@@ -389,7 +393,7 @@
 };
 
 const retryAfterFailure = 1000;
-const homeCharacters = homeBlocks * 256;
+const homeCharacters = placementOptions.homeBlocks * charactersPerBlock;
 
 function readUsage(text: string): Usage | undefined {
 	try {
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -5,7 +5,7 @@
 import {
 	type Disposable, type Logger, DisposableStore, startRepeatingTask,
 } from '@lacewingpoint/shared';
-import {Admission} from './admission.js';
+import {AdmissionService} from './admission-service.js';
 import {BackendLinks} from './backend-links.js';
 import {CallersServer} from './callers-server.js';
 import {ClaimService} from './claim-service.js';
@@ -74,7 +74,7 @@
 			stateInterval: engines.stateIntervalMilliseconds,
 			followCacheEvents: engines.followCacheEvents,
 		}));
-		const admission = new Admission(tables, this.#clock, {subsetSize: engines.subsetSize, backlog: engines.backlogMilliseconds, longestWait: limits.queueMilliseconds});
+		const admission = new AdmissionService(tables.admission, this.#clock);
 		const creditService = new CreditService(context, links, {self: this.#host.id, longestWait: credit.longestWaitMilliseconds, dryPause});
 		const claims = new ClaimService(new ClaimStore(store), links, this.#logger, {claimer: `${this.#host.id}/${this.#incarnation}`, keepPause, keepAttempts});
 		const storeLink = this.#own(this.#createStoreLink(context, store));
@@ -164,7 +164,7 @@
 		}
 	}
 
-	#startTicks(admission: Admission): void {
+	#startTicks(admission: AdmissionService): void {
 		const tables = this.#tables;
 		let lastContact = '';
 		this.#disposables.add(startRepeatingTask(tickInterval, () => {
@@ -184,7 +184,7 @@
 
 	#gauges(metrics: Metrics, inFlight: InFlightTable): void {
 		metrics.gauge('in_flight', () => inFlight.size);
-		metrics.gauge('waiting', () => this.#tables.waiting.size);
+		metrics.gauge('waiting', () => this.#tables.admission.waiting);
 		metrics.gauge('known_blocks', () => this.#tables.prefixes.size);
 		metrics.gauge('highest_ticket', () => this.#tables.tickets.highestNumber);
 		metrics.gauge('resident_bytes', () => process.memoryUsage.rss());
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -1,6 +1,4 @@
-export {
-	type AdmissionOptions, type AdmissionRequest, type WaitingRequest, Admission,
-} from './admission.js';
+export {type WaitingRequest, AdmissionService} from './admission-service.js';
 export {authorize} from './authorization.js';
 export {ClaimService} from './claim-service.js';
 export {ClaimStore, claimKey} from './claim-store.js';
--- a/packages/router/src/tables.ts
+++ b/packages/router/src/tables.ts
@@ -1,10 +1,10 @@
 import {ContactTable, CreditTable, TicketTable} from '@lacewingpoint/coordination';
 import {
-	FairQueue, PredictedTimePlacement, PrefixIndex, Quarantine, RetryBudget, ServerTable,
+	Admission, PredictedTimePlacement, PrefixIndex, Quarantine, RetryBudget, ServerTable, placementOptions,
 } from '@lacewingpoint/routing';
 import type {Deployment, DeploymentHost} from '@lacewingpoint/settings';
 import type {Milliseconds} from '@lacewingpoint/shared';
-import type {WaitingRequest} from './admission.js';
+import type {WaitingRequest} from './admission-service.js';
 import {ConfigurationView} from './configuration-view.js';
 
 /** All state of a router. Systems run over it; nothing else is kept. */
@@ -15,17 +15,13 @@
 	readonly credit: CreditTable;
 	readonly servers: ServerTable;
 	readonly prefixes: PrefixIndex;
-	readonly placement: PredictedTimePlacement;
-	readonly waiting: FairQueue<WaitingRequest>;
+	readonly admission: Admission<WaitingRequest>;
 	readonly quarantine: Quarantine;
 	readonly retries: RetryBudget;
 };
 
 const longestTickGap: Milliseconds = 1000;
 
-/** The level of a prompt by which routers agree on a server: the shared instructions and the start of the document. */
-export const homeBlocks = 16;
-
 /**
  * Makes the empty tables of a router.
  *
@@ -35,8 +31,10 @@
  * @returns The tables.
  */
 export function createTables(deployment: Deployment, self: DeploymentHost, now: Milliseconds): Tables {
-	const {contact, credit, engines} = deployment;
+	const {contact, credit, engines, limits} = deployment;
 	const prefixes = new PrefixIndex({blocksPerServer: engines.cacheBlocks, lifetime: engines.cacheLifetimeMilliseconds});
+	const servers = new ServerTable({initialTokensPerSecond: engines.prefillTokensPerSecond, firstBackoff: 500, longestBackoff: 8000});
+	const placement = new PredictedTimePlacement(prefixes, placementOptions);
 	return {
 		tickets: new TicketTable(),
 		configuration: new ConfigurationView(),
@@ -48,10 +46,9 @@
 			loanMargin: credit.loanMarginMilliseconds,
 			longestGap: longestTickGap,
 		}, now),
-		servers: new ServerTable({initialTokensPerSecond: engines.prefillTokensPerSecond, firstBackoff: 500, longestBackoff: 8000}),
+		servers,
 		prefixes,
-		placement: new PredictedTimePlacement(prefixes, {homeBlocks, homeShare: 0.5, copyShare: 0.25}),
-		waiting: new FairQueue(),
+		admission: new Admission(servers, placement, {subsetSize: engines.subsetSize, backlog: engines.backlogMilliseconds, longestWait: limits.queueMilliseconds}),
 		quarantine: new Quarantine({convictingDeaths: 2, domainWindow: 2000, lifetime: 600_000}),
 		retries: new RetryBudget({share: 0.1, burst: 20}),
 	};
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,7 +1,10 @@
 export {type AddressQuestion, type EntryHost, rankEntryHosts} from './address-ranking.js';
+export {
+	type Admitted, type AdmissionOptions, type AdmissionOutcome, type AdmissionRequest, Admission, uncachedTokens,
+} from './admission.js';
 export {type Priority, type QueuedRequest, FairQueue} from './fair-queue.js';
 export {
-	type Placement, type PlacementPolicy, type PlacementRequest, type PredictedTimeOptions, PredictedTimePlacement,
+	type Placement, type PlacementPolicy, type PlacementRequest, type PredictedTimeOptions, PredictedTimePlacement, placementOptions,
 } from './placement.js';
 export {
 	type CacheChange, type PrefixIndexOptions, type PrefixSnapshot, PrefixIndex,
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -47,6 +47,9 @@
 	readonly copyShare: number;
 };
 
+/** The options that the daemons run with and that the measurements are made with. */
+export const placementOptions: PredictedTimeOptions = {homeBlocks: 16, homeShare: 0.5, copyShare: 0.25};
+
 /**
  * Sends a request where its first token is predicted soonest: queue plus uncached prefill.
  * A prefix that nobody is known to have is drawn to its home by rendezvous hashing, so that routers agree without messages.
