Divide servers into cells with one primary host; learn speed from exact samples; borrow from the fullest

Change: servers of a model form cells of about 16; the address answer names the cell's primary host first. Credit is borrowed from the fullest host, a little ahead of spending; for 10 s after a start requests may wait longer for refill.

--- a/packages/coordination/src/credit-table.ts
+++ b/packages/coordination/src/credit-table.ts
@@ -36,9 +36,15 @@
 	level: Tokens;
 	loans: Loan[];
 	lent: Lent[];
+	/** What is spent here on average; says how much to borrow ahead. */
+	spentPerSecond: Tokens;
+	spentSinceTick: Tokens;
 	readonly charges: Set<Charge>;
 };
 
+/** The time over which spending is averaged. */
+const spendingMemory: Milliseconds = 2000;
+
 /** How a request for credit went. */
 export type ChargeOutcome
 	= | {readonly type: 'charged'; readonly charge: Charge}
@@ -55,6 +61,7 @@
 	readonly #options: CreditOptions;
 	readonly #accounts = new Map<string, Account>();
 	readonly #startedAt: Milliseconds;
+	readonly #shares = new Map<string, number>();
 	#epoch: Epoch | undefined;
 	#tickedAt: Milliseconds;
 
@@ -76,7 +83,7 @@
 			this.#accounts.delete(workspace);
 		} else if (account === undefined) {
 			this.#accounts.set(workspace, {
-				limit, level: 0, loans: [], lent: [], charges: new Set(),
+				limit, level: 0, loans: [], lent: [], spentPerSecond: 0, spentSinceTick: 0, charges: new Set(),
 			});
 		} else {
 			account.limit = limit;
@@ -91,6 +98,7 @@
 	 */
 	setEpoch(epoch: Epoch): void {
 		this.#epoch = epoch;
+		this.#shares.clear();
 		for (const [workspace, account] of this.#accounts) {
 			account.level = Math.min(account.level, this.#capacity(workspace, account, this.#tickedAt));
 		}
@@ -107,6 +115,7 @@
 		this.#tickedAt = now;
 		const mints = hasContact && elapsed <= this.#options.longestGap;
 		for (const [workspace, account] of this.#accounts) {
+			noteSpending(account, elapsed);
 			this.#refill(workspace, account, mints ? elapsed : 0, now);
 		}
 	}
@@ -132,6 +141,7 @@
 		}
 
 		this.#spend(account, amount);
+		account.spentSinceTick += amount;
 		const charge: Charge = {workspace, amount, refundable: amount};
 		account.charges.add(charge);
 		this.#noteHeadroom(workspace, account, now);
@@ -221,6 +231,16 @@
 		return this.#epoch === undefined ? [] : this.#homes(workspace, this.#epoch.hosts);
 	}
 
+	/**
+	 * Tells what is spent here for a workspace.
+	 *
+	 * @param workspace - The workspace.
+	 * @returns Tokens a second, averaged over the last seconds.
+	 */
+	spendingOf(workspace: string): Tokens {
+		return this.#accounts.get(workspace)?.spentPerSecond ?? 0;
+	}
+
 	/**
 	 * Tells a workspace's limit.
 	 *
@@ -245,8 +265,14 @@
 		return homes.includes(this.#options.self) ? 1 / homes.length : 0;
 	}
 
-	// In a joint epoch the smaller share counts: what shrinks does so at once, what grows waits until the epoch settles.
 	#share(workspace: string): number {
+		const held = this.#shares.get(workspace) ?? this.#computeShare(workspace);
+		this.#shares.set(workspace, held);
+		return held;
+	}
+
+	// In a joint epoch the smaller share counts: what shrinks does so at once, what grows waits until the epoch settles.
+	#computeShare(workspace: string): number {
 		const epoch = this.#epoch;
 		if (epoch === undefined) {
 			return 0;
@@ -305,6 +331,13 @@
 	}
 }
 
+function noteSpending(account: Account, elapsed: Milliseconds): void {
+	const weight = Math.min(elapsed / spendingMemory, 1);
+	const current = elapsed > 0 ? account.spentSinceTick * millisecondsPerSecond / elapsed : 0;
+	account.spentPerSecond += weight * (current - account.spentPerSecond);
+	account.spentSinceTick = 0;
+}
+
 function sumOf(items: ReadonlyArray<{readonly amount: Tokens}>): Tokens {
 	let sum = 0;
 	for (const item of items) {
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -7,12 +7,16 @@
 export {
 	type Charge, type ChargeOutcome, type CreditLimit, type CreditOptions, type Loan, CreditTable,
 } from './credit-table.js';
+export {
+	type CreditWaitOptions, amountToBorrow, longestCreditWait, refillTime,
+} from './credit-wait.js';
 export {
 	type EpochMaintenanceOptions, type EpochProposal, EpochMaintenance,
 } from './epoch-maintenance.js';
 export {
 	type Epoch, type HostRecord, epochSchema, hostRecordSchema, hostsOf, isQuorum, majorityOf,
 } from './epoch.js';
+export {LenderEstimates} from './lender-estimates.js';
 export {type TicketChanges, TicketTable} from './ticket-table.js';
 export {
 	type BackendState, type DrainingObject, type KeyState, type ModelState, type ObjectKind, type Register, type RouteState,
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -38,7 +38,7 @@
 
 export const creditRequestSchema = v.object({from: v.string(), workspace: v.string(), amount: v.number()});
 
-export const creditReplySchema = v.object({amount: v.number()});
+export const creditReplySchema = v.object({amount: v.number(), left: v.number()});
 
 export const claimQuestionSchema = v.object({claimId: v.string()});
 
--- a/packages/router/src/callers-server.ts
+++ b/packages/router/src/callers-server.ts
@@ -267,17 +267,21 @@
 	async #listEntryHosts(caller: Caller): Promise<void> {
 		const {tables, clock} = this.#context;
 		const query = new URL(caller.request.url ?? '/', 'http://0.0.0.0').searchParams;
-		const workspace = (caller.secret === undefined ? undefined : tables.configuration.workspaceOf(caller.secret)) ?? '';
 		const serving = new Set(tables.contact.serving(clock.now()));
 		const epoch = tables.contact.epoch;
 		const hosts = epoch === undefined ? [] : hostsOf(epoch).filter(host => serving.has(host.id));
-		const ranked = rankEntryHosts(
-			{workspace, model: query.get('model') ?? '', failureDomain: query.get('failure_domain') ?? undefined},
-			hosts,
-			tables.credit.homesOf(workspace),
-		);
+		const cell = this.#cellOf(caller.secret, query.get('model') ?? undefined);
+		const ranked = rankEntryHosts({cell, failureDomain: query.get('failure_domain') ?? undefined}, hosts);
 		sendJson(caller.response, {hosts: ranked.map(host => ({id: host.id, address: host.callersAddress, failure_domain: host.failureDomain}))}, this.#options.addressLifetimeSeconds);
 	}
+
+	// A caller that names no model gets the primary of the first one; with one model that is the right one.
+	#cellOf(secret: string | undefined, routeName: string | undefined): string {
+		const {configuration, servers} = this.#context.tables;
+		const workspace = (secret === undefined ? undefined : configuration.workspaceOf(secret)) ?? '';
+		const named = configuration.modelRoutes.get(routeName ?? '') ?? [...configuration.modelRoutes.values()][0];
+		return named === undefined ? workspace : servers.cells(named.route.model).rank(workspace)[0]!;
+	}
 }
 
 type Admitted = {readonly workspace: string; readonly isCharged: boolean};
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -68,6 +68,7 @@
 	#mayHaveRun = false;
 	#hasFirstToken = false;
 	#usedTokens: Tokens | undefined;
+	#speedSample: SpeedSample | undefined;
 
 	constructor(context: CompletionContext, input: CompletionInput) {
 		this.#context = context;
@@ -343,10 +344,10 @@
 		this.#hasFirstToken = true;
 		const {tables, metrics, clock} = this.#context;
 		const now = clock.now();
-		const {row, placement, reserved} = dispatch;
+		const {row, placement} = dispatch;
 		if (this.#input.call.streams) {
 			metrics.time('first_token', now - this.#input.arrivedAt, {workspace: this.#input.workspace});
-			tables.servers.noteSpeed(row.description.id, placement.queuedTokens + reserved, now - sentAt);
+			this.#speedSample = {server: row.description.id, queuedTokens: placement.queuedTokens, elapsed: now - sentAt};
 		}
 	}
 
@@ -356,9 +357,17 @@
 			return;
 		}
 
-		this.#usedTokens = usage.total_tokens ?? undefined;
-		this.#context.metrics.count('prompt_tokens', {workspace: this.#input.workspace}, usage.prompt_tokens ?? 0);
-		this.#context.metrics.count('cached_tokens', {workspace: this.#input.workspace}, usage.prompt_tokens_details?.cached_tokens ?? 0);
+		const {metrics, tables} = this.#context;
+		const {workspace} = this.#input;
+		const promptTokens = usage.prompt_tokens ?? 0;
+		const cachedTokens = usage.prompt_tokens_details?.cached_tokens ?? 0;
+		this.#usedTokens = usage.total_tokens;
+		metrics.count('prompt_tokens', {workspace}, promptTokens);
+		metrics.count('cached_tokens', {workspace}, cachedTokens);
+		if (this.#speedSample !== undefined) {
+			const {server, queuedTokens, elapsed} = this.#speedSample;
+			tables.servers.noteSpeed(server, queuedTokens, promptTokens - cachedTokens, elapsed);
+		}
 	}
 
 	#giveUp(error: BackendError): CompletionEnd {
@@ -377,6 +386,8 @@
 	}
 }
 
+type SpeedSample = {readonly server: string; readonly queuedTokens: Tokens; readonly elapsed: number};
+
 type Dispatch = {
 	readonly row: ServerRow;
 	readonly placement: Placement;
--- a/packages/router/src/credit-service.ts
+++ b/packages/router/src/credit-service.ts
@@ -1,14 +1,14 @@
-import type {Charge} from '@lacewingpoint/coordination';
-import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
+import {
+	type Charge, type CreditWaitOptions, LenderEstimates, amountToBorrow, longestCreditWait, refillTime,
+} from '@lacewingpoint/coordination';
+import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import type {PeerLinks} from './peer-links.js';
 import {type Refusal, notRun} from './router-error.js';
 import type {RouterContext} from './router-context.js';
 
-export type CreditServiceOptions = {
+export type CreditServiceOptions = CreditWaitOptions & {
 	readonly self: string;
-	/** A request waits at most this long for refill; one that would wait longer is refused at once. */
-	readonly longestWait: Milliseconds;
 	/** After the peers had nothing to lend they are not asked again for this long. */
 	readonly dryPause: Milliseconds;
 };
@@ -29,11 +29,14 @@
 	readonly #links: PeerLinks;
 	readonly #options: CreditServiceOptions;
 	readonly #lines = new Map<string, Line>();
+	readonly #lenders = new LenderEstimates();
+	readonly #startedAt: Milliseconds;
 
 	constructor(context: RouterContext, links: PeerLinks, options: CreditServiceOptions) {
 		this.#context = context;
 		this.#links = links;
 		this.#options = options;
+		this.#startedAt = context.clock.now();
 	}
 
 	/**
@@ -53,7 +56,7 @@
 		}
 
 		const wait = this.#expectedWait(workspace, line, amount);
-		if (wait > this.#options.longestWait && this.#context.clock.now() < line.dryUntil) {
+		if (wait > this.#longestWait() && this.#context.clock.now() < line.dryUntil) {
 			return Result.err(this.#refuse(workspace, wait));
 		}
 
@@ -80,9 +83,12 @@
 			wanted += waiter.amount;
 		}
 
-		const missing = wanted - this.#context.tables.credit.available(workspace, this.#context.clock.now());
-		const rate = this.#context.tables.credit.limitOf(workspace)?.tokensPerSecond ?? 0;
-		return Math.max(missing, 0) * millisecondsPerSecond / Math.max(rate, 1);
+		const {credit} = this.#context.tables;
+		return refillTime(credit, workspace, wanted - credit.available(workspace, this.#context.clock.now()));
+	}
+
+	#longestWait(): Milliseconds {
+		return longestCreditWait(this.#options, this.#context.clock.now() - this.#startedAt);
 	}
 
 	async #work(workspace: string, line: Line): Promise<void> {
@@ -117,10 +123,9 @@
 				continue;
 			}
 
-			const rate = Math.max(this.#context.tables.credit.limitOf(workspace)?.tokensPerSecond ?? 0, 1);
-			const wait = outcome.missing * millisecondsPerSecond / rate;
+			const wait = refillTime(this.#context.tables.credit, workspace, outcome.missing);
 			const waited = this.#context.clock.now() - waiter.enteredAt;
-			if (waited + wait > this.#options.longestWait) {
+			if (waited + wait > this.#longestWait()) {
 				return Result.err(this.#refuse(workspace, wait));
 			}
 
@@ -130,28 +135,33 @@
 		}
 	}
 
-	// Peers are asked in turn for what is still missing, so that no more moves than is spent.
+	// Peers are asked in turn for what is still missing, so that no more moves than is soon spent.
 	async #borrow(workspace: string, line: Line, missing: Tokens): Promise<boolean> {
-		let left = missing;
-		for (const home of this.#lenders(workspace)) {
-			const askedAt = this.#context.clock.now();
-			const reply = await this.#links.peer(home)?.lendCredit({from: this.#options.self, workspace, amount: left});
+		const {tables, clock, metrics} = this.#context;
+		let left = amountToBorrow(tables.credit, workspace, missing);
+		const enough = left - missing;
+		for (const lender of this.#order(workspace)) {
+			const askedAt = clock.now();
+			const reply = await this.#links.peer(lender)?.lendCredit({from: this.#options.self, workspace, amount: left});
 			const amount = reply?.isOk === true ? reply.value.amount : 0;
-			this.#context.tables.credit.receive(workspace, amount, askedAt);
-			this.#context.metrics.count('credit_requests', {outcome: amount > 0 ? 'lent' : 'nothing'});
+			tables.credit.receive(workspace, amount, askedAt);
+			this.#lenders.note(workspace, lender, reply?.isOk === true ? reply.value.left : 0, clock.now());
+			metrics.count('credit_requests', {outcome: amount > 0 ? 'lent' : 'nothing'});
 			left -= amount;
-			if (left <= 0) {
+			if (left <= enough) {
 				return true;
 			}
 		}
 
-		line.dryUntil = this.#context.clock.now() + this.#options.dryPause;
+		line.dryUntil = clock.now() + this.#options.dryPause;
 		return false;
 	}
 
-	#lenders(workspace: string): string[] {
-		const now = this.#context.clock.now();
-		return this.#context.tables.credit.homesOf(workspace).filter(home => home !== this.#options.self && this.#context.tables.contact.isFresh(home, now));
+	#order(workspace: string): string[] {
+		const {tables, clock} = this.#context;
+		const now = clock.now();
+		const lenders = tables.credit.homesOf(workspace).filter(home => home !== this.#options.self && tables.contact.isFresh(home, now));
+		return this.#lenders.order(workspace, lenders, tables.credit.limitOf(workspace)!, now);
 	}
 }
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -1,5 +1,5 @@
 import {EpochMaintenance, type HostRecord} from '@lacewingpoint/coordination';
-import {servePeers} from '@lacewingpoint/peer';
+import {type CreditReply, servePeers} from '@lacewingpoint/peer';
 import {EtcdKeyValueService, HttpHostList} from '@lacewingpoint/platform';
 import type {Deployment, DeploymentHost} from '@lacewingpoint/settings';
 import {
@@ -75,14 +75,16 @@
 			followCacheEvents: engines.followCacheEvents,
 		}));
 		const admission = new AdmissionService(tables.admission, this.#clock);
-		const creditService = new CreditService(context, links, {self: this.#host.id, longestWait: credit.longestWaitMilliseconds, dryPause});
+		const creditService = new CreditService(context, links, {
+			self: this.#host.id, longestWait: credit.longestWaitMilliseconds, longestWaitAfterStart: credit.longestWaitAfterStartMilliseconds, dryPause,
+		});
 		const claims = new ClaimService(new ClaimStore(store), links, this.#logger, {claimer: `${this.#host.id}/${this.#incarnation}`, keepPause, keepAttempts});
 		const storeLink = this.#own(this.#createStoreLink(context, store));
 		this.#gauges(metrics, inFlight);
 
 		this.#disposables.add(await servePeers({
 			exchange: request => answerExchange(tables, {id: this.#host.id, incarnation: this.#incarnation}, request, this.#clock.now()),
-			lendCredit: ({workspace, amount}) => ({amount: tables.credit.lend(workspace, amount, this.#clock.now())}),
+			lendCredit: ({workspace, amount}) => lendCredit(tables, workspace, amount, this.#clock.now()),
 			claimOutcome: ({claimId}) => ({outcome: claims.outcomeOf(claimId)}),
 			prefixes: () => ({snapshots: tables.prefixes.snapshot(snapshotBlocksPerServer).map(snapshot => ({...snapshot, blocks: [...snapshot.blocks]}))}),
 		}, this.#host.peerAddress));
@@ -195,6 +197,11 @@
 	}
 }
 
+function lendCredit(tables: Tables, workspace: string, wanted: number, now: number): CreditReply {
+	const amount = tables.credit.lend(workspace, wanted, now);
+	return {amount, left: tables.credit.available(workspace, now)};
+}
+
 function recordOf(host: DeploymentHost): HostRecord {
 	return {
 		id: host.id, failureDomain: host.failureDomain, callersAddress: host.callersAddress, peerAddress: host.peerAddress,
--- a/packages/router/src/tables.ts
+++ b/packages/router/src/tables.ts
@@ -33,7 +33,9 @@
 export function createTables(deployment: Deployment, self: DeploymentHost, now: Milliseconds): Tables {
 	const {contact, credit, engines, limits} = deployment;
 	const prefixes = new PrefixIndex({blocksPerServer: engines.cacheBlocks, lifetime: engines.cacheLifetimeMilliseconds});
-	const servers = new ServerTable({initialTokensPerSecond: engines.prefillTokensPerSecond, firstBackoff: 500, longestBackoff: 8000});
+	const servers = new ServerTable({
+		cellSize: engines.cellSize, initialTokensPerSecond: engines.prefillTokensPerSecond, firstBackoff: 500, longestBackoff: 8000,
+	});
 	const placement = new PredictedTimePlacement(prefixes, placementOptions);
 	return {
 		tickets: new TicketTable(),
@@ -48,7 +50,7 @@
 		}, now),
 		servers,
 		prefixes,
-		admission: new Admission(servers, placement, {subsetSize: engines.subsetSize, backlog: engines.backlogMilliseconds, longestWait: limits.queueMilliseconds}),
+		admission: new Admission(servers, placement, {backlog: engines.backlogMilliseconds, longestWait: limits.queueMilliseconds}),
 		quarantine: new Quarantine({convictingDeaths: 2, domainWindow: 2000, lifetime: 600_000}),
 		retries: new RetryBudget({share: 0.1, burst: 20}),
 	};
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,7 +1,6 @@
 import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
 import {type Priority, FairQueue} from './fair-queue.js';
 import type {Placement, PlacementPolicy, PlacementRequest} from './placement.js';
-import {chooseSubset} from './server-subset.js';
 import {type ServerRow, type ServerTable, isUsable} from './server-table.js';
 
 /** What has to be known to place a request. */
@@ -14,8 +13,6 @@
 };
 
 export type AdmissionOptions = {
-	/** The most servers that one workspace's requests for a model use. */
-	readonly subsetSize: number;
 	/** Requests wait here, in fair order, rather than behind more than this at an engine. */
 	readonly backlog: Milliseconds;
 	/** The longest wait; a request that cannot be placed within it is refused at once. */
@@ -28,6 +25,9 @@
 		| {readonly type: 'no-server'}
 		| {readonly type: 'overloaded'; readonly retryAfter: Milliseconds};
 
+/** The cells that one workspace's requests for a model use: its own and one to overflow into. */
+const cellsPerWorkspace = 2;
+
 type Waiting<Item> = {readonly item: Item; readonly request: AdmissionRequest; readonly expiresAt: Milliseconds};
 
 /** A waiting request whose turn has come. */
@@ -115,13 +115,24 @@
 		return next === undefined ? undefined : {item: next.item.item, outcome: this.#take(next.item.request, placement!)};
 	}
 
-	#candidates(request: AdmissionRequest, now: Milliseconds): ServerRow[] {
-		const servers = this.#servers.rows().filter(row => row.description.serves === request.model);
-		return chooseSubset(`${request.workspace} ${request.model}`, servers, this.#options.subsetSize).filter(row => isUsable(row, now));
+	// A workspace keeps to its cell, whose queues this host knows best, until that has no room.
+	#choose(request: AdmissionRequest, now: Milliseconds): Placement | undefined {
+		const cells = this.#servers.cells(request.model);
+		let first: Placement | undefined;
+		for (const cell of cells.rank(request.workspace).slice(0, cellsPerWorkspace)) {
+			const placement = this.#policy.choose(request.placement, this.#usable(cells.members(cell), now), now);
+			if (placement !== undefined && this.#hasRoom(request, placement)) {
+				return placement;
+			}
+
+			first ??= placement;
+		}
+
+		return first;
 	}
 
-	#choose(request: AdmissionRequest, now: Milliseconds): Placement | undefined {
-		return this.#policy.choose(request.placement, this.#candidates(request, now), now);
+	#usable(members: readonly string[], now: Milliseconds): ServerRow[] {
+		return members.map(id => this.#servers.get(id)!).filter(row => isUsable(row, now));
 	}
 
 	#hasRoom(request: AdmissionRequest, placement: Placement): boolean {
@@ -138,7 +149,9 @@
 
 	#expectedWait(request: AdmissionRequest, now: Milliseconds): Milliseconds {
 		let tokensPerSecond = 0;
-		for (const row of this.#candidates(request, now)) {
+		const cells = this.#servers.cells(request.model);
+		const [cell] = cells.rank(request.workspace);
+		for (const row of this.#usable(cells.members(cell!), now)) {
 			tokensPerSecond += row.tokensPerSecond;
 		}
 
--- /dev/null
+++ b/packages/routing/src/cells.ts
@@ -0,0 +1,48 @@
+import {rankByRendezvous} from '@lacewingpoint/shared';
+
+/**
+ * The cells that the servers of one model are divided into. A cell's requests go through one entry host, its primary, which
+ * therefore knows the cell's queues without any message; the other hosts stand by.
+ */
+export class Cells {
+	readonly #names: readonly string[];
+	readonly #members = new Map<string, string[]>();
+
+	/**
+	 * @param model - The model.
+	 * @param servers - The ids of its servers.
+	 * @param cellSize - The number of servers that a cell has on average; a model with no more has one cell.
+	 */
+	constructor(model: string, servers: readonly string[], cellSize: number) {
+		const count = Math.max(1, Math.ceil(servers.length / cellSize));
+		this.#names = Array.from({length: count}, (_, index) => `${model} ${index}`);
+		for (const name of this.#names) {
+			this.#members.set(name, []);
+		}
+
+		for (const server of servers) {
+			const [cell] = count === 1 ? this.#names : rankByRendezvous(server, this.#names);
+			this.#members.get(cell!)!.push(server);
+		}
+	}
+
+	/**
+	 * Ranks the cells for a workspace: it uses the first, and the next ones when that is full.
+	 *
+	 * @param workspace - The workspace.
+	 * @returns The names of the cells.
+	 */
+	rank(workspace: string): readonly string[] {
+		return this.#names.length === 1 ? this.#names : rankByRendezvous(workspace, this.#names);
+	}
+
+	/**
+	 * Lists a cell's servers.
+	 *
+	 * @param cell - The cell's name.
+	 * @returns The ids of its servers.
+	 */
+	members(cell: string): readonly string[] {
+		return this.#members.get(cell) ?? [];
+	}
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -16,7 +16,8 @@
 	type QuarantineOptions, type ServerDeath, type SuspectDeath, Quarantine,
 } from './quarantine.js';
 export {type RetryBudgetOptions, RetryBudget} from './retry-budget.js';
-export {chooseSubset, spreadOverDomains} from './server-subset.js';
+export {Cells} from './cells.js';
+export {spreadOverDomains} from './domain-spread.js';
 export {
 	type LoadReport, type ServerDescription, type ServerRow, type ServerTableOptions, ServerTable, isUsable, queuedTokens,
 } from './server-table.js';
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -48,7 +48,7 @@
 };
 
 /** The options that the daemons run with and that the measurements are made with. */
-export const placementOptions: PredictedTimeOptions = {homeBlocks: 16, homeShare: 0.5, copyShare: 0.25};
+export const placementOptions: PredictedTimeOptions = {homeBlocks: 16, homeShare: 1, copyShare: 1};
 
 /**
  * Sends a request where its first token is predicted soonest: queue plus uncached prefill.
--- a/packages/routing/src/server-table.ts
+++ b/packages/routing/src/server-table.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
+import {Cells} from './cells.js';
 
 /** What the configuration says of a backend server. */
 export type ServerDescription = {
@@ -19,6 +20,8 @@
 };
 
 export type ServerTableOptions = {
+	/** The servers of one cell, on average. */
+	readonly cellSize: number;
 	/** Assumed until answers have shown a server's speed. */
 	readonly initialTokensPerSecond: number;
 	/** How long a server is passed over after its first failure in a row; doubled for each further one. */
@@ -45,13 +48,14 @@
 	readonly passedOverUntil: Milliseconds;
 };
 
-const speedWeight = 0.1;
-const smallestSampleTokens = 256;
+const speedWeight = 0.05;
+const smallestSampleTokens = 1024;
 
 /** The backend servers that this router works with. */
 export class ServerTable {
 	readonly #options: ServerTableOptions;
 	readonly #rows = new Map<string, ServerRow>();
+	readonly #cells = new Map<string, Cells>();
 
 	constructor(options: ServerTableOptions) {
 		this.#options = options;
@@ -63,6 +67,7 @@
 	 * @param descriptions - The configured servers.
 	 */
 	configure(descriptions: readonly ServerDescription[]): void {
+		this.#cells.clear();
 		const kept = new Set(descriptions.map(description => description.id));
 		for (const id of this.#rows.keys()) {
 			if (!kept.has(id)) {
@@ -98,6 +103,22 @@
 		return this.rows().filter(row => row.description.serves === serves && isUsable(row, now));
 	}
 
+	/**
+	 * Divides the servers of a model into cells.
+	 *
+	 * @param serves - The model.
+	 * @returns The cells, the same on every router with the same configuration.
+	 */
+	cells(serves: string): Cells {
+		const held = this.#cells.get(serves) ?? new Cells(
+			serves,
+			this.rows().filter(row => row.description.serves === serves).map(row => row.description.id),
+			this.#options.cellSize,
+		);
+		this.#cells.set(serves, held);
+		return held;
+	}
+
 	/**
 	 * Takes in a report of load.
 	 *
@@ -157,14 +178,16 @@
 	}
 
 	/**
-	 * Learns a server's speed from one answer.
+	 * Learns a server's speed from an answer that found it idle. With a queue ahead the elapsed time holds guesses of what was
+	 * waiting, and learning from those makes a busy server look slow and its queue look longer still.
 	 *
 	 * @param id - The server.
-	 * @param tokens - The tokens ahead of and in the request when it was sent.
+	 * @param queued - The tokens that were waiting there when the request was sent.
+	 * @param tokens - The request's own uncached tokens.
 	 * @param elapsed - The time to its first token.
 	 */
-	noteSpeed(id: string, tokens: Tokens, elapsed: Milliseconds): void {
-		if (tokens < smallestSampleTokens || elapsed <= 0) {
+	noteSpeed(id: string, queued: Tokens, tokens: Tokens, elapsed: Milliseconds): void {
+		if (queued > 0 || tokens < smallestSampleTokens || elapsed <= 0) {
 			return;
 		}
 
--- a/packages/settings/src/deployment.ts
+++ b/packages/settings/src/deployment.ts
@@ -35,9 +35,10 @@
 
 const creditSchema = v.optional(v.strictObject({
 	homeHosts: v.optional(count, 9),
-	loanLifetimeMilliseconds: v.optional(milliseconds, 500),
-	loanMarginMilliseconds: v.optional(milliseconds, 250),
+	loanLifetimeMilliseconds: v.optional(milliseconds, 400),
+	loanMarginMilliseconds: v.optional(milliseconds, 200),
 	longestWaitMilliseconds: v.optional(milliseconds, 1000),
+	longestWaitAfterStartMilliseconds: v.optional(milliseconds, 5000),
 }), {});
 
 const limitsSchema = v.optional(v.strictObject({
@@ -52,7 +53,7 @@
 
 const enginesSchema = v.optional(v.strictObject({
 	prefillTokensPerSecond: v.optional(count, 20_000),
-	subsetSize: v.optional(count, 16),
+	cellSize: v.optional(count, 16),
 	cacheBlocks: v.optional(count, 2000),
 	cacheLifetimeMilliseconds: v.optional(milliseconds, 60_000),
 	followCacheEvents: v.optional(v.boolean(), true),
