--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -1,11 +1,12 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {Deployment, DeploymentHost} from '@lacewingpoint/settings';
 import {type Disposable, DisposableStore} from '@lacewingpoint/shared';
 import {request} from 'undici';
 import {LocalProcess} from './child-process.js';
+import {freePorts} from './free-ports.js';
+import {waitFor} from './wait-for.js';
 
 export type LocalClusterOptions = {
 	readonly name: string;
@@ -20,8 +21,6 @@
 };
 
 const failureDomains = ['domain-a', 'domain-b', 'domain-c'];
-const startTimeout = 20_000;
-const pollPause = 50;
 
 /** A stand-in with its address. */
 export type Backend = {readonly name: string; readonly address: string; readonly port: number; readonly failureDomain: string};
@@ -152,17 +151,7 @@
 	 * @param condition - The condition.
 	 */
 	async waitFor(what: string, condition: () => Promise<boolean>): Promise<void> {
-		const deadline = performance.now() + startTimeout;
-		while (!await condition()) {
-			if (performance.now() > deadline) {
-				const logs = [...this.processes.values()].map(child => `${child.name}: ${child.errors.slice(-400)}`).join('\n');
-				throw new Error(`waited too long for ${what}\n${logs}`);
-			}
-
-			await new Promise(resolve => {
-				setTimeout(resolve, pollPause);
-			});
-		}
+		await waitFor(what, condition, () => [...this.processes.values()].map(child => `${child.name}: ${child.errors.slice(-400)}`).join('\n'));
 	}
 
 	async dispose(): Promise<void> {
@@ -209,19 +198,3 @@
 		return false;
 	}
 }
-
-// All ports are held open together, so that none is given out twice.
-async function freePorts(count: number): Promise<number[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => {
-		const server = createServer();
-		await new Promise<void>(resolve => {
-			server.listen(0, '127.0.0.1', resolve);
-		});
-		return server;
-	}));
-	const ports = servers.map(server => (server.address() as {readonly port: number}).port);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return ports;
-}
--- a/packages/router/src/service-call.ts
+++ b/packages/router/src/service-call.ts
@@ -184,9 +184,10 @@
 	#choose(): ServerRow | undefined {
 		const {tables, clock} = this.#context;
 		const usable = tables.servers.usable(serviceKey(this.#input.named.route.service), clock.now());
-		return usable
-			.filter(row => !this.#failedServers.has(row.description.id))
-			.toSorted((left, right) => left.ownRequests - right.ownRequests)[0];
+		const fresh = usable.filter(row => !this.#failedServers.has(row.description.id));
+		// A call that may be repeated is better sent again to a server that failed it than refused.
+		const candidates = fresh.length === 0 && this.#isIdempotent() ? usable : fresh;
+		return candidates.toSorted((left, right) => left.ownRequests - right.ownRequests)[0];
 	}
 
 	#keep(held: HeldClaim | undefined, result: ServiceResult): void {
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,7 +1,7 @@
 import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
 import {type Priority, FairQueue} from './fair-queue.js';
 import type {Placement, PlacementPolicy, PlacementRequest} from './placement.js';
-import {type ServerRow, type ServerTable, isUsable} from './server-table.js';
+import {type ServerRow, type ServerTable, usableServers} from './server-table.js';
 
 /** What has to be known to place a request. */
 export type AdmissionRequest = {
@@ -132,7 +132,7 @@
 	}
 
 	#usable(members: readonly string[], now: Milliseconds): ServerRow[] {
-		return members.map(id => this.#servers.get(id)!).filter(row => isUsable(row, now));
+		return usableServers(members.map(id => this.#servers.get(id)!), now);
 	}
 
 	#hasRoom(request: AdmissionRequest, placement: Placement): boolean {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,7 +19,7 @@
 export {Cells} from './cells.js';
 export {spreadOverDomains} from './domain-spread.js';
 export {
-	type LoadReport, type ServerDescription, type ServerRow, type ServerTableOptions, ServerTable, isUsable, queuedTokens,
+	type LoadReport, type ServerDescription, type ServerRow, type ServerTableOptions, ServerTable, queuedTokens, usableServers,
 } from './server-table.js';
 export {type ChunkVerdict, StreamProgress} from './stream-progress.js';
 export {
--- a/packages/routing/src/server-table.ts
+++ b/packages/routing/src/server-table.ts
@@ -100,7 +100,7 @@
 	 * @returns The usable servers.
 	 */
 	usable(serves: string, now: Milliseconds): ServerRow[] {
-		return this.rows().filter(row => row.description.serves === serves && isUsable(row, now));
+		return usableServers(this.rows().filter(row => row.description.serves === serves), now);
 	}
 
 	/**
@@ -235,14 +235,17 @@
 }
 
 /**
- * Tells whether a server may receive new work.
+ * Picks the servers that may receive new work: not those that are drained, leaving or loading weights, and not those passed
+ * over after a failure, unless that leaves none. A server that fails again costs less than a refusal.
  *
- * @param row - The server.
+ * @param rows - The servers.
  * @param now - The present moment.
- * @returns False while it is drained, leaving, loading weights or passed over.
+ * @returns The usable servers.
  */
-export function isUsable(row: ServerRow, now: Milliseconds): boolean {
-	return !row.description.isDrained && !row.isLeaving && !row.isLoading && row.passedOverUntil <= now;
+export function usableServers(rows: readonly ServerRow[], now: Milliseconds): ServerRow[] {
+	const inService = rows.filter(row => !row.description.isDrained && !row.isLeaving && !row.isLoading);
+	const healthy = inService.filter(row => row.passedOverUntil <= now);
+	return healthy.length > 0 ? healthy : inService;
 }
 
 /**
