Send the ages of contact as one byte a host, and let hosts join that say so in the present epoch

Cause: (1) an exchange carried about 45 bytes of JSON a host, 25 KB at 550 hosts against 2 KB a second; (2) a host outside the epoch was never heard of, so a replacement could not join; a lingering registration of a lost host would have brought it back again and again.

Ruled out: binary framing of our own in place of trpc (the ages were the whole cost); dropping ages of distant hosts (quorums need them).

Change: base64 of one byte a host in units of 64 ms, rounded up; a registration names the epoch it was made in; hosts that do not read the store ask a reader of their failure domain every other time.

--- a/packages-private/local-cluster/__tests__/at-most-once.test.ts
+++ b/packages-private/local-cluster/__tests__/at-most-once.test.ts
@@ -25,13 +25,21 @@
 	});
 }
 
+async function waitForBooking(idempotencyKey: string, host: number): Promise<void> {
+	await waitFor(`booking ${idempotencyKey}`, async () => {
+		const end = await book(idempotencyKey, {host});
+		return end.status === 201;
+	});
+}
+
 const ranFor = (order: string) => system.services.flatMap(service => service.ran).filter(({body}) => body.includes(`"${order}"`)).length;
 
 test('a resend gets the kept answer of the first run, at any host', async () => {
 	const first = await book('a1');
 	assert.is(first.status, 201);
-	await waitFor('the kept answer', async () => (await book('a1', {host: 1})).status === 201);
-	assert.is((await book('a1', {host: 1})).text, first.text);
+	await waitForBooking('a1', 1);
+	const again = await book('a1', {host: 1});
+	assert.is(again.text, first.text);
 	assert.is(ranFor('a1'), 1);
 });
 
@@ -89,7 +97,7 @@
 	assert.equal([out.error?.code, out.error?.run], ['claims-unavailable', 'not-run']);
 	assert.is(ranFor('f1'), 0);
 	system.platform.faults = {};
-	await waitFor('the booking', async () => (await book('f1')).status === 201);
+	await waitForBooking('f1', 0);
 	assert.is(ranFor('f1'), 1);
 });
 
@@ -104,7 +112,7 @@
 		service.faults = {};
 	}
 
-	await waitFor('the booking', async () => (await book('g1', {host: 1})).status === 201);
+	await waitForBooking('g1', 1);
 	assert.is(ranFor('g1'), 1);
 });
 
--- a/packages-private/local-cluster/src/in-process-system.ts
+++ b/packages-private/local-cluster/src/in-process-system.ts
@@ -22,6 +22,11 @@
 	readonly engine?: Partial<ConstructorParameters<typeof EngineStandIn>[0]>;
 };
 
+type Status = {
+	readonly credit: ReadonlyArray<{readonly level: number}>;
+	readonly servers: ReadonlyArray<{readonly serves: string; readonly incarnation?: string}>;
+};
+
 /** The secrets of the workspaces that the first ticket creates. */
 export const testSecrets = {alpha: 'secret-of-alpha-7d1f', beta: 'secret-of-beta-93ac'} as const;
 
@@ -210,7 +215,7 @@
 		await waitFor('the engines\' states', async () => {
 			const statuses = await Promise.all(this.deployment.hosts.map(async host => {
 				const response = await request(`http://${host.operatorsAddress}/v1/status`);
-				return await response.body.json() as {readonly credit: ReadonlyArray<{readonly level: number}>; readonly servers: ReadonlyArray<{readonly serves: string; readonly incarnation?: string}>};
+				return await response.body.json() as Status;
 			}));
 			const servers = statuses.flatMap(status => status.servers.filter(server => server.serves === 'general'));
 			return servers.every(server => server.incarnation !== undefined) && statuses.every(status => status.credit.every(({level}) => level > 0));
--- a/packages/coordination/__tests__/fake-fleet.ts
+++ b/packages/coordination/__tests__/fake-fleet.ts
@@ -169,7 +169,7 @@
 
 	maintainEpoch(id: string): void {
 		const host = this.host(id);
-		const proposal = host.maintenance.propose(host.contact, this.hosts.map(candidate => recordOf(candidate.id)), this.now);
+		const proposal = host.maintenance.propose(host.contact, this.hosts.map(candidate => ({host: recordOf(candidate.id), seenEpoch: candidate.contact.epoch?.number ?? 0})), this.now);
 		if (proposal?.replaces === this.#store.epoch.number) {
 			this.#store = {...this.#store, epoch: proposal.epoch};
 		}
--- a/packages/coordination/src/contact-table.ts
+++ b/packages/coordination/src/contact-table.ts
@@ -29,6 +29,9 @@
 	readonly startedAt: Milliseconds;
 };
 
+/** Epochs remembered to read the ages of hosts that are a little behind. */
+const keptEpochs = 4;
+
 type HostRow = {readonly heardAt: Milliseconds; readonly epoch: number; readonly isLeaving: boolean};
 
 /** Why a host may take new work, or that it may not. */
@@ -42,6 +45,7 @@
 export class ContactTable {
 	readonly #options: ContactOptions;
 	readonly #rows = new Map<string, HostRow>();
+	readonly #recentEpochs: Epoch[] = [];
 	#storeHeardAt: Milliseconds | undefined;
 	#epoch: Epoch | undefined;
 	#ready = false;
@@ -60,6 +64,16 @@
 		return this.#epoch;
 	}
 
+	/**
+	 * Finds a recent epoch.
+	 *
+	 * @param number - Its number.
+	 * @returns The epoch, or nothing when it was never held here or is long past.
+	 */
+	recentEpoch(number: number): Epoch | undefined {
+		return this.#recentEpochs.find(epoch => epoch.number === number);
+	}
+
 	/** Announces with the next ages that this host takes no new callers. */
 	leave(): void {
 		this.#isLeaving = true;
@@ -90,6 +104,8 @@
 		}
 
 		this.#epoch = epoch;
+		this.#recentEpochs.push(epoch);
+		this.#recentEpochs.splice(0, this.#recentEpochs.length - keptEpochs);
 		return true;
 	}
 
--- a/packages/coordination/src/epoch-maintenance.ts
+++ b/packages/coordination/src/epoch-maintenance.ts
@@ -1,6 +1,6 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ContactTable} from './contact-table.js';
-import {type Epoch, type HostRecord} from './epoch.js';
+import {type Epoch, type HostRegistration} from './epoch.js';
 
 export type EpochMaintenanceOptions = {
 	readonly self: string;
@@ -35,7 +35,7 @@
 	 * @param now - The moment of the tick.
 	 * @returns The proposal that is due, if any.
 	 */
-	propose(contact: ContactTable, registered: readonly HostRecord[], now: Milliseconds): EpochProposal | undefined {
+	propose(contact: ContactTable, registered: readonly HostRegistration[], now: Milliseconds): EpochProposal | undefined {
 		const epoch = contact.epoch;
 		if (epoch === undefined || !contact.isReady || !this.#isMaintainer(contact, epoch, now)) {
 			return undefined;
@@ -55,11 +55,13 @@
 		return hostId !== this.#options.self && now - heardAt > this.#options.removalAfter;
 	}
 
-	#proposeJoint(contact: ContactTable, epoch: Epoch, registered: readonly HostRecord[], now: Milliseconds): EpochProposal | undefined {
-		const known = new Map([...epoch.hosts, ...registered].map(host => [host.id, host]));
+	#proposeJoint(contact: ContactTable, epoch: Epoch, registered: readonly HostRegistration[], now: Milliseconds): EpochProposal | undefined {
 		const members = new Set(epoch.hosts.map(host => host.id));
+		// A host that is no member has to have registered in this very epoch: an older word may be that of a lost host.
+		const current = registered.filter(({host, seenEpoch}) => members.has(host.id) || seenEpoch === epoch.number).map(({host}) => host);
+		const known = new Map([...epoch.hosts, ...current].map(host => [host.id, host]));
 		const hosts = [...known.values()]
-			.filter(host => (members.has(host.id) ? !this.#isGone(contact, host.id, now) : contact.isFresh(host.id, now)))
+			.filter(host => !members.has(host.id) || !this.#isGone(contact, host.id, now))
 			.toSorted((left, right) => (left.id < right.id ? -1 : 1));
 		if (JSON.stringify(hosts) === JSON.stringify(epoch.hosts) || hosts.length === 0) {
 			return undefined;
--- a/packages/coordination/src/epoch.ts
+++ b/packages/coordination/src/epoch.ts
@@ -18,6 +18,10 @@
 	previousHosts: v.optional(v.array(hostRecordSchema)),
 });
 
+/** A host's word that it is alive and where it can be reached; `seenEpoch` is the epoch that it said so in. */
+export const hostRegistrationSchema = v.object({host: hostRecordSchema, seenEpoch: v.number()});
+
+export type HostRegistration = Readonly<v.InferOutput<typeof hostRegistrationSchema>>;
 export type HostRecord = Readonly<v.InferOutput<typeof hostRecordSchema>>;
 export type Epoch = Readonly<v.InferOutput<typeof epochSchema>>;
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,6 +1,7 @@
 export {
 	type Claim, type ClaimDecision, type KeptAnswer, claimSchema, judgeClaim,
 } from './claim.js';
+export {type EncodedAges, decodeAges, encodeAges} from './contact-ages-codec.js';
 export {
 	type ContactAges, type ContactOptions, type ContactState, type HostAge, ContactTable,
 } from './contact-table.js';
@@ -14,8 +15,9 @@
 	type EpochMaintenanceOptions, type EpochProposal, EpochMaintenance,
 } from './epoch-maintenance.js';
 export {
-	type Epoch, type HostRecord, epochSchema, hostRecordSchema, hostsOf, isQuorum, majorityOf,
+	type Epoch, type HostRecord, type HostRegistration, epochSchema, hostRecordSchema, hostRegistrationSchema, hostsOf, isQuorum, majorityOf,
 } from './epoch.js';
+export {type PartnerChoice, choosePartners, storeReaders} from './exchange-partners.js';
 export {LenderEstimates} from './lender-estimates.js';
 export {type TicketChanges, TicketTable} from './ticket-table.js';
 export {
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -3,5 +3,5 @@
 } from './messages.js';
 export {type Peer, type PeerError, createPeer} from './peer-client.js';
 export {
-	type PeerHandler, type PeerProcedures, peerProcedures, servePeers,
+	type PeerHandler, type PeerProcedures, type PeerServer, peerProcedures, servePeers,
 } from './peer-server.js';
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -1,11 +1,11 @@
 import {epochSchema, registerSchema} from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 
-const hostAgeSchema = v.object({
-	id: v.string(),
-	age: v.number(),
+const agesSchema = v.object({
+	store: v.optional(v.number()),
 	epoch: v.number(),
-	isLeaving: v.optional(v.boolean()),
+	ages: v.string(),
+	exceptions: v.array(v.object({index: v.number(), epoch: v.number(), isLeaving: v.optional(v.boolean())})),
 });
 
 const suspectSchema = v.object({
@@ -32,7 +32,8 @@
 	registers: v.array(registerSchema),
 	/** Left out when the asking host holds it already. */
 	epoch: v.optional(epochSchema),
-	ages: v.object({store: v.optional(v.number()), hosts: v.array(hostAgeSchema)}),
+	/** Left out until the answering host knows a membership. */
+	ages: v.optional(agesSchema),
 	suspects: v.array(suspectSchema),
 });
 
--- a/packages/peer/src/peer-server.ts
+++ b/packages/peer/src/peer-server.ts
@@ -1,4 +1,5 @@
 import type {Server} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Disposable} from '@lacewingpoint/shared';
 import {initTRPC} from '@trpc/server';
 import {createHTTPServer} from '@trpc/server/adapters/standalone';
@@ -34,22 +35,45 @@
 
 export type PeerProcedures = typeof peerProcedures;
 
+/** A server for peers that counts what passes over its connections. */
+export type PeerServer = Disposable & {
+	/** @returns The bytes read and written so far, headers included. */
+	bytes(): number;
+};
+
 /**
  * Serves the peers of this host.
  *
  * @param handler - Answers the calls.
  * @param address - The IP number and port to listen at.
- * @returns A disposable that closes the server, once it listens.
+ * @returns The server, once it listens.
  */
-export async function servePeers(handler: PeerHandler, address: string): Promise<Disposable> {
+export async function servePeers(handler: PeerHandler, address: string): Promise<PeerServer> {
 	const [ip, port] = address.split(':');
 	const server: Server = createHTTPServer({router: peerProcedures, createContext: () => ({handler})});
+	const open = new Set<Socket>();
+	let closedBytes = 0;
+	server.on('connection', (socket: Socket) => {
+		open.add(socket);
+		socket.once('close', () => {
+			open.delete(socket);
+			closedBytes += bytesOf(socket);
+		});
+	});
 	server.keepAliveTimeout = 60_000;
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen(Number(port), ip, resolve);
 	});
 	return {
+		bytes() {
+			let total = closedBytes;
+			for (const socket of open) {
+				total += bytesOf(socket);
+			}
+
+			return total;
+		},
 		async dispose() {
 			server.closeAllConnections();
 			await new Promise<void>(resolve => {
@@ -60,3 +84,7 @@
 		},
 	};
 }
+
+function bytesOf(socket: Socket): number {
+	return socket.bytesRead + socket.bytesWritten;
+}
--- a/packages/platform/src/configuration-entries.ts
+++ b/packages/platform/src/configuration-entries.ts
@@ -1,5 +1,5 @@
 import {
-	type Epoch, type HostRecord, type Register, epochSchema, hostRecordSchema, registerSchema, registersOf, ticketSchema,
+	type Epoch, type HostRegistration, type Register, epochSchema, hostRegistrationSchema, registerSchema, registersOf, ticketSchema,
 } from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 import {type KeyValueEntry, keyPrefixes} from './key-value-service.js';
@@ -8,7 +8,7 @@
 export type ConfigurationReading = {
 	readonly registers: readonly Register[];
 	readonly epoch: {readonly value: Epoch; readonly revision: number} | undefined;
-	readonly hosts: ReadonlyArray<{readonly record: HostRecord; readonly revision: number}>;
+	readonly hosts: ReadonlyArray<{readonly registration: HostRegistration; readonly revision: number}>;
 	/** Marks of draining, with the revisions that a controller needs to change them. */
 	readonly marks: ReadonlyArray<{readonly register: Register; readonly revision: number}>;
 	/** Keys whose values could not be read. */
@@ -35,7 +35,7 @@
 	return {
 		registers: [...tickets, ...marks.map(mark => mark.register)],
 		epoch: read(keyPrefixes.epoch, epochSchema)[0],
-		hosts: read(keyPrefixes.hosts, hostRecordSchema).map(({value, revision}) => ({record: value, revision})),
+		hosts: read(keyPrefixes.hosts, hostRegistrationSchema).map(({value, revision}) => ({registration: value, revision})),
 		marks,
 		unreadable,
 	};
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -61,6 +61,8 @@
 		const inFlight = new InFlightTable();
 		const links = this.#own(new PeerLinks(context, {
 			self: this.#host.id,
+			failureDomain: this.#host.failureDomain,
+			readersPerDomain: contactSettings.watchersPerFailureDomain,
 			incarnation: this.#incarnation,
 			seeds: this.#deployment.hosts.map(host => recordOf(host)),
 			interval: contactSettings.exchangeIntervalMilliseconds,
@@ -82,12 +84,13 @@
 		const storeLink = this.#own(this.#createStoreLink(context, store));
 		this.#gauges(metrics, inFlight);
 
-		this.#disposables.add(await servePeers({
+		const peerServer = this.#own(await servePeers({
 			exchange: request => answerExchange(tables, {id: this.#host.id, incarnation: this.#incarnation}, request, this.#clock.now()),
 			lendCredit: ({workspace, amount}) => lendCredit(tables, workspace, amount, this.#clock.now()),
 			claimOutcome: ({claimId}) => ({outcome: claims.outcomeOf(claimId)}),
 			prefixes: () => ({snapshots: tables.prefixes.snapshot(snapshotBlocksPerServer).map(snapshot => ({...snapshot, blocks: [...snapshot.blocks]}))}),
 		}, this.#host.peerAddress));
+		metrics.gauge('peer_bytes', () => peerServer.bytes());
 		const operators = this.#own(new OperatorsServer(tables, this.#clock, metrics, {hostId: this.#host.id, incarnation: this.#incarnation, address: this.#host.operatorsAddress}));
 		await operators.listen();
 
--- a/packages/router/src/peer-links.ts
+++ b/packages/router/src/peer-links.ts
@@ -1,4 +1,6 @@
-import {type HostRecord, hostsOf} from '@lacewingpoint/coordination';
+import {
+	type EncodedAges, type HostRecord, choosePartners, decodeAges, encodeAges, hostsOf, storeReaders,
+} from '@lacewingpoint/coordination';
 import {
 	type ExchangeReply, type ExchangeRequest, type Peer, createPeer,
 } from '@lacewingpoint/peer';
@@ -9,6 +11,8 @@
 
 export type PeerLinksOptions = {
 	readonly self: string;
+	readonly failureDomain: string;
+	readonly readersPerDomain: number;
 	readonly incarnation: number;
 	readonly seeds: readonly HostRecord[];
 	readonly interval: number;
@@ -68,10 +72,14 @@
 	 */
 	async exchangeRound(): Promise<void> {
 		this.#refreshLinks();
-		const links = [...this.#links.values()];
-		const fanout = this.#context.tables.contact.isReady ? Math.min(this.#options.fanout, links.length) : links.length;
-		const chosen = Array.from({length: fanout}, (_, index) => links[(this.#turn + index) % links.length]!);
-		this.#turn += fanout;
+		const {contact} = this.#context.tables;
+		const ids = [...this.#links.keys()];
+		const partners = contact.isReady
+			? choosePartners({
+				self: this.#options.self, others: ids, readers: this.#readers(), fanout: this.#options.fanout, turn: this.#turn++,
+			})
+			: ids;
+		const chosen = partners.map(id => this.#links.get(id)!);
 		await Promise.all(chosen.map(async link => this.#exchange(link)));
 	}
 
@@ -80,6 +88,13 @@
 		await Promise.all([...this.#links.values()].map(async link => link.peer.dispose()));
 	}
 
+	#readers(): string[] {
+		const {tables, clock} = this.#context;
+		const epoch = tables.contact.epoch;
+		const now = clock.now();
+		return epoch === undefined ? [] : storeReaders(epoch, this.#options.failureDomain, this.#options.readersPerDomain, id => id === this.#options.self || tables.contact.isFresh(id, now));
+	}
+
 	async #exchange(link: Link): Promise<void> {
 		const startedAt = this.#context.clock.now();
 		const reply = await link.peer.exchange({
@@ -106,11 +121,16 @@
 			return;
 		}
 
+		const {contact} = this.#context.tables;
 		applyChanges(this.#context.tables, reply.registers, reply.epoch);
 		link.cursor = reply.cursor;
 		link.cursorIncarnation = reply.incarnation;
 		// Ages count only after everything that came with them is in force.
-		this.#context.tables.contact.noteExchange(startedAt, reply.ages);
+		const epoch = reply.ages === undefined ? undefined : contact.recentEpoch(reply.ages.epoch);
+		if (reply.ages !== undefined && epoch !== undefined) {
+			contact.noteExchange(startedAt, decodeAges(reply.ages, epoch));
+		}
+
 		this.#context.tables.quarantine.merge(reply.suspects, this.#context.clock.now());
 	}
 
@@ -162,7 +182,11 @@
 		cursor: changes.cursor,
 		registers: [...changes.registers],
 		epoch: epoch !== undefined && epoch.number > request.epoch ? epoch : undefined,
-		ages: {store: tables.contact.ages(now).store, hosts: [...tables.contact.ages(now).hosts]},
+		ages: epoch === undefined ? undefined : mutableAges(encodeAges(tables.contact.ages(now), epoch)),
 		suspects: tables.quarantine.suspects(now),
 	};
 }
+
+function mutableAges(ages: EncodedAges) {
+	return {...ages, exceptions: [...ages.exceptions]};
+}
--- a/packages/router/src/store-link.ts
+++ b/packages/router/src/store-link.ts
@@ -1,11 +1,11 @@
 import {
-	type EpochMaintenance, type EpochProposal, type HostRecord, hostRecordSchema,
+	type EpochMaintenance, type EpochProposal, type HostRecord, type HostRegistration, storeReaders,
 } from '@lacewingpoint/coordination';
 import {
 	type KeyValueReading, type KeyValueService, type KeyValueWatch, keyPrefixes, readConfigurationEntries,
 } from '@lacewingpoint/platform';
 import {
-	type Disposable, rankByRendezvous, startRepeatingTask,
+	type Disposable, startRepeatingTask,
 } from '@lacewingpoint/shared';
 import * as v from 'valibot';
 import {applyChanges} from './configuration-change.js';
@@ -24,7 +24,7 @@
 	readonly #store: KeyValueService;
 	readonly #maintenance: EpochMaintenance;
 	readonly #options: StoreLinkOptions;
-	readonly #registered = new Map<string, HostRecord>();
+	readonly #registered = new Map<string, HostRegistration>();
 	#revision = 0;
 	#epochRevision = 0;
 	#ownRevision: number | undefined;
@@ -91,15 +91,16 @@
 
 	// At a large size only a few hosts of each failure domain read the store; the others hear it from peers, ages included.
 	#isReader(): boolean {
-		const epoch = this.#context.tables.contact.epoch;
-		const domain = this.#options.record.failureDomain;
-		const members = epoch?.hosts.filter(host => host.failureDomain === domain).map(host => host.id) ?? [];
-		if (!this.#context.tables.contact.isReady || !members.includes(this.#options.record.id)) {
+		const {contact} = this.#context.tables;
+		const {record, watchersPerFailureDomain} = this.#options;
+		const epoch = contact.epoch;
+		if (!contact.isReady || epoch?.hosts.some(host => host.id === record.id) !== true) {
 			return true;
 		}
 
-		const fresh = members.filter(id => id === this.#options.record.id || this.#context.tables.contact.isFresh(id, this.#context.clock.now()));
-		return rankByRendezvous('store readers', fresh).indexOf(this.#options.record.id) < this.#options.watchersPerFailureDomain;
+		const now = this.#context.clock.now();
+		const readers = storeReaders(epoch, record.failureDomain, watchersPerFailureDomain, id => id === record.id || contact.isFresh(id, now));
+		return readers.includes(record.id);
 	}
 
 	async #read(): Promise<boolean> {
@@ -124,8 +125,8 @@
 			this.#context.logger.warn('entry-unreadable', {key});
 		}
 
-		for (const {record, revision} of hosts) {
-			this.#takeHost(record, revision);
+		for (const {registration, revision} of hosts) {
+			this.#takeHost(registration, revision);
 		}
 
 		this.#epochRevision = epoch?.revision ?? this.#epochRevision;
@@ -135,9 +136,9 @@
 		return true;
 	}
 
-	#takeHost(record: HostRecord, revision: number): void {
-		this.#registered.set(record.id, record);
-		if (record.id === this.#options.record.id) {
+	#takeHost(registration: HostRegistration, revision: number): void {
+		this.#registered.set(registration.host.id, registration);
+		if (registration.host.id === this.#options.record.id) {
 			this.#ownRevision = revision;
 		}
 	}
@@ -146,14 +147,19 @@
 		return `${keyPrefixes.hosts}${this.#options.record.id}`;
 	}
 
+	// A member registers once; a host that finds itself left out says in each new epoch that it is alive.
 	async #register(): Promise<void> {
-		const held = this.#registered.get(this.#options.record.id);
-		if (JSON.stringify(held) === JSON.stringify(v.parse(hostRecordSchema, this.#options.record))) {
+		const {record} = this.#options;
+		const held = this.#registered.get(record.id);
+		const epoch = this.#context.tables.contact.epoch;
+		const isMember = epoch?.hosts.some(host => host.id === record.id) === true;
+		const isKnown = held !== undefined && isSameHost(held.host, record);
+		if (isKnown && (isMember || held.seenEpoch === epoch?.number)) {
 			return;
 		}
 
-		const value = JSON.stringify(this.#options.record);
-		await this.#store.compareAndSwap([{key: this.#hostKey(), value, expected: this.#ownRevision ?? 0}]);
+		const registration: HostRegistration = {host: record, seenEpoch: epoch?.number ?? 0};
+		await this.#store.compareAndSwap([{key: this.#hostKey(), value: JSON.stringify(registration), expected: this.#ownRevision ?? 0}]);
 	}
 
 	async #maintainEpoch(): Promise<void> {
@@ -189,3 +195,7 @@
 		}
 	}
 }
+
+function isSameHost(left: HostRecord, right: HostRecord): boolean {
+	return left.failureDomain === right.failureDomain && left.callersAddress === right.callersAddress && left.peerAddress === right.peerAddress;
+}
