--- a/packages-private/measure/src/model-router.ts
+++ b/packages-private/measure/src/model-router.ts
@@ -20,7 +20,7 @@
 	readonly avoided: Set<string>;
 	readonly onFirstToken: (cachedBlocks: number) => void;
 	/** Called when the request is refused; the engines have not run it. */
-	readonly onRefused: (reason: string) => void;
+	readonly onRefused: () => void;
 };
 
 /** What a router of the model runs with. */
@@ -112,7 +112,7 @@
 		if (outcome.type === 'placed') {
 			this.#dispatch(work, outcome.placement);
 		} else {
-			work.onRefused(outcome.type);
+			work.onRefused();
 		}
 	}
 
--- a/packages-private/measure/src/simulation.ts
+++ b/packages-private/measure/src/simulation.ts
@@ -185,14 +185,14 @@
 		}
 
 		if (outcome.type === 'exceeds-burst') {
-			this.#record.noteRefusal(request, 'exceeds-burst');
+			this.#record.noteRefusal(request);
 			return;
 		}
 
 		const missing = this.#borrow(request.workspace, router, outcome.missing);
 		const wait = refillTime(router.credit, request.workspace, missing);
 		if (now - askedAt + wait > longestCreditWait(creditWait, now - this.#routersStartedAt)) {
-			this.#record.noteRefusal(request, 'rate-exceeded');
+			this.#record.noteRefusal(request);
 			return;
 		}
 
@@ -234,8 +234,8 @@
 					this.#record.noteFirstToken(request, arrivedAt, this.#events.now, cached);
 				}
 			},
-			onRefused: reason => {
-				this.#record.noteRefusal(request, reason);
+			onRefused: () => {
+				this.#record.noteRefusal(request);
 			},
 		});
 	}
--- a/packages/coordination/__tests__/credit-table.test.ts
+++ b/packages/coordination/__tests__/credit-table.test.ts
@@ -238,6 +238,24 @@
 	}
 });
 
+test('while an epoch is joint no share grows, since a host that has not heard of it still mints its own', () => {
+	const spending = new SpendingFleet();
+	spending.fill();
+	const {fleet} = spending;
+	const previousHosts = fleet.storeEpoch.hosts;
+	const joint = {number: 2, hosts: previousHosts.slice(0, 3), previousHosts};
+	for (const host of ['h0', 'h1', 'h2']) {
+		fleet.host(host).credit.setEpoch(joint);
+	}
+
+	for (let round = 0; round < 20; round++) {
+		fleet.advance(100);
+		spendEverywhere(spending);
+	}
+
+	spending.assertWithinOneBucket();
+});
+
 test('without a failure no request is short while the fleet holds enough for it', () => {
 	fc.assert(fc.property(fc.array(spendingStep, {maxLength: 80}), id, fc.integer({min: 1, max: burstTokens}), (steps, host, amount) => {
 		const spending = new SpendingFleet();
--- a/packages/coordination/src/credit-table.ts
+++ b/packages/coordination/src/credit-table.ts
@@ -39,6 +39,9 @@
 	/** What is spent here on average; says how much to borrow ahead. */
 	spentPerSecond: Tokens;
 	spentSinceTick: Tokens;
+	mintedAt: Milliseconds;
+	/** When spending was last averaged. */
+	averagedAt: Milliseconds;
 	readonly charges: Set<Charge>;
 };
 
@@ -83,7 +86,7 @@
 			this.#accounts.delete(workspace);
 		} else if (account === undefined) {
 			this.#accounts.set(workspace, {
-				limit, level: 0, loans: [], lent: [], spentPerSecond: 0, spentSinceTick: 0, charges: new Set(),
+				limit, level: 0, loans: [], lent: [], spentPerSecond: 0, spentSinceTick: 0, mintedAt: this.#tickedAt, averagedAt: this.#tickedAt, charges: new Set(),
 			});
 		} else {
 			account.limit = limit;
@@ -105,18 +108,30 @@
 	}
 
 	/**
-	 * Mints the refill since the last tick.
+	 * Mints every workspace's refill since it was last minted.
 	 *
 	 * @param now - The moment of the tick.
 	 * @param hasContact - Whether the contact rule holds; without it this host's share may have been given away.
 	 */
 	tick(now: Milliseconds, hasContact: boolean): void {
-		const elapsed = now - this.#tickedAt;
 		this.#tickedAt = now;
-		const mints = hasContact && elapsed <= this.#options.longestGap;
 		for (const [workspace, account] of this.#accounts) {
-			noteSpending(account, elapsed);
-			this.#refill(workspace, account, mints ? elapsed : 0, now);
+			noteSpending(account, now);
+			this.#refill(workspace, account, now, hasContact);
+		}
+	}
+
+	/**
+	 * Mints one workspace's refill, so that a decision between two ticks sees what is there.
+	 *
+	 * @param workspace - The workspace.
+	 * @param now - The moment of the decision.
+	 * @param hasContact - Whether the contact rule holds.
+	 */
+	refresh(workspace: string, now: Milliseconds, hasContact: boolean): void {
+		const account = this.#accounts.get(workspace);
+		if (account !== undefined) {
+			this.#refill(workspace, account, now, hasContact);
 		}
 	}
 
@@ -292,9 +307,12 @@
 		return Math.max((this.#share(workspace) * account.limit.burstTokens) - sumOf(account.lent), 0);
 	}
 
-	#refill(workspace: string, account: Account, elapsed: Milliseconds, now: Milliseconds): void {
+	#refill(workspace: string, account: Account, now: Milliseconds, hasContact: boolean): void {
 		this.#dropExpired(account, now);
-		const minted = this.#share(workspace) * account.limit.tokensPerSecond * elapsed / millisecondsPerSecond;
+		const elapsed = now - account.mintedAt;
+		account.mintedAt = now;
+		const isDue = hasContact && elapsed <= this.#options.longestGap;
+		const minted = isDue ? this.#share(workspace) * account.limit.tokensPerSecond * elapsed / millisecondsPerSecond : 0;
 		account.level = Math.min(account.level + minted, this.#capacity(workspace, account, now));
 		this.#noteHeadroom(workspace, account, now);
 	}
@@ -331,7 +349,9 @@
 	}
 }
 
-function noteSpending(account: Account, elapsed: Milliseconds): void {
+function noteSpending(account: Account, now: Milliseconds): void {
+	const elapsed = now - account.averagedAt;
+	account.averagedAt = now;
 	const weight = Math.min(elapsed / spendingMemory, 1);
 	const current = elapsed > 0 ? account.spentSinceTick * millisecondsPerSecond / elapsed : 0;
 	account.spentPerSecond += weight * (current - account.spentPerSecond);
--- a/packages/router/src/credit-service.ts
+++ b/packages/router/src/credit-service.ts
@@ -1,5 +1,5 @@
 import {
-	type Charge, type CreditWaitOptions, LenderEstimates, amountToBorrow, longestCreditWait, refillTime,
+	type Charge, type ChargeOutcome, type CreditWaitOptions, LenderEstimates, amountToBorrow, longestCreditWait, refillTime,
 } from '@lacewingpoint/coordination';
 import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
@@ -49,7 +49,7 @@
 	async charge(workspace: string, amount: Tokens): Promise<Result<Charge, Refusal>> {
 		const line = this.#line(workspace);
 		if (line.waiters.length === 0) {
-			const outcome = this.#context.tables.credit.charge(workspace, amount, this.#context.clock.now());
+			const outcome = this.#tryCharge(workspace, amount);
 			if (outcome.type !== 'short') {
 				return outcome.type === 'charged' ? Result.ok(outcome.charge) : Result.err(exceedsBurst(amount));
 			}
@@ -87,6 +87,13 @@
 		return refillTime(credit, workspace, wanted - credit.available(workspace, this.#context.clock.now()));
 	}
 
+	#tryCharge(workspace: string, amount: Tokens): ChargeOutcome {
+		const {tables, clock} = this.#context;
+		const now = clock.now();
+		tables.credit.refresh(workspace, now, tables.contact.state(now) !== 'lost');
+		return tables.credit.charge(workspace, amount, now);
+	}
+
 	#longestWait(): Milliseconds {
 		return longestCreditWait(this.#options, this.#context.clock.now() - this.#startedAt);
 	}
@@ -110,7 +117,7 @@
 	async #serve(workspace: string, line: Line, waiter: Waiter): Promise<Result<Charge, Refusal>> {
 		for (;;) {
 			const now = this.#context.clock.now();
-			const outcome = this.#context.tables.credit.charge(workspace, waiter.amount, now);
+			const outcome = this.#tryCharge(workspace, waiter.amount);
 			if (outcome.type === 'charged') {
 				return Result.ok(outcome.charge);
 			}
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -20,7 +20,7 @@
 import {StoreLink} from './store-link.js';
 import {type Tables, createTables} from './tables.js';
 
-const tickInterval = 20;
+const tickInterval = 100;
 const settleMargin = 1000;
 const dryPause = 250;
 const keepPause = 500;
@@ -201,6 +201,7 @@
 }
 
 function lendCredit(tables: Tables, workspace: string, wanted: number, now: number): CreditReply {
+	tables.credit.refresh(workspace, now, tables.contact.state(now) !== 'lost');
 	const amount = tables.credit.lend(workspace, wanted, now);
 	return {amount, left: tables.credit.available(workspace, now)};
 }
--- a/packages/routing/src/cells.ts
+++ b/packages/routing/src/cells.ts
@@ -7,6 +7,7 @@
 export class Cells {
 	readonly #names: readonly string[];
 	readonly #members = new Map<string, string[]>();
+	readonly #ranks = new Map<string, readonly string[]>();
 
 	/**
 	 * @param model - The model.
@@ -33,7 +34,9 @@
 	 * @returns The names of the cells.
 	 */
 	rank(workspace: string): readonly string[] {
-		return this.#names.length === 1 ? this.#names : rankByRendezvous(workspace, this.#names);
+		const held = this.#ranks.get(workspace) ?? rankByRendezvous(workspace, this.#names);
+		this.#ranks.set(workspace, held);
+		return held;
 	}
 
 	/**
