--- a/packages-private/stand-ins/src/memory-key-value-service.ts
+++ b/packages-private/stand-ins/src/memory-key-value-service.ts
@@ -1,5 +1,6 @@
-import type {
-	KeyValueReading, KeyValueService, KeyValueWatch, KeyValueWrite, PlatformError, SwapOutcome,
+import {
+	type KeyValueReading, type KeyValueService, type KeyValueWatch, type KeyValueWrite, type PlatformError, type SwapOutcome,
+	largestValueBytes,
 } from '@lacewingpoint/platform';
 import {Result} from 'true-myth';
 import type {KeyValueTable} from './key-value-table.js';
@@ -34,6 +35,10 @@
 			return Result.err(unavailable);
 		}
 
+		if (writes.some(write => write.value.length > largestValueBytes)) {
+			return Result.err({layer: 'platform', code: 'too-large', message: 'a value is too large'});
+		}
+
 		const outcome = this.#table.compareAndSwap(writes);
 		if (this.faults.lostWriteAnswers > 0) {
 			this.faults.lostWriteAnswers--;
--- a/packages/coordination/__tests__/contact-table.test.ts
+++ b/packages/coordination/__tests__/contact-table.test.ts
@@ -257,4 +257,18 @@
 	assert.equal(fleet.storeEpoch.hosts.map(host => host.id), live);
 });
 
+test('a maintainer that wakes from a freeze removes no host that it could not hear', () => {
+	const fleet = new FakeFleet(size);
+	for (let round = 0; round < 5; round++) {
+		fleet.advance(1000);
+		readStore(fleet, 'h0');
+		fleet.maintainEpoch('h0');
+	}
+
+	fleet.advance(bound * 10);
+	readStore(fleet, 'h0');
+	fleet.maintainEpoch('h0');
+	assert.is(fleet.storeEpoch.number, 1);
+});
+
 test.run();
--- a/packages/coordination/src/epoch-maintenance.ts
+++ b/packages/coordination/src/epoch-maintenance.ts
@@ -10,6 +10,9 @@
 	readonly settleAfter: Milliseconds;
 };
 
+/** A longer time between two judgements means that this host did not listen. */
+const longestPause: Milliseconds = 3000;
+
 /** The membership to write next, if the stored one has not changed meanwhile. */
 export type EpochProposal = {readonly replaces: number; readonly epoch: Epoch};
 
@@ -19,12 +22,14 @@
  */
 export class EpochMaintenance {
 	readonly #options: EpochMaintenanceOptions;
-	readonly #startedAt: Milliseconds;
+	#listeningSince: Milliseconds;
+	#judgedAt: Milliseconds;
 	#heldByQuorumSince: {readonly epoch: number; readonly at: Milliseconds} | undefined;
 
 	constructor(options: EpochMaintenanceOptions, startedAt: Milliseconds) {
 		this.#options = options;
-		this.#startedAt = startedAt;
+		this.#listeningSince = startedAt;
+		this.#judgedAt = startedAt;
 	}
 
 	/**
@@ -36,6 +41,7 @@
 	 * @returns The proposal that is due, if any.
 	 */
 	propose(contact: ContactTable, registered: readonly HostRegistration[], now: Milliseconds): EpochProposal | undefined {
+		this.#noteJudgement(now);
 		const epoch = contact.epoch;
 		if (epoch === undefined || !contact.isReady || !this.#isMaintainer(contact, epoch, now)) {
 			return undefined;
@@ -44,6 +50,15 @@
 		return epoch.previousHosts === undefined ? this.#proposeJoint(contact, epoch, registered, now) : this.#proposeSettled(contact, epoch, now);
 	}
 
+	// After a pause of this host or an outage of the store the others' silence may be its own: it listens anew first.
+	#noteJudgement(now: Milliseconds): void {
+		if (now - this.#judgedAt > longestPause) {
+			this.#listeningSince = now;
+		}
+
+		this.#judgedAt = now;
+	}
+
 	// One proposer at a time is enough; two are harmless, since the store takes one of them.
 	#isMaintainer(contact: ContactTable, epoch: Epoch, now: Milliseconds): boolean {
 		const candidates = epoch.hosts.map(host => host.id).filter(id => id === this.#options.self || contact.isFresh(id, now));
@@ -51,7 +66,7 @@
 	}
 
 	#isGone(contact: ContactTable, hostId: string, now: Milliseconds): boolean {
-		const heardAt = contact.heardAt(hostId) ?? this.#startedAt;
+		const heardAt = Math.max(contact.heardAt(hostId) ?? this.#listeningSince, this.#listeningSince);
 		return hostId !== this.#options.self && now - heardAt > this.#options.removalAfter;
 	}
 
--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -51,11 +51,6 @@
 async function measureIdle(hosts: number): Promise<IdleSample> {
 	const cluster = new LocalCluster({
 		name: 'idle', hosts, controllers: 0, engines: 0, services: 0, settings: {contact: twoYearContact},
-		settings: {
-			contact: {
-				exchangeIntervalMilliseconds: 1000, exchangeFanout: 1, watchersPerFailureDomain: 3, boundMilliseconds: 12_000, removalMilliseconds: 30_000,
-			},
-		},
 	});
 	try {
 		await cluster.startBackends();
@@ -110,7 +105,9 @@
 for (const hosts of hostCounts) {
 	const sample = await measureIdle(hosts);
 	idle.push(sample);
-	process.stdout.write(`idle, ${hosts} hosts: ${sample.processor.toFixed(2)} ms/s processor, ${Math.round(sample.bytes)} bytes/s between peers, ${sample.resident.toFixed(0)} MiB resident, store ${sample.reads.toFixed(1)} reads/s ${sample.writes.toFixed(1)} writes/s\n`);
+	process.stdout.write(`idle, ${hosts} hosts: ${sample.processor.toFixed(2)} ms/s processor, ${Math.round(sample.bytes)} bytes/s between peers, `
+		+ `${sample.resident.toFixed(0)} MiB resident, store ${sample.reads.toFixed(1)} reads/s ${sample.writes.toFixed(1)} writes/s
+`);
 }
 
 const pointsOf = (read: (sample: IdleSample) => number): Point[] => idle.map(sample => ({x: sample.hosts, y: read(sample)}));
--- a/xo.config.js
+++ b/xo.config.js
@@ -20,4 +20,12 @@
 		files: ['**/random-source.ts', '**/hashing.ts'],
 		rules: {'no-bitwise': 'off'},
 	},
+	{
+		files: ['**/__tests__/**'],
+		rules: {
+			'unicorn/no-await-expression-member': 'off',
+			'unicorn/prefer-single-call': 'off',
+			'no-unmodified-loop-condition': 'off',
+		},
+	},
 ];
