Pass on tokens that arrive together in one step; keep their text unparsed until a resume

Cause, from processor profiles of the router under 300 streams: parsing each chunk's JSON for its text took 10 us of 57 to 98 us a token; exceptions made by aborting without a reason 0.17 ms of 1.36 ms a request.

Ruled out: keeping whole chunks for a resume (about 200 KB a stream of 1,000 tokens); holding tokens back to write fewer times (it delays them).

What is left is one socket write a token (9 us of system time).

--- a/packages-private/local-cluster/src/caller.ts
+++ b/packages-private/local-cluster/src/caller.ts
@@ -33,7 +33,14 @@
 
 /** A caller as an application would be: keeps connections open and reads streams. */
 export class Caller {
-	readonly #agent = new Agent({connections: 512, bodyTimeout: 30_000, headersTimeout: 30_000});
+	readonly #agent: Agent;
+
+	/**
+	 * @param connections - The most connections to one host.
+	 */
+	constructor(connections = 512) {
+		this.#agent = new Agent({connections, bodyTimeout: 30_000, headersTimeout: 30_000});
+	}
 
 	/**
 	 * Makes one call and reads its whole answer.
--- a/packages/backend/src/engine.ts
+++ b/packages/backend/src/engine.ts
@@ -32,8 +32,8 @@
 export type EngineAnswer = {
 	readonly status: number;
 	readonly report: EngineReport | undefined;
-	/** The pieces of a stream, `done` last; it fails with a {@link BackendError} as the error of the final result. */
-	readonly chunks: AsyncIterable<Result<EngineChunk, BackendError>>;
+	/** The pieces of a stream as they arrive together, `done` last; a failure is the error of the final result. */
+	readonly chunks: AsyncIterable<Result<readonly EngineChunk[], BackendError>>;
 	/** Reads an answer that is not a stream. */
 	text(): Promise<Result<string, BackendError>>;
 };
--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -156,10 +156,12 @@
 			const response = await this.#pool.request({
 				path: '/v1/cache-events', method: 'GET', signal, bodyTimeout: 0,
 			});
-			for await (const event of this.#serverSentEvents(response.body)) {
-				const checked = v.safeParse(cacheEventSchema, JSON.parse(event.data));
-				if (checked.success) {
-					onEvent(checked.output);
+			for await (const events of this.#serverSentEvents(response.body)) {
+				for (const event of events) {
+					const checked = v.safeParse(cacheEventSchema, JSON.parse(event.data));
+					if (checked.success) {
+						onEvent(checked.output);
+					}
 				}
 			}
 		} catch {
@@ -186,8 +188,9 @@
 		};
 	}
 
-	async * #serverSentEvents(body: Dispatcher.ResponseData['body']): AsyncGenerator<EventSourceMessage> {
-		const pending: EventSourceMessage[] = [];
+	// Events that arrive together are handed on together: a step for each would cost more than the event itself.
+	async * #serverSentEvents(body: Dispatcher.ResponseData['body']): AsyncGenerator<readonly EventSourceMessage[]> {
+		let pending: EventSourceMessage[] = [];
 		const decoder = new TextDecoder();
 		const parser = createParser({
 			onEvent(event) {
@@ -196,19 +199,22 @@
 		});
 		for await (const bytes of body) {
 			parser.feed(decoder.decode(bytes as Uint8Array, {stream: true}));
-			yield * pending.splice(0);
+			if (pending.length > 0) {
+				const events = pending;
+				pending = [];
+				yield events;
+			}
 		}
 	}
 
-	async * #chunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<Result<EngineChunk, BackendError>> {
+	async * #chunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<Result<readonly EngineChunk[], BackendError>> {
 		try {
-			for await (const event of this.#serverSentEvents(body)) {
-				if (event.data === '[DONE]') {
-					yield Result.ok({type: 'done'});
+			for await (const events of this.#serverSentEvents(body)) {
+				const chunks = events.map(event => chunkOf(event));
+				yield Result.ok(chunks);
+				if (chunks.at(-1)!.type === 'done') {
 					return;
 				}
-
-				yield Result.ok({type: 'chunk', sequence: Number(event.id ?? Number.NaN), data: event.data});
 			}
 
 			yield Result.err({layer: 'backend', code: 'incomplete', message: `${this.address} ended the stream early`});
@@ -221,3 +227,7 @@
 		return {layer: 'backend', code: 'malformed', message: `${this.address}: ${message}`};
 	}
 }
+
+function chunkOf({id, data}: EventSourceMessage): EngineChunk {
+	return data === '[DONE]' ? {type: 'done'} : {type: 'chunk', sequence: Number(id ?? Number.NaN), data};
+}
--- a/packages/router/src/caller-response.ts
+++ b/packages/router/src/caller-response.ts
@@ -22,6 +22,8 @@
 	response.end(refusalBody(refusal));
 }
 
+const responseClosed = new Error('the response was closed');
+
 /** A stream of server-sent events to one caller; a slow caller holds the engine back instead of filling memory. */
 export class CallerStream {
 	readonly #response: ServerResponse;
@@ -33,7 +35,7 @@
 		this.#response = response;
 		this.#silenceTimeout = silenceTimeout;
 		response.once('close', () => {
-			this.#closed.abort();
+			this.#closed.abort(responseClosed);
 		});
 	}
 
@@ -43,14 +45,18 @@
 	}
 
 	/**
-	 * Sends one chunk.
+	 * Sends chunks that arrived together.
 	 *
-	 * @param sequence - Its number within the answer.
-	 * @param data - Its data.
+	 * @param chunks - Their numbers within the answer and their data.
 	 * @returns False when the caller has gone or reads nothing for too long.
 	 */
-	async send(sequence: number, data: string): Promise<boolean> {
-		return this.#write(`id: ${sequence}\ndata: ${data}\n\n`);
+	async send(chunks: ReadonlyArray<{readonly sequence: number; readonly data: string}>): Promise<boolean> {
+		let text = '';
+		for (const {sequence, data} of chunks) {
+			text += `id: ${sequence}\ndata: ${data}\n\n`;
+		}
+
+		return this.#write(text);
 	}
 
 	/** Ends a complete answer with the terminal marker. */
--- a/packages/router/src/callers-server.ts
+++ b/packages/router/src/callers-server.ts
@@ -176,7 +176,7 @@
 
 		const gone = new AbortController();
 		caller.response.once('close', () => {
-			gone.abort();
+			gone.abort(callerGone);
 		});
 		const stream = new CallerStream(caller.response, this.#options.callerSilence);
 		const run = new CompletionRun(this.#context, {
@@ -284,6 +284,8 @@
 	}
 }
 
+const callerGone = new Error('the caller has gone');
+
 type Admitted = {readonly workspace: string; readonly isCharged: boolean};
 
 function sendJson(response: ServerResponse, value: unknown, lifetimeSeconds: number): void {
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -54,6 +54,8 @@
 
 type AttemptEnd = CompletionEnd | {readonly type: 'failed'; readonly error: BackendError};
 
+/** Aborting without a reason of one's own makes an exception with a stack each time. */
+const attemptOver = new Error('the attempt is over');
 const longestAttempts = 4;
 const statusServerError = 500;
 
@@ -179,7 +181,7 @@
 				});
 			return await this.#afterAttempt(end, row, abort);
 		} finally {
-			abort.abort();
+			abort.abort(attemptOver);
 			release();
 			inFlight.remove(requestId);
 		}
@@ -237,7 +239,7 @@
 			}
 
 			onFirst();
-			const end = await this.#passChunk(stream, result.value);
+			const end = await this.#passChunks(stream, result.value);
 			if (end !== undefined) {
 				return end;
 			}
@@ -246,28 +248,50 @@
 		return {type: 'failed', error: {layer: 'backend', code: 'incomplete', message: 'the stream ended early'}};
 	}
 
-	async #passChunk(stream: CallerStream, chunk: EngineChunk): Promise<AttemptEnd | undefined> {
-		if (chunk.type === 'done') {
-			this.#progress.finish();
-			stream.finish();
-			return {type: 'streamed'};
+	// What is in order is sent even when a fault follows it; a resume goes on from there.
+	async #passChunks(stream: CallerStream, chunks: readonly EngineChunk[]): Promise<AttemptEnd | undefined> {
+		const inOrder: Array<Extract<EngineChunk, {type: 'chunk'}>> = [];
+		let fault: BackendError | undefined;
+		for (const chunk of chunks) {
+			fault ??= this.#judge(chunk);
+			if (fault === undefined && chunk.type === 'chunk') {
+				inOrder.push(chunk);
+			}
+		}
+
+		if (inOrder.length > 0 && !await stream.send(inOrder)) {
+			return {type: 'gone'};
+		}
+
+		if (fault !== undefined) {
+			return {type: 'failed', error: fault};
+		}
+
+		if (!this.#progress.isFinished) {
+			return undefined;
 		}
 
-		const verdict = this.#progress.take(chunk.sequence, textOf(chunk.data));
-		if (verdict === 'gap') {
-			return {type: 'failed', error: {layer: 'backend', code: 'out-of-order', message: `chunk ${chunk.sequence} after ${this.#progress.lastSequence}`}};
+		stream.finish();
+		return {type: 'streamed'};
+	}
+
+	// A repeated number is an engine's fault as much as a gap: its content may differ from what the caller has.
+	#judge(chunk: EngineChunk): BackendError | undefined {
+		if (chunk.type === 'done') {
+			this.#progress.finish();
+			return undefined;
 		}
 
-		// A repeated number is an engine's fault as well: its content may differ from what the caller has.
-		if (verdict === 'repeated') {
-			return {type: 'failed', error: {layer: 'backend', code: 'out-of-order', message: `chunk ${chunk.sequence} came twice`}};
+		const before = this.#progress.lastSequence;
+		if (this.#progress.take(chunk.sequence, chunk.data) !== 'next') {
+			return {layer: 'backend', code: 'out-of-order', message: `chunk ${chunk.sequence} after ${before}`};
 		}
 
 		if (chunk.data.includes('"usage"')) {
 			this.#noteUsage(chunk.data);
 		}
 
-		return await stream.send(chunk.sequence, chunk.data) ? undefined : {type: 'gone'};
+		return undefined;
 	}
 
 	#engineRequest(row: ServerRow) {
@@ -413,12 +437,3 @@
 		return undefined;
 	}
 }
-
-function textOf(data: string): string {
-	try {
-		const {choices} = JSON.parse(data) as {readonly choices?: ReadonlyArray<{readonly delta?: {readonly content?: string}; readonly text?: string}>};
-		return choices?.[0]?.delta?.content ?? choices?.[0]?.text ?? '';
-	} catch {
-		return '';
-	}
-}
--- a/packages/routing/src/stream-progress.ts
+++ b/packages/routing/src/stream-progress.ts
@@ -4,7 +4,7 @@
 /** Follows one caller's stream over all the engines that serve it. */
 export class StreamProgress {
 	#delivered = 0;
-	#text = '';
+	#literal = '';
 	#isFinished = false;
 
 	/** The number of the last chunk that the caller has; -1 before the first. */
@@ -14,7 +14,7 @@
 
 	/** The text that the caller has, from which another engine resumes. */
 	get text(): string {
-		return this.#text;
+		return JSON.parse(`"${this.#literal}"`) as string;
 	}
 
 	/** True once the engine's own terminal marker arrived. */
@@ -26,10 +26,10 @@
 	 * Judges a chunk; only the next one in order may be passed on.
 	 *
 	 * @param sequence - The engine's number for it, from 0.
-	 * @param text - The text it adds.
+	 * @param data - Its data, in one of the usual shapes of a completion's chunk.
 	 * @returns The verdict; `next` counts it as delivered.
 	 */
-	take(sequence: number, text: string): ChunkVerdict {
+	take(sequence: number, data: string): ChunkVerdict {
 		if (!Number.isInteger(sequence) || sequence > this.#delivered) {
 			return 'gap';
 		}
@@ -39,7 +39,7 @@
 		}
 
 		this.#delivered++;
-		this.#text += text;
+		this.#literal += contentLiteral(data);
 		return 'next';
 	}
 
@@ -48,3 +48,10 @@
 		this.#isFinished = true;
 	}
 }
+
+const contentPattern = /"(?:content|text)":\s*"(?<literal>(?:[^"\\]|\\.)*)"/v;
+
+// Only a resume needs the text, so it is kept as it stands in the JSON: parsing every chunk was a third of the time of a token.
+function contentLiteral(data: string): string {
+	return contentPattern.exec(data)?.groups?.literal ?? '';
+}
