Know caches from dispatches by default; ask only the engines of cells in use for their state

Cause: (1) cache events at 6,180 a second a daemon do not fit the control budget of two years; (2) every router asked every engine for its state, 3,000 calls a second at 6,000 servers.

A gap has to drop a server's row, and a late event contradicts what the primary of the cell has learned from its own dispatches since.

Ruled out: sampling or filtering events (worth less than none while one primary sees a cell's requests).

Change: followCacheEvents is off by default and remains a setting; states are read for cells used within the last minute, or all of a model with one cell.

--- a/packages-private/measure/src/model-router.ts
+++ b/packages-private/measure/src/model-router.ts
@@ -52,7 +52,7 @@
 		this.#models = models;
 		this.#events = events;
 		this.#prefixes = new PrefixIndex({blocksPerServer: options.shape.cacheBlocks, lifetime: 60_000});
-		const isOurs = options.policy === 'lacewingpoint' || options.policy === 'oracle';
+		const isOurs = ['lacewingpoint', 'with events', 'oracle'].includes(options.policy);
 		this.#admission = new Admission(this.#servers, createPolicy(options.policy, this.#prefixes, models), {
 			// The baselines send at once; only this router lets requests wait in fair order.
 			backlog: isOurs ? 400 : Number.POSITIVE_INFINITY,
--- a/packages-private/measure/src/policies.ts
+++ b/packages-private/measure/src/policies.ts
@@ -6,7 +6,7 @@
 import type {ModelServer} from './model-server.js';
 
 /** The policies that are compared. */
-export const policyNames = ['lacewingpoint', 'round robin', 'least loaded', 'rendezvous', 'oracle'] as const;
+export const policyNames = ['lacewingpoint', 'with events', 'round robin', 'least loaded', 'rendezvous', 'oracle'] as const;
 
 export type PolicyName = (typeof policyNames)[number];
 
@@ -73,7 +73,8 @@
  */
 export function createPolicy(name: PolicyName, index: PrefixIndex, servers: ReadonlyMap<string, ModelServer>): PlacementPolicy {
 	switch (name) {
-		case 'lacewingpoint': {
+		case 'lacewingpoint':
+		case 'with events': {
 			return new PredictedTimePlacement(index, placementOptions);
 		}
 
--- a/packages-private/measure/src/simulation.ts
+++ b/packages-private/measure/src/simulation.ts
@@ -241,7 +241,7 @@
 	}
 
 	#publish(server: ModelServer, change: CachePublication): void {
-		if (this.#losses.next() < eventLossShare) {
+		if (this.#options.policy !== 'with events' || this.#losses.next() < eventLossShare) {
 			return;
 		}
 
--- a/packages/router/src/backend-links.ts
+++ b/packages/router/src/backend-links.ts
@@ -17,7 +17,6 @@
 	readonly followCacheEvents: boolean;
 };
 
-const servicePrefix = 'service ';
 const stateTimeout = 1000;
 const probeTimeout = 300;
 /** Time for the other requests of a dead server to break off too. */
@@ -117,9 +116,12 @@
 		}
 	}
 
-	/** Asks every engine for its state. */
+	/** Asks the engines of the cells in use for their state. */
 	async refreshStates(): Promise<void> {
-		const engines = this.#context.tables.servers.rows().filter(row => !row.description.serves.startsWith(servicePrefix));
+		const {servers, configuration} = this.#context.tables;
+		const now = this.#context.clock.now();
+		const models = new Set(configuration.backends.flatMap(({backend}) => (backend.type === 'engine' ? [backend.model] : [])));
+		const engines = [...models].flatMap(model => servers.rowsInUse(model, now));
 		this.#dropUnknown(new Set(engines.map(row => row.description.id)));
 		await Promise.all(engines.map(async row => this.#refreshState(row)));
 	}
--- a/packages/router/src/caller-response.ts
+++ b/packages/router/src/caller-response.ts
@@ -1,4 +1,3 @@
-import {once} from 'node:events';
 import type {ServerResponse} from 'node:http';
 import {type Refusal, refusalBody} from './router-error.js';
 
@@ -22,21 +21,15 @@
 	response.end(refusalBody(refusal));
 }
 
-const responseClosed = new Error('the response was closed');
-
 /** A stream of server-sent events to one caller; a slow caller holds the engine back instead of filling memory. */
 export class CallerStream {
 	readonly #response: ServerResponse;
 	readonly #silenceTimeout: number;
-	readonly #closed = new AbortController();
 	#hasBegun = false;
 
 	constructor(response: ServerResponse, silenceTimeout: number) {
 		this.#response = response;
 		this.#silenceTimeout = silenceTimeout;
-		response.once('close', () => {
-			this.#closed.abort(responseClosed);
-		});
 	}
 
 	/** True once the head has been sent and the request can no longer be refused by status. */
@@ -91,12 +84,28 @@
 	}
 
 	async #drain(): Promise<boolean> {
-		try {
-			await once(this.#response, 'drain', {signal: AbortSignal.any([this.#closed.signal, AbortSignal.timeout(this.#silenceTimeout)])});
-			return true;
-		} catch {
-			this.#response.destroy();
-			return false;
-		}
+		return new Promise(resolve => {
+			const end = (hasDrained: boolean) => {
+				clearTimeout(timer);
+				this.#response.off('drain', onDrain);
+				this.#response.off('close', onClose);
+				resolve(hasDrained);
+			};
+
+			const onDrain = () => {
+				end(true);
+			};
+
+			const onClose = () => {
+				end(false);
+			};
+
+			const timer = setTimeout(() => {
+				this.#response.destroy();
+				end(false);
+			}, this.#silenceTimeout);
+			this.#response.once('drain', onDrain);
+			this.#response.once('close', onClose);
+		});
 	}
 }
--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -120,6 +120,7 @@
 		const cells = this.#servers.cells(request.model);
 		let first: Placement | undefined;
 		for (const cell of cells.rank(request.workspace).slice(0, cellsPerWorkspace)) {
+			this.#servers.noteCellUsed(cell, now);
 			const placement = this.#policy.choose(request.placement, this.#usable(cells.members(cell), now), now);
 			if (placement !== undefined && this.#hasRoom(request, placement)) {
 				return placement;
--- a/packages/routing/src/cells.ts
+++ b/packages/routing/src/cells.ts
@@ -5,7 +5,8 @@
  * therefore knows the cell's queues without any message; the other hosts stand by.
  */
 export class Cells {
-	readonly #names: readonly string[];
+	/** The names of the cells. */
+	readonly names: readonly string[];
 	readonly #members = new Map<string, string[]>();
 	readonly #ranks = new Map<string, readonly string[]>();
 
@@ -16,13 +17,13 @@
 	 */
 	constructor(model: string, servers: readonly string[], cellSize: number) {
 		const count = Math.max(1, Math.ceil(servers.length / cellSize));
-		this.#names = Array.from({length: count}, (_, index) => `${model} ${index}`);
-		for (const name of this.#names) {
+		this.names = Array.from({length: count}, (_, index) => `${model} ${index}`);
+		for (const name of this.names) {
 			this.#members.set(name, []);
 		}
 
 		for (const server of servers) {
-			const [cell] = count === 1 ? this.#names : rankByRendezvous(server, this.#names);
+			const [cell] = count === 1 ? this.names : rankByRendezvous(server, this.names);
 			this.#members.get(cell!)!.push(server);
 		}
 	}
@@ -34,7 +35,7 @@
 	 * @returns The names of the cells.
 	 */
 	rank(workspace: string): readonly string[] {
-		const held = this.#ranks.get(workspace) ?? rankByRendezvous(workspace, this.#names);
+		const held = this.#ranks.get(workspace) ?? rankByRendezvous(workspace, this.names);
 		this.#ranks.set(workspace, held);
 		return held;
 	}
--- a/packages/routing/src/server-table.ts
+++ b/packages/routing/src/server-table.ts
@@ -48,6 +48,9 @@
 	readonly passedOverUntil: Milliseconds;
 };
 
+/** A cell counts as used for this long after its last request. */
+const cellMemory: Milliseconds = 60_000;
+
 const speedWeight = 0.05;
 const smallestSampleTokens = 1024;
 
@@ -56,6 +59,7 @@
 	readonly #options: ServerTableOptions;
 	readonly #rows = new Map<string, ServerRow>();
 	readonly #cells = new Map<string, Cells>();
+	readonly #cellUsedAt = new Map<string, Milliseconds>();
 
 	constructor(options: ServerTableOptions) {
 		this.#options = options;
@@ -103,6 +107,30 @@
 		return usableServers(this.rows().filter(row => row.description.serves === serves), now);
 	}
 
+	/**
+	 * Lists the servers that this router has to know the state of: those of cells that it has used lately, and all of a model
+	 * that has one cell.
+	 *
+	 * @param serves - The model.
+	 * @param now - The present moment.
+	 * @returns The rows.
+	 */
+	rowsInUse(serves: string, now: Milliseconds): ServerRow[] {
+		const cells = this.cells(serves);
+		const used = cells.names.filter(cell => cells.names.length === 1 || now - (this.#cellUsedAt.get(cell) ?? Number.NEGATIVE_INFINITY) <= cellMemory);
+		return used.flatMap(cell => cells.members(cell)).map(id => this.#rows.get(id)!);
+	}
+
+	/**
+	 * Takes note that a cell was considered for a request.
+	 *
+	 * @param cell - The cell's name.
+	 * @param now - The present moment.
+	 */
+	noteCellUsed(cell: string, now: Milliseconds): void {
+		this.#cellUsedAt.set(cell, now);
+	}
+
 	/**
 	 * Divides the servers of a model into cells.
 	 *
--- a/packages/settings/src/deployment.ts
+++ b/packages/settings/src/deployment.ts
@@ -56,7 +56,7 @@
 	cellSize: v.optional(count, 16),
 	cacheBlocks: v.optional(count, 2000),
 	cacheLifetimeMilliseconds: v.optional(milliseconds, 60_000),
-	followCacheEvents: v.optional(v.boolean(), true),
+	followCacheEvents: v.optional(v.boolean(), false),
 	connections: v.optional(count, 256),
 	connectMilliseconds: v.optional(milliseconds, 500),
 	silenceMilliseconds: v.optional(milliseconds, 10_000),
