Read engines' answers to their end, so that their connections are used again

Cause: the terminal marker ended the reading of a stream; its body was left unread and its connection closed, so every stream opened a new one.

Ruled out: Nagle's delay (Node.js switches it off); the placement decision (11 us).

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -208,13 +208,17 @@
 	}
 
 	async * #chunks(body: Dispatcher.ResponseData['body']): AsyncGenerator<Result<readonly EngineChunk[], BackendError>> {
+		let isDone = false;
 		try {
+			// Read on to the end of the body after the terminal marker: a body left unread costs its connection.
 			for await (const events of this.#serverSentEvents(body)) {
 				const chunks = events.map(event => chunkOf(event));
+				isDone ||= chunks.at(-1)!.type === 'done';
 				yield Result.ok(chunks);
-				if (chunks.at(-1)!.type === 'done') {
-					return;
-				}
+			}
+
+			if (isDone) {
+				return;
 			}
 
 			yield Result.err({layer: 'backend', code: 'incomplete', message: `${this.address} ended the stream early`});
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -234,18 +234,25 @@
 
 	async #passStream(stream: CallerStream, answer: EngineAnswer, onFirst: () => void): Promise<AttemptEnd> {
 		for await (const result of answer.chunks) {
+			// The caller has its whole answer; only the engine's connection is still read to its end.
+			if (this.#progress.isFinished) {
+				continue;
+			}
+
 			if (result.isErr) {
 				return {type: 'failed', error: result.error};
 			}
 
 			onFirst();
 			const end = await this.#passChunks(stream, result.value);
-			if (end !== undefined) {
+			if (end !== undefined && end.type !== 'streamed') {
 				return end;
 			}
 		}
 
-		return {type: 'failed', error: {layer: 'backend', code: 'incomplete', message: 'the stream ended early'}};
+		return this.#progress.isFinished
+			? {type: 'streamed'}
+			: {type: 'failed', error: {layer: 'backend', code: 'incomplete', message: 'the stream ended early'}};
 	}
 
 	// What is in order is sent even when a fault follows it; a resume goes on from there.
--- a/scripts/bench.ts
+++ b/scripts/bench.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {writeFile} from 'node:fs/promises';
 import {request} from 'undici';
 import {Caller, LocalCluster} from '../packages-private/local-cluster/src/index.js';
@@ -117,6 +118,7 @@
 async function measureMemory(): Promise<void> {
 	report('resident memory before the open streams', await metric('resident_bytes') / 1_048_576, 'MiB');
 	const abort = new AbortController();
+	setMaxListeners(openStreams, abort.signal);
 	const streams = Array.from({length: openStreams}, async (_, index) => caller.call(cluster.hosts[0]!.callersAddress, {
 		path: '/v1/completions', key: secret, signal: abort.signal, body: {
 			model: 'general', prompt: `open ${index} `.repeat(100), max_tokens: 1000, stream: true,
