--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -179,7 +179,7 @@
 		await writeFile(this.settingsPath, JSON.stringify({
 			name: this.#options.name,
 			hosts: this.hosts,
-			platform: {keyValueService: `http://${this.platformAddress}`, hostList: `http://${this.platformAddress}`},
+			platform: {keyValueService: `http://${this.platformAddress}`, hostList: `http://${this.platformAddress}`, weightStore: `http://${this.platformAddress}`},
 			...this.#options.settings,
 		}));
 	}
--- a/packages-private/stand-ins/src/platform-stand-in.ts
+++ b/packages-private/stand-ins/src/platform-stand-in.ts
@@ -31,6 +31,7 @@
 	readonly server = new StandInServer();
 	readonly table = new KeyValueTable(() => performance.now());
 	faults: PlatformFaults = {};
+	readonly #versions = new Map<string, readonly string[]>();
 	#hosts: unknown[] = [];
 
 	constructor() {
@@ -52,6 +53,13 @@
 			this.#hosts = JSON.parse(textOf(body)) as unknown[];
 			sendJson(response, 200, {});
 		});
+		this.server.on('GET', '/v1/models/:model/versions', (_request, response, _body, {model}) => {
+			sendJson(response, 200, {versions: this.#versions.get(model ?? '') ?? ['v1', 'v2', 'v3']});
+		});
+		this.server.on('PUT', '/v1/models/:model/versions', (_request, response, body, {model}) => {
+			this.#versions.set(model ?? '', JSON.parse(textOf(body)) as string[]);
+			sendJson(response, 200, {});
+		});
 		this.server.on('POST', '/faults', (_request, response, body) => {
 			this.faults = JSON.parse(textOf(body)) as PlatformFaults;
 			sendJson(response, 200, {});
