Mend what reads badly: one host's settings, a completion's prompt, the daemon's start

The programs found their host in two places; engines and plain services made their connections twice; a completion's run composed its prompt, its request and its usage itself; the daemon's start was one long function. No behaviour changes.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -1,22 +1,14 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {type EventSourceMessage, createParser} from 'eventsource-parser';
 import {Result} from 'true-myth';
-import {type Dispatcher, Pool} from 'undici';
+import type {Dispatcher, Pool} from 'undici';
 import * as v from 'valibot';
 import {type BackendError, backendErrorOf} from './backend-error.js';
+import {type BackendConnectionOptions, createConnectionPool} from './connection-pool.js';
 import type {
 	CacheEvent, Engine, EngineAnswer, EngineChunk, EngineReport, EngineRequest, EngineState, LoadOrder,
 } from './engine.js';
 
-export type HttpEngineOptions = {
-	/** An IP number and port. */
-	readonly address: string;
-	readonly connections: number;
-	readonly connectTimeout: Milliseconds;
-	/** The longest silence of an engine within an answer. */
-	readonly silenceTimeout: Milliseconds;
-};
-
 const stateSchema = v.object({
 	incarnation: v.string(),
 	weightsVersion: v.string(),
@@ -91,15 +83,9 @@
 	readonly address: string;
 	readonly #pool: Pool;
 
-	constructor(options: HttpEngineOptions) {
+	constructor(options: BackendConnectionOptions) {
 		this.address = options.address;
-		this.#pool = new Pool(`http://${options.address}`, {
-			connections: options.connections,
-			pipelining: 1,
-			connect: {timeout: options.connectTimeout},
-			headersTimeout: options.silenceTimeout,
-			bodyTimeout: options.silenceTimeout,
-		});
+		this.#pool = createConnectionPool(options);
 	}
 
 	async start(request: EngineRequest, signal: AbortSignal): Promise<Result<EngineAnswer, BackendError>> {
--- a/packages/backend/src/index.ts
+++ b/packages/backend/src/index.ts
@@ -1,3 +1,4 @@
+export {type BackendConnectionOptions, createConnectionPool} from './connection-pool.js';
 export {
 	type BackendError, type BackendErrorCode, backendErrorOf, certainlyDidNotRun,
 } from './backend-error.js';
@@ -5,8 +6,8 @@
 	CacheEvent, Engine, EngineAnswer, EngineChunk, EngineReport, EngineRequest, EngineState, LoadOrder,
 } from './engine.js';
 export {
-	type HttpEngineOptions, HttpEngine, declinedError, engineHeaders,
+	HttpEngine, declinedError, engineHeaders,
 } from './http-engine.js';
 export {
-	type PlainService, type PlainServiceOptions, type ServiceAnswer, type ServiceRequest, HttpPlainService,
+	type PlainService, type ServiceAnswer, type ServiceRequest, HttpPlainService,
 } from './plain-service.js';
--- a/packages/backend/src/plain-service.ts
+++ b/packages/backend/src/plain-service.ts
@@ -1,7 +1,7 @@
-import type {Milliseconds} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
-import {type Dispatcher, Pool} from 'undici';
+import type {Dispatcher, Pool} from 'undici';
 import {type BackendError, backendErrorOf} from './backend-error.js';
+import {type BackendConnectionOptions, createConnectionPool} from './connection-pool.js';
 import {declinedError} from './http-engine.js';
 
 /** A request to a plain service; the caller's key is no part of it. */
@@ -20,13 +20,6 @@
 	readonly body: Uint8Array;
 };
 
-export type PlainServiceOptions = {
-	readonly address: string;
-	readonly connections: number;
-	readonly connectTimeout: Milliseconds;
-	readonly silenceTimeout: Milliseconds;
-};
-
 /** A plain service behind the router, such as bookings or enrolments. */
 export type PlainService = {
 	readonly address: string;
@@ -49,15 +42,9 @@
 	readonly address: string;
 	readonly #pool: Pool;
 
-	constructor(options: PlainServiceOptions) {
+	constructor(options: BackendConnectionOptions) {
 		this.address = options.address;
-		this.#pool = new Pool(`http://${options.address}`, {
-			connections: options.connections,
-			pipelining: 1,
-			connect: {timeout: options.connectTimeout},
-			headersTimeout: options.silenceTimeout,
-			bodyTimeout: options.silenceTimeout,
-		});
+		this.#pool = createConnectionPool(options);
 	}
 
 	async send(request: ServiceRequest, signal: AbortSignal): Promise<Result<ServiceAnswer, BackendError>> {
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -2,9 +2,9 @@
 	type BackendError, type EngineAnswer, type EngineChunk, certainlyDidNotRun,
 } from '@lacewingpoint/backend';
 import {
-	type Placement, type PlacementRequest, type ServerRow, StreamProgress, cacheSalt, charactersPerBlock, hashBlocks, placementOptions, uncachedTokens,
+	type Placement, type ServerRow, StreamProgress, uncachedTokens,
 } from '@lacewingpoint/routing';
-import {type Tokens, hashText} from '@lacewingpoint/shared';
+import type {Tokens} from '@lacewingpoint/shared';
 import {type Result} from 'true-myth';
 import type {AdmissionService} from './admission-service.js';
 import {authorize} from './authorization.js';
@@ -12,6 +12,8 @@
 import type {CallerStream} from './caller-response.js';
 import type {Clock} from './clock.js';
 import {type CompletionCall, fingerprintOf} from './completion-call.js';
+import {CompletionPrompt} from './completion-prompt.js';
+import {readUsage} from './completion-usage.js';
 import type {NamedRoute} from './configuration-view.js';
 import type {InFlightTable} from './in-flight-table.js';
 import type {Metrics} from './metrics.js';
@@ -66,7 +68,7 @@
 	readonly #progress = new StreamProgress();
 	readonly #failedServers = new Set<string>();
 	readonly #fingerprint: number;
-	readonly #blocksByVersion = new Map<string, readonly number[]>();
+	readonly #prompt: CompletionPrompt;
 	#mayHaveRun = false;
 	#hasFirstToken = false;
 	#usedTokens: Tokens | undefined;
@@ -76,6 +78,7 @@
 		this.#context = context;
 		this.#input = input;
 		this.#fingerprint = fingerprintOf(input.workspace, input.call);
+		this.#prompt = new CompletionPrompt(input.workspace, input.named, input.call);
 	}
 
 	/** The tokens that ran, as far as it is known; the basis of what the workspace pays. */
@@ -114,7 +117,7 @@
 			return this.#refuse('quarantined', 'backend servers died of this request; it is not run again');
 		}
 
-		const request = this.#placementRequest(verdict === 'suspect');
+		const request = this.#prompt.placementRequest(this.#avoided(verdict === 'suspect'));
 		const placed = await this.#context.admission.place({
 			workspace: this.#input.workspace,
 			weight: tables.configuration.workspaces.get(this.#input.workspace)?.weight ?? 1,
@@ -139,6 +142,11 @@
 		});
 	}
 
+	// A suspect is kept apart from others, so that the next death it is part of is its own.
+	#avoided(isSuspect: boolean): ReadonlySet<string> {
+		return isSuspect ? new Set([...this.#failedServers, ...this.#context.inFlight.serversWithSuspects()]) : this.#failedServers;
+	}
+
 	#afterPlacement(authorized: Result<unknown, Refusal>, signal: AbortSignal): AttemptEnd {
 		if (signal.aborted) {
 			return {type: 'gone'};
@@ -172,7 +180,7 @@
 		tables.prefixes.learn(placement.server, row.incarnation ?? '', dispatch.blocks, sentAt);
 		this.#guardSlowStart(placement, abort, () => isReserved);
 		try {
-			const started = await backends.engine(row).start(this.#engineRequest(row), cancelled);
+			const started = await backends.engine(row).start(this.#prompt.engineRequest(requestId, row, this.#progress), cancelled);
 			const end = started.isErr
 				? {type: 'failed' as const, error: started.error}
 				: await this.#pass(stream, started.value, dispatch, () => {
@@ -301,53 +309,6 @@
 		return undefined;
 	}
 
-	#engineRequest(row: ServerRow) {
-		const {call, requestId} = this.#input;
-		const isResumed = this.#progress.lastSequence >= 0;
-		return {
-			requestId, path: call.path, streams: call.streams, body: this.#engineBody(row, isResumed), ...(isResumed ? {resumeAfter: this.#progress.lastSequence} : {}),
-		};
-	}
-
-	#engineBody(row: ServerRow, isResumed: boolean): string {
-		const {call, named} = this.#input;
-		return JSON.stringify({
-			...call.body,
-			model: named.route.adapter ?? named.route.model,
-			max_tokens: call.answerTokens,
-			cache_salt: this.#salt(row.weightsVersion),
-			priority: named.route.priority === 'high' ? 0 : 1,
-			resume_text: isResumed ? this.#progress.text : undefined,
-		});
-	}
-
-	#salt(weightsVersion: string | undefined): string {
-		const {named, workspace} = this.#input;
-		return cacheSalt({
-			workspace, model: named.route.model, adapter: named.route.adapter, weightsVersion: weightsVersion ?? '',
-		});
-	}
-
-	#placementRequest(isSuspect: boolean): PlacementRequest {
-		const {call} = this.#input;
-		const blocksFor = (weightsVersion: string | undefined) => {
-			const version = weightsVersion ?? '';
-			const held = this.#blocksByVersion.get(version) ?? hashBlocks(this.#salt(weightsVersion), call.prompt);
-			this.#blocksByVersion.set(version, held);
-			return held;
-		};
-
-		const avoided = isSuspect ? new Set([...this.#failedServers, ...this.#context.inFlight.serversWithSuspects()]) : this.#failedServers;
-		return {
-			promptTokens: call.promptTokens, homeKey: this.#homeKey(), avoided, blocksFor,
-		};
-	}
-
-	#homeKey(): number | undefined {
-		const blocks = hashBlocks(this.#salt(undefined), this.#input.call.prompt.slice(0, homeCharacters));
-		return blocks.at(-1) ?? hashText(this.#input.call.prompt);
-	}
-
 	#guardSlowStart(placement: Placement, abort: AbortController, isWaiting: () => boolean): void {
 		const {tables, slowStart, clock} = this.#context;
 		const timer = setTimeout(() => {
@@ -428,19 +389,4 @@
 	readonly call: CompletionCall;
 };
 
-type Usage = {
-	readonly total_tokens?: number;
-	readonly prompt_tokens?: number;
-	readonly prompt_tokens_details?: {readonly cached_tokens?: number};
-};
-
 const retryAfterFailure = 1000;
-const homeCharacters = placementOptions.homeBlocks * charactersPerBlock;
-
-function readUsage(text: string): Usage | undefined {
-	try {
-		return (JSON.parse(text) as {readonly usage?: Usage | undefined}).usage ?? undefined;
-	} catch {
-		return undefined;
-	}
-}
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -7,7 +7,7 @@
 } from '@lacewingpoint/shared';
 import {AdmissionService} from './admission-service.js';
 import {BackendLinks} from './backend-links.js';
-import {CallersServer} from './callers-server.js';
+import {type CallersContext, CallersServer} from './callers-server.js';
 import {ClaimService} from './claim-service.js';
 import {ClaimStore} from './claim-store.js';
 import type {Clock} from './clock.js';
@@ -51,68 +51,36 @@
 
 	/** Starts every part; callers are admitted once the configuration is in force. */
 	async start(): Promise<void> {
-		const {contact: contactSettings, platform, credit, engines, limits} = this.#deployment;
-		const metrics = new Metrics();
-		const tables = this.#tables;
 		const context: RouterContext = {
-			tables, clock: this.#clock, metrics, logger: this.#logger,
+			tables: this.#tables, clock: this.#clock, metrics: new Metrics(), logger: this.#logger,
 		};
+		const {platform} = this.#deployment;
 		const store = this.#own(new EtcdKeyValueService({origin: platform.keyValueService, timeout: platform.callTimeoutMilliseconds}));
 		const inFlight = new InFlightTable();
-		const links = this.#own(new PeerLinks(context, {
-			self: this.#host.id,
-			failureDomain: this.#host.failureDomain,
-			readersPerDomain: contactSettings.watchersPerFailureDomain,
-			incarnation: this.#incarnation,
-			seeds: this.#deployment.hosts.map(host => recordOf(host)),
-			interval: contactSettings.exchangeIntervalMilliseconds,
-			fanout: contactSettings.exchangeFanout,
-			timeout: platform.callTimeoutMilliseconds,
-		}));
-		const backends = this.#own(new BackendLinks(context, inFlight, {
-			connections: engines.connections,
-			connectTimeout: engines.connectMilliseconds,
-			silenceTimeout: engines.silenceMilliseconds,
-			stateInterval: engines.stateIntervalMilliseconds,
-			followCacheEvents: engines.followCacheEvents,
-		}));
-		const admission = new AdmissionService(tables.admission, this.#clock);
-		const creditService = new CreditService(context, links, {
-			self: this.#host.id, longestWait: credit.longestWaitMilliseconds, longestWaitAfterStart: credit.longestWaitAfterStartMilliseconds, dryPause,
-		});
+		const links = this.#own(this.#createPeerLinks(context));
+		const backends = this.#own(this.#createBackendLinks(context, inFlight));
 		const claims = new ClaimService(new ClaimStore(store), links, this.#logger, {claimer: `${this.#host.id}/${this.#incarnation}`, keepPause, keepAttempts});
 		const storeLink = this.#own(this.#createStoreLink(context, store));
-		this.#gauges(metrics, inFlight);
-
-		const peerServer = this.#own(await servePeers({
-			exchange: request => answerExchange(tables, {id: this.#host.id, incarnation: this.#incarnation}, request, this.#clock.now()),
-			lendCredit: ({workspace, amount}) => lendCredit(tables, workspace, amount, this.#clock.now()),
-			claimOutcome: ({claimId}) => ({outcome: claims.outcomeOf(claimId)}),
-			prefixes: () => ({snapshots: tables.prefixes.snapshot(snapshotBlocksPerServer).map(snapshot => ({...snapshot, blocks: [...snapshot.blocks]}))}),
-		}, this.#host.peerAddress));
-		metrics.gauge('peer_bytes', () => peerServer.bytes());
-		const operators = this.#own(new OperatorsServer(tables, this.#clock, metrics, {hostId: this.#host.id, incarnation: this.#incarnation, address: this.#host.operatorsAddress}));
-		await operators.listen();
+		const admission = new AdmissionService(this.#tables.admission, this.#clock);
+		this.#gauges(context.metrics, inFlight);
+		await this.#servePeers(context, claims);
+		await this.#serveOperators(context);
 
 		storeLink.start();
 		links.start();
 		backends.start(platform.hostList === undefined ? undefined : this.#own(new HttpHostList(platform.hostList, platform.callTimeoutMilliseconds)));
 		this.#startTicks(admission);
 		await this.#catchUp(links);
-
-		const callers = new CallersServer({
-			tables, admission, backends, inFlight, metrics, clock: this.#clock, slowStart: engines.slowStartMilliseconds, claims, keptAnswerBytes: limits.keptAnswerBytes, credit: creditService,
-		}, {
-			hostId: this.#host.id,
-			address: this.#host.callersAddress,
-			bodyBytes: limits.bodyBytes,
-			headerBytes: limits.headerBytes,
-			answerTokens: limits.answerTokens,
-			callerSilence: limits.callerSilenceMilliseconds,
-			addressLifetimeSeconds,
+		await this.#serveCallers({
+			...context,
+			admission,
+			backends,
+			inFlight,
+			claims,
+			credit: this.#createCreditService(context, links),
+			slowStart: this.#deployment.engines.slowStartMilliseconds,
+			keptAnswerBytes: this.#deployment.limits.keptAnswerBytes,
 		});
-		this.#callers = this.#own(callers);
-		await callers.listen();
 		this.#logger.info('router-started', {incarnation: this.#incarnation, callers: this.#host.callersAddress});
 	}
 
@@ -140,6 +108,72 @@
 		return this.#disposables.add(item);
 	}
 
+	#createPeerLinks(context: RouterContext): PeerLinks {
+		const {contact, hosts, platform} = this.#deployment;
+		return new PeerLinks(context, {
+			self: this.#host.id,
+			failureDomain: this.#host.failureDomain,
+			readersPerDomain: contact.watchersPerFailureDomain,
+			incarnation: this.#incarnation,
+			seeds: hosts.map(host => recordOf(host)),
+			interval: contact.exchangeIntervalMilliseconds,
+			fanout: contact.exchangeFanout,
+			timeout: platform.callTimeoutMilliseconds,
+		});
+	}
+
+	#createBackendLinks(context: RouterContext, inFlight: InFlightTable): BackendLinks {
+		const {engines} = this.#deployment;
+		return new BackendLinks(context, inFlight, {
+			connections: engines.connections,
+			connectTimeout: engines.connectMilliseconds,
+			silenceTimeout: engines.silenceMilliseconds,
+			stateInterval: engines.stateIntervalMilliseconds,
+			followCacheEvents: engines.followCacheEvents,
+		});
+	}
+
+	#createCreditService(context: RouterContext, links: PeerLinks): CreditService {
+		const {credit} = this.#deployment;
+		return new CreditService(context, links, {
+			self: this.#host.id,
+			longestWait: credit.longestWaitMilliseconds,
+			longestWaitAfterStart: credit.longestWaitAfterStartMilliseconds,
+			dryPause,
+		});
+	}
+
+	async #servePeers({tables, metrics}: RouterContext, claims: ClaimService): Promise<void> {
+		const self = {id: this.#host.id, incarnation: this.#incarnation};
+		const server = this.#own(await servePeers({
+			exchange: request => answerExchange(tables, self, request, this.#clock.now()),
+			lendCredit: ({workspace, amount}) => lendCredit(tables, workspace, amount, this.#clock.now()),
+			claimOutcome: ({claimId}) => ({outcome: claims.outcomeOf(claimId)}),
+			prefixes: () => ({snapshots: tables.prefixes.snapshot(snapshotBlocksPerServer).map(snapshot => ({...snapshot, blocks: [...snapshot.blocks]}))}),
+		}, this.#host.peerAddress));
+		metrics.gauge('peer_bytes', () => server.bytes());
+	}
+
+	async #serveOperators({tables, metrics}: RouterContext): Promise<void> {
+		const {id, operatorsAddress} = this.#host;
+		const server = this.#own(new OperatorsServer(tables, this.#clock, metrics, {hostId: id, incarnation: this.#incarnation, address: operatorsAddress}));
+		await server.listen();
+	}
+
+	async #serveCallers(context: CallersContext): Promise<void> {
+		const {limits} = this.#deployment;
+		this.#callers = this.#own(new CallersServer(context, {
+			hostId: this.#host.id,
+			address: this.#host.callersAddress,
+			bodyBytes: limits.bodyBytes,
+			headerBytes: limits.headerBytes,
+			answerTokens: limits.answerTokens,
+			callerSilence: limits.callerSilenceMilliseconds,
+			addressLifetimeSeconds,
+		}));
+		await this.#callers.listen();
+	}
+
 	#createStoreLink(context: RouterContext, store: EtcdKeyValueService): StoreLink {
 		const {contact} = this.#deployment;
 		const maintenance = new EpochMaintenance({
--- a/packages/router/src/main.ts
+++ b/packages/router/src/main.ts
@@ -1,4 +1,4 @@
-import {findHost, readDeployment} from '@lacewingpoint/settings';
+import {readHostSettings} from '@lacewingpoint/settings';
 import {createLogger, describeError, messageOf} from '@lacewingpoint/shared';
 import meow from 'meow';
 import {systemClock} from './clock.js';
@@ -24,8 +24,7 @@
 	},
 });
 
-const deployment = await readDeployment(cli.flags.settings);
-const started = deployment.andThen(value => findHost(value, cli.flags.host).map(host => ({deployment: value, host})));
+const started = await readHostSettings(cli.flags.settings, cli.flags.host);
 if (started.isErr) {
 	process.stderr.write(`${describeError(started.error)}\n`);
 	process.exit(exitBadSettings);
--- a/packages/settings/src/deployment.ts
+++ b/packages/settings/src/deployment.ts
@@ -119,3 +119,18 @@
 		})
 		: Result.ok(host);
 }
+
+/** A host together with the deployment that it belongs to. */
+export type HostSettings = {readonly deployment: Deployment; readonly host: DeploymentHost};
+
+/**
+ * Reads the settings of one host.
+ *
+ * @param path - The deployment's file.
+ * @param hostId - The host's id.
+ * @returns The deployment and the host in it.
+ */
+export async function readHostSettings(path: string, hostId: string): Promise<Result<HostSettings, SettingsError>> {
+	const read = await readDeployment(path);
+	return read.andThen(deployment => findHost(deployment, hostId).map(host => ({deployment, host})));
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,3 @@
 export {
-	type Deployment, type DeploymentHost, deploymentSchema, findHost, readDeployment,
+	type Deployment, type DeploymentHost, type HostSettings, deploymentSchema, findHost, readDeployment, readHostSettings,
 } from './deployment.js';
