--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -9,4 +9,5 @@
 export {
 	type Refusal, type RefusalCode, notRun, refusalBody,
 } from './router-error.js';
+export {type StoreLinkOptions, StoreLink} from './store-link.js';
 export {type Tables, createTables} from './tables.js';
