--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -25,3 +25,9 @@
 	type BackendState, type DrainingObject, type KeyState, type ModelState, type ObjectKind, type Register, type RouteState,
 	type Ticket, type TicketObject, type WorkspaceState, objectKinds, registerSchema, registersOf, ticketSchema,
 } from './ticket.js';
+export {
+	type HostDescription, type HostDirectoryOptions, type HostState, HostDirectory,
+} from './host-directory.js';
+export {
+	type QuotaLedgerOptions, type QuotaLimit, type QuotaTotals, QuotaLedger,
+} from './quota-ledger.js';
--- /dev/null
+++ b/packages/host/src/beliefs.ts
@@ -0,0 +1,328 @@
+import {HostDirectory, QuotaLedger, type QuotaLimit} from '@lacewingpoint/coordination';
+import {
+	type Configuration, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads,
+} from '@lacewingpoint/routing';
+import type {Logger, Milliseconds} from '@lacewingpoint/shared';
+import type {BeliefChange, BeliefReading} from './ports.js';
+
+/** Time within which an entry that lapsed while the store was away may come back; the users' letter says about two seconds. */
+const lapseGrace: Milliseconds = 2000;
+
+/** A peer that has said nothing for this long is not named to clients: three heartbeats and the loss of a datagram. */
+const hostSilence: Milliseconds = 750;
+
+/** Hosts that nobody lists are remembered this long after their last word, so that a store that was away can list them again. */
+const hostForgetAfter: Milliseconds = 60_000;
+
+/** Loads told by a peer that has fallen silent count this long: its requests end within seconds. */
+const peerLoadExpiry: Milliseconds = 1500;
+
+/** The part of an engine's memory taken to hold cached parts; running requests take the rest. */
+const cacheShare = 0.8;
+
+type NamedWeights = {readonly version: number; readonly revision: number; readonly knownSince: Milliseconds};
+
+/** Everything that a host believes of the configuration, servers, weights and hosts, with its age. */
+export class Beliefs {
+	readonly servers = new ServerDirectory({lapseGrace});
+	readonly hosts = new HostDirectory({silence: hostSilence, forgetAfter: hostForgetAfter});
+	readonly loads = new ServerLoads(peerLoadExpiry);
+	readonly health = new ServerHealth({
+		firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, forgiveAfter: 5000,
+	});
+	readonly prompts = new PromptCacheIndex();
+	readonly quota = new QuotaLedger({silence: hostSilence, startShare: 0.25, silentShare: 0.5});
+	/** Called when a server that takes work may have appeared, changed or gone. */
+	onServersChanged: () => void = () => {/* Nobody listens yet. */};
+	onServerGone: (id: string) => void = () => {/* Nobody listens yet. */};
+	/** Called when the store tells who may give orders for weights. */
+	onHolder: (holder: string | undefined) => void = () => {/* Nobody listens yet. */};
+	readonly #log: Logger;
+	readonly #now: () => Milliseconds;
+	readonly #wantedWeights = new Map<string, NamedWeights>();
+	/** Weights that servers were seen to run, fresher than their entries: by server, then model. */
+	readonly #seenWeights = new Map<string, Map<string, number>>();
+	readonly #loadingUntil = new Map<string, Milliseconds>();
+	#routes: RouteIndex | undefined;
+	#configurationRevision = 0;
+	#configurationAt = 0;
+	#revision = 0;
+	#unreadable = 0;
+
+	constructor(log: Logger, now: () => Milliseconds) {
+		this.#log = log;
+		this.#now = now;
+	}
+
+	get routes(): RouteIndex | undefined {
+		return this.#routes;
+	}
+
+	get configuration(): Configuration | undefined {
+		return this.#routes?.configuration;
+	}
+
+	/** The store's revision up to which changes are known. */
+	get revision(): number {
+		return this.#revision;
+	}
+
+	/** Entries that could not be read so far. */
+	get unreadable(): number {
+		return this.#unreadable;
+	}
+
+	/** @returns How long the configuration in force has been known. */
+	configurationAge(): Milliseconds {
+		return this.#now() - this.#configurationAt;
+	}
+
+	/**
+	 * Takes over changes from the store or a peer.
+	 *
+	 * @param reading - The changes.
+	 * @param isWhole - Whether it lists every server: those that it lacks are gone.
+	 * @param source - Who told, for the log.
+	 */
+	apply(reading: BeliefReading, isWhole: boolean, source: string): void {
+		for (const change of reading.changes) {
+			this.#applyChange(change, source);
+		}
+
+		if (isWhole) {
+			const ids = new Set(reading.changes.flatMap(change => change.type === 'server' ? [change.entry.id] : []));
+			for (const id of this.servers.retain(ids, reading.revision, this.#now())) {
+				this.#forgetServer(id, source);
+			}
+		}
+
+		this.#revision = Math.max(this.#revision, reading.revision);
+		this.onServersChanged();
+	}
+
+	/** @returns Everything known, for a peer that is behind. */
+	snapshot(): BeliefReading {
+		const changes: BeliefChange[] = this.servers.all().map(({entry, revision}) => ({type: 'server', revision, entry}));
+		const configuration = this.configuration;
+		if (configuration !== undefined) {
+			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
+		}
+
+		for (const [model, {version, revision}] of this.#wantedWeights) {
+			changes.push({
+				type: 'weights', revision, model, version,
+			});
+		}
+
+		for (const description of this.hosts.peers(this.#now())) {
+			changes.push({type: 'host', revision: 0, description});
+		}
+
+		return {changes, revision: this.#revision};
+	}
+
+	/** Drops entries that lapsed while the store was away and have not come back. */
+	tick(): void {
+		for (const id of this.servers.expire(this.#now())) {
+			this.#forgetServer(id, 'lapse');
+		}
+	}
+
+	/**
+	 * Reads the version that a model's weights ought to have.
+	 *
+	 * @param model - The model.
+	 * @returns The version and how long it has been known; version 0 when none was named.
+	 */
+	wantedWeights(model: string): {readonly version: number; readonly age: Milliseconds} {
+		const named = this.#wantedWeights.get(model);
+		return named === undefined ? {version: 0, age: 0} : {version: named.version, age: this.#now() - named.knownSince};
+	}
+
+	/** @returns The models whose weights have been named. */
+	namedModels(): string[] {
+		return [...this.#wantedWeights.keys()];
+	}
+
+	/**
+	 * Reads the version of the weights that a server runs.
+	 *
+	 * @param entry - The server.
+	 * @param model - The model.
+	 * @returns The newest version seen.
+	 */
+	weightsAt(entry: ServerEntry, model: string): number {
+		return Math.max(entry.weights[model] ?? 0, this.#seenWeights.get(entry.id)?.get(model) ?? 0);
+	}
+
+	/**
+	 * Takes over which weights a server was seen to run.
+	 *
+	 * @param id - The server.
+	 * @param model - The model.
+	 * @param version - The version.
+	 * @returns Whether that is news.
+	 */
+	noteWeights(id: string, model: string, version: number): boolean {
+		const entry = this.servers.find(id);
+		if (entry === undefined || version <= this.weightsAt(entry, model)) {
+			return false;
+		}
+
+		const seen = this.#seenWeights.get(id) ?? new Map<string, number>();
+		seen.set(model, version);
+		this.#seenWeights.set(id, seen);
+		this.#loadingUntil.delete(id);
+		// New weights void what the server had cached.
+		this.prompts.drop(id);
+		this.#log.info('weights', {server: id, model, version});
+		this.onServersChanged();
+		return true;
+	}
+
+	/**
+	 * Notes that a server is about to load weights and takes no requests.
+	 *
+	 * @param id - The server.
+	 * @param until - When the load is over at the latest.
+	 */
+	noteLoading(id: string, until: Milliseconds): void {
+		this.#loadingUntil.set(id, until);
+	}
+
+	/**
+	 * Tells whether a server is loading weights.
+	 *
+	 * @param id - The server.
+	 * @returns Whether it takes no requests for now.
+	 */
+	isLoading(id: string): boolean {
+		const until = this.#loadingUntil.get(id);
+		return until !== undefined && this.#now() < until;
+	}
+
+	#applyChange(change: BeliefChange, source: string): void {
+		switch (change.type) {
+			case 'configuration': {
+				this.#applyConfiguration(change.configuration, change.revision, source);
+				break;
+			}
+
+			case 'server': {
+				this.#applyServer(change.entry, change.revision, source);
+				break;
+			}
+
+			case 'server-gone': {
+				if (this.servers.remove(change.id, change.revision, this.#now())) {
+					this.#forgetServer(change.id, source);
+				}
+
+				break;
+			}
+
+			case 'weights': {
+				const known = this.#wantedWeights.get(change.model);
+				if (change.version > (known?.version ?? 0)) {
+					this.#wantedWeights.set(change.model, {version: change.version, revision: change.revision, knownSince: this.#now()});
+					this.#log.info('weights-named', {
+						model: change.model, version: change.version, revision: change.revision, source,
+					});
+				}
+
+				break;
+			}
+
+			case 'host': {
+				this.hosts.list(change.description);
+				break;
+			}
+
+			case 'host-gone': {
+				this.hosts.unlist(change.name);
+				break;
+			}
+
+			case 'holder': {
+				this.onHolder(change.holder);
+				break;
+			}
+
+			case 'unreadable': {
+				this.#unreadable++;
+				this.#log.warn('unreadable', {key: change.key, reason: change.reason, revision: change.revision});
+				break;
+			}
+		}
+	}
+
+	#applyConfiguration(configuration: Configuration, revision: number, source: string): void {
+		if (configuration.version <= (this.configuration?.version ?? 0)) {
+			return;
+		}
+
+		this.#routes = new RouteIndex(configuration);
+		this.#configurationRevision = revision;
+		this.#configurationAt = this.#now();
+		const limits = new Map<string, QuotaLimit>((configuration.workspaces ?? []).filter(workspace => workspace.unitsPerSecond > 0)
+			.map(workspace => [workspace.name, {unitsPerSecond: workspace.unitsPerSecond, burstUnits: workspace.burstUnits}]));
+		this.quota.setLimits(limits, this.#now());
+		for (const {promptStore} of configuration.services) {
+			if (promptStore !== undefined) {
+				this.prompts.setCapacity(promptStore.address, promptStore.memoryTokens);
+			}
+		}
+
+		for (const {entry} of this.servers.all()) {
+			this.#setCacheCapacity(entry);
+		}
+
+		this.#log.info('configuration', {
+			version: configuration.version, revision, routes: configuration.routes.length, workspaces: configuration.workspaces?.length ?? 0, source,
+		});
+	}
+
+	#applyServer(entry: ServerEntry, revision: number, source: string): void {
+		const before = this.servers.find(entry.id);
+		const change = this.servers.put(entry, revision);
+		if (change === 'nothing') {
+			return;
+		}
+
+		if (change === 'incarnation') {
+			this.#forgetKnowledge(entry.id);
+			this.#setCacheCapacity(entry);
+		}
+
+		for (const [model, version] of Object.entries(entry.weights)) {
+			if (before !== undefined && change === 'entry' && version > (before.weights[model] ?? 0) && version > (this.#seenWeights.get(entry.id)?.get(model) ?? 0)) {
+				this.prompts.drop(entry.id);
+			}
+		}
+
+		this.#log.info('server', {
+			id: entry.id, service: entry.service, incarnation: entry.incarnation, draining: entry.isDraining, weights: entry.weights, revision, change, source,
+		});
+	}
+
+	#setCacheCapacity(entry: ServerEntry): void {
+		const engine = this.configuration?.services.find(service => service.name === entry.service)?.engine;
+		if (engine !== undefined) {
+			this.prompts.setCapacity(entry.id, engine.memoryTokens * cacheShare);
+		}
+	}
+
+	#forgetServer(id: string, source: string): void {
+		this.#forgetKnowledge(id);
+		this.prompts.remove(id);
+		this.#log.info('server-gone', {id, source, revision: this.#revision});
+		this.onServerGone(id);
+	}
+
+	#forgetKnowledge(id: string): void {
+		this.prompts.drop(id);
+		this.health.forget(id);
+		this.#seenWeights.delete(id);
+		this.#loadingUntil.delete(id);
+	}
+}
--- /dev/null
+++ b/packages/host/src/dispatcher.ts
@@ -0,0 +1,227 @@
+import {
+	type EnginePlacement, type EngineRow, type PlainServerRow, type Route, type ServerEntry, type Service, EnginePlacer, WaitingLine,
+	choosePlainServer, enginePlacementOptions, estimateWait,
+} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {Beliefs} from './beliefs.js';
+import type {ClientRequest} from './ports.js';
+
+/** A request as the dispatcher places it. */
+export type PlacementQuestion = {
+	readonly request: ClientRequest;
+	readonly route: Route;
+	readonly service: string;
+	readonly workspace: string | undefined;
+	/** The workspace shares no cached prompt with others. */
+	readonly isIsolated: boolean;
+	/** Servers that have had the request. */
+	readonly avoided: ReadonlySet<string>;
+};
+
+/** Where a request goes. */
+export type ChosenServer = {
+	readonly entry: ServerEntry;
+	/** Present for generations. */
+	readonly engine: EnginePlacement | undefined;
+};
+
+/** The choice, or why there is none: `full` may change soon, `none` means that no server can be used. */
+export type PlacementAnswer
+	= | {readonly type: 'chosen'; readonly chosen: ChosenServer}
+		| {readonly type: 'full'; readonly wait: Milliseconds}
+		| {readonly type: 'none'};
+
+/** Something that waits for a server. */
+export type Waiter = {
+	/** Tries to go on; true when it has left the line. */
+	tryPlace(): boolean;
+	giveUp(): void;
+};
+
+/** Old weights begin to cost a share of an answer's worth 1.5 s after newer ones were named; the move begins a little earlier. */
+const oldWeightsGrace: Milliseconds = 1100;
+
+/** How often those who wait are offered to the servers, beside each change that makes room. */
+const offerInterval: Milliseconds = 10;
+
+/** The time of a plain call until outcomes are known, for the estimate of waits. */
+const plainServiceTime: Milliseconds = 50;
+
+/** Chooses servers by what the host believes, and keeps those who wait in line. */
+export class Dispatcher {
+	readonly #beliefs: Beliefs;
+	readonly #placer: EnginePlacer;
+	readonly #failureDomain: string;
+	readonly #now: () => Milliseconds;
+	readonly #lines = new Map<string, WaitingLine<Waiter>>();
+	#isOffering = false;
+
+	constructor(beliefs: Beliefs, failureDomain: string, now: () => Milliseconds) {
+		this.#beliefs = beliefs;
+		this.#placer = new EnginePlacer(beliefs.prompts);
+		this.#failureDomain = failureDomain;
+		this.#now = now;
+	}
+
+	get waiting(): number {
+		let waiting = 0;
+		for (const line of this.#lines.values()) {
+			waiting += line.size;
+		}
+
+		return waiting;
+	}
+
+	/**
+	 * Starts offering those who wait to the servers.
+	 *
+	 * @returns Stops it.
+	 */
+	start(): () => void {
+		const timer = setInterval(() => {
+			this.offer();
+		}, offerInterval);
+		return () => {
+			clearInterval(timer);
+		};
+	}
+
+	/**
+	 * Chooses a server in the very step in which the request is sent: what is believed of draining servers is as fresh as can be.
+	 *
+	 * @param question - The request.
+	 * @returns The choice.
+	 */
+	place(question: PlacementQuestion): PlacementAnswer {
+		const service = this.#beliefs.configuration?.services.find(candidate => candidate.name === question.service);
+		const candidates = this.#candidates(question, service);
+		if (candidates.length === 0) {
+			return {type: 'none'};
+		}
+
+		return service?.engine !== undefined && question.request.generation !== undefined
+			? this.#placeGeneration(question, service, candidates)
+			: this.#placePlain(candidates, question.service);
+	}
+
+	/**
+	 * Puts a request in line.
+	 *
+	 * @param service - The service.
+	 * @param entry - Its place in the line.
+	 */
+	wait(service: string, entry: {readonly workspace: string; readonly rank: number; readonly size: number; readonly giveUpAt: Milliseconds; readonly item: Waiter}): void {
+		this.#line(service).push(entry);
+	}
+
+	/**
+	 * Takes a request out of the line.
+	 *
+	 * @param service - The service.
+	 * @param item - The request.
+	 */
+	leave(service: string, item: Waiter): void {
+		this.#line(service).remove(item);
+	}
+
+	/** Offers those who wait to the servers, in their order. */
+	offer(): void {
+		if (this.#isOffering) {
+			return;
+		}
+
+		this.#isOffering = true;
+		for (const line of this.#lines.values()) {
+			if (line.size > 0) {
+				for (const item of line.expire(this.#now())) {
+					item.giveUp();
+				}
+
+				line.offer(item => item.tryPlace());
+			}
+		}
+
+		this.#isOffering = false;
+	}
+
+	#candidates(question: PlacementQuestion, service: Service | undefined): ServerEntry[] {
+		const now = this.#now();
+		return this.#beliefs.servers.usable(question.service).filter(entry =>
+			!question.avoided.has(entry.id)
+			&& this.#beliefs.health.judge(entry.id, now) !== 'paused'
+			&& (service?.engine === undefined || !this.#beliefs.isLoading(entry.id)));
+	}
+
+	#placePlain(candidates: readonly ServerEntry[], service: string): PlacementAnswer {
+		const now = this.#now();
+		const rows: PlainServerRow[] = candidates.map(entry => ({
+			id: entry.id,
+			failureDomain: entry.failureDomain,
+			slots: entry.slots,
+			requests: this.#beliefs.loads.total(entry.id, now).requests,
+			slowness: this.#beliefs.health.slowness(entry.id, now),
+			isFailing: this.#beliefs.health.judge(entry.id, now) === 'failing',
+		}));
+		const chosen = choosePlainServer(rows, this.#failureDomain);
+		if (chosen === undefined) {
+			return {type: 'full', wait: estimateWait(rows, this.#line(service).size, plainServiceTime)};
+		}
+
+		return {type: 'chosen', chosen: {entry: candidates.find(entry => entry.id === chosen.id)!, engine: undefined}};
+	}
+
+	#placeGeneration(question: PlacementQuestion, service: Service, candidates: readonly ServerEntry[]): PlacementAnswer {
+		const now = this.#now();
+		const generation = question.request.generation!;
+		const wanted = this.#beliefs.wantedWeights(generation.model);
+		const rows: EngineRow[] = [];
+		for (const entry of candidates) {
+			const weightsVersion = this.#beliefs.weightsAt(entry, generation.model);
+			if (weightsVersion > 0) {
+				rows.push({
+					id: entry.id,
+					address: entry.address,
+					failureDomain: entry.failureDomain,
+					weightsVersion,
+					slots: entry.slots,
+					memoryTokens: service.engine!.memoryTokens,
+					load: this.#beliefs.loads.total(entry.id, now),
+					slowness: this.#beliefs.health.slowness(entry.id, now),
+					isFailing: this.#beliefs.health.judge(entry.id, now) === 'failing',
+				});
+			}
+		}
+
+		if (rows.length === 0) {
+			return {type: 'none'};
+		}
+
+		const store = this.#beliefs.configuration?.services.find(candidate => candidate.promptStore !== undefined)?.promptStore;
+		const salt = question.isIsolated ? `${generation.model} ${question.workspace ?? ''}` : generation.model;
+		const placement = this.#placer.choose({
+			parts: generation.parts,
+			promptTokens: generation.promptTokens,
+			outputTokens: generation.outputTokens,
+			objective: question.route.objective,
+			saltFor: version => `${salt} ${version}`,
+		}, rows, {
+			failureDomain: this.#failureDomain,
+			store,
+			wantedVersion: wanted.version,
+			isOldVersionCostly: wanted.age >= oldWeightsGrace,
+			now,
+		});
+		if (placement === undefined) {
+			const ahead = this.#line(question.service).sizeAhead(question.route.rank) + generation.promptTokens;
+			return {type: 'full', wait: ahead / (enginePlacementOptions.tokensPerMillisecond * rows.length)};
+		}
+
+		return {type: 'chosen', chosen: {entry: candidates.find(entry => entry.id === placement.server)!, engine: placement}};
+	}
+
+	#line(service: string): WaitingLine<Waiter> {
+		const line = this.#lines.get(service) ?? new WaitingLine<Waiter>();
+		this.#lines.set(service, line);
+		return line;
+	}
+}
--- /dev/null
+++ b/packages/host/src/host.ts
@@ -0,0 +1,390 @@
+import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
+import type {HostDescription, HostState} from '@lacewingpoint/coordination';
+import {
+	Quarantine, RetryBudget, type SuspectDeath, nearHosts,
+} from '@lacewingpoint/routing';
+import {
+	DisposableStore, type Logger, Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, messageOf,
+} from '@lacewingpoint/shared';
+import createRouter from 'find-my-way';
+import {BackendConnections} from './backend-connections.js';
+import {BeliefWatch} from './belief-watch.js';
+import {Beliefs} from './beliefs.js';
+import {type ClientServer, listen, serveClients} from './client-server.js';
+import {Dispatcher} from './dispatcher.js';
+import {HostLinks} from './host-links.js';
+import {HostRegistration} from './host-registration.js';
+import type {Adapter, HostSettings, ReceivedRequest} from './ports.js';
+import {type PipelineContext, RequestRun} from './request-run.js';
+import {fetchSnapshot, serveSnapshots} from './snapshot-link.js';
+import {WeightsController} from './weights-controller.js';
+
+/** How long clients are told to keep an address: some keep it three times as long, and a stop has to outlast them. */
+const addressKeep: Milliseconds = 1000;
+
+/** Clients keep an address up to this many times as long as they are told. */
+const keepFactor = 3;
+
+/** Time kept from the grace of a stop for the end of the process. */
+const stopMargin: Milliseconds = 700;
+
+/** A snapshot is asked for at most this often. */
+const snapshotInterval: Milliseconds = 250;
+
+/** A peer that is ahead by its datagrams alone is asked when the store has not told the same within this time. */
+const behindPatience: Milliseconds = 300;
+
+const tickInterval: Milliseconds = 100;
+
+/** The part of the memory that bodies of requests may take. */
+const bodyMemoryShare = 0.15;
+
+/** A server counts as dead when it cannot be reached within this time after it broke off requests. */
+const deathWindow: Milliseconds = 1500;
+
+/** What a host is made of. */
+export type HostParts = {
+	readonly settings: HostSettings;
+	readonly adapter: Adapter;
+	readonly log: Logger;
+	readonly random: RandomSource;
+	readonly now: () => Milliseconds;
+	readonly wallClock: () => Milliseconds;
+	/** Log lines that were dropped so far. */
+	droppedLogLines(): number;
+};
+
+/** The daemon of one host. */
+export class Host {
+	readonly #parts: HostParts;
+	readonly #metrics = new Metrics();
+	readonly #beliefs: Beliefs;
+	readonly #dispatcher: Dispatcher;
+	readonly #connections: BackendConnections;
+	readonly #links: HostLinks;
+	readonly #watch: BeliefWatch;
+	readonly #registration: HostRegistration;
+	readonly #weights: WeightsController;
+	readonly #quarantine = new Quarantine({convictingDeaths: 3, domainWindow: 0, lifetime: 60_000});
+	readonly #budgets = new Map<string, RetryBudget>();
+	readonly #runs = new Set<RequestRun>();
+	readonly #broken = new Map<string, Array<{readonly fingerprint: number; readonly at: Milliseconds}>>();
+	readonly #store = new DisposableStore();
+	#clients: ClientServer | undefined;
+	#isStopping = false;
+	#lastSnapshotAt = 0;
+	#behindSince: Milliseconds | undefined;
+
+	constructor(parts: HostParts) {
+		const {settings, adapter, log, random, now, wallClock} = parts;
+		this.#parts = parts;
+		this.#beliefs = new Beliefs(log, now);
+		this.#dispatcher = new Dispatcher(this.#beliefs, settings.description.failureDomain, now);
+		this.#connections = new BackendConnections({
+			connectTimeout: 300,
+			idleTimeout: 4000,
+			idleConnections: 24,
+			rest: 4,
+			now,
+			onOpened: () => {
+				this.#metrics.count('backend_connections');
+			},
+		});
+		this.#links = new HostLinks({
+			address: settings.datagramAddress,
+			description: settings.description,
+			beliefs: this.#beliefs,
+			quarantine: this.#quarantine,
+			log,
+			metrics: this.#metrics,
+			now,
+			state: () => this.#state(),
+			onBehind: (peer, message) => {
+				this.#onBehind(peer, message);
+			},
+		});
+		this.#watch = new BeliefWatch({
+			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact: () => {/* The log tells. */},
+		});
+		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
+		this.#weights = new WeightsController({
+			name: settings.description.name, leaseTime: settings.weightsLease, store: adapter.store, beliefs: this.#beliefs, links: this.#links, connections: this.#connections, backend: adapter.backend, log, metrics: this.#metrics, random, now,
+		});
+	}
+
+	/** Starts serving: clients get 503 until a configuration is known. */
+	async start(): Promise<void> {
+		const {settings, adapter, log, now} = this.#parts;
+		this.#beliefs.onServersChanged = () => {
+			this.#dispatcher.offer();
+			this.#clients?.applyLimits();
+		};
+		this.#beliefs.onServerGone = id => {
+			this.#connections.drop(id);
+		};
+		this.#beliefs.onHolder = holder => {
+			this.#weights.noteHolder(holder);
+		};
+		await this.#links.start();
+		this.#clients = await serveClients({
+			address: settings.clientAddress,
+			protocol: adapter.client,
+			limits: () => this.#beliefs.configuration?.limits,
+			isStopping: () => this.#isStopping,
+			bodyMemory: settings.memory * bodyMemoryShare,
+			now,
+			onRequest: received => {
+				this.#onRequest(received);
+			},
+			onRejected: (id, status, reason) => {
+				this.#metrics.count('requests', {route: 'none', outcome: 'rejected', status: String(status)});
+				log.info('request', {id, outcome: 'rejected', status, cause: reason});
+			},
+		});
+		await serveSnapshots(settings.snapshotAddress, () => this.#beliefs.snapshot());
+		await this.#serveEndpoints();
+		this.#watch.start();
+		this.#registration.start();
+		this.#weights.start();
+		this.#store.defer(this.#dispatcher.start());
+		const timer = setInterval(() => {
+			this.#tick();
+		}, tickInterval);
+		this.#store.defer(() => {
+			clearInterval(timer);
+		});
+		log.info('start', {
+			host: settings.description.name, incarnation: settings.description.incarnation, address: settings.clientAddress, memory: settings.memory / bytesPerMebibyte,
+		});
+	}
+
+	/** Leaves without cutting off a request: clients learn other addresses first. */
+	async stop(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		const {settings, log, now} = this.#parts;
+		const startedAt = now();
+		this.#isStopping = true;
+		log.info('stop', {requests: this.#runs.size, connections: this.#clients?.connections() ?? 0});
+		this.#links.tell();
+		await Promise.all([this.#weights.release(), this.#registration.release()]);
+		const lastAnswer = startedAt + settings.stopGrace - stopMargin;
+		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, settings.longestKeep) + 400;
+		while (now() < lastAnswer && (now() < addressesForgotten || this.#runs.size > 0)) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 50);
+			});
+		}
+
+		log.info('stopped', {requests: this.#runs.size, took: Math.round(now() - startedAt)});
+		this.#links.tell();
+		this.#watch.dispose();
+		this.#links.dispose();
+		this.#connections.dispose();
+		await this.#clients?.dispose();
+		await this.#store.dispose();
+	}
+
+	#state(): HostState {
+		if (this.#isStopping) {
+			return 'stopping';
+		}
+
+		return this.#beliefs.configuration === undefined ? 'starting' : 'serving';
+	}
+
+	#onRequest(received: ReceivedRequest): void {
+		const run = new RequestRun(received, this.#context);
+		this.#runs.add(run);
+		run.start();
+	}
+
+	get #context(): PipelineContext {
+		const {adapter, log, random, now} = this.#parts;
+		return {
+			beliefs: this.#beliefs,
+			dispatcher: this.#dispatcher,
+			connections: this.#connections,
+			backend: adapter.backend,
+			quarantine: this.#quarantine,
+			random,
+			log,
+			metrics: this.#metrics,
+			now,
+			retryBudget: service => this.#retryBudget(service),
+			onPlaced: (chosen, run) => {
+				const {engine, entry} = chosen;
+				if (engine !== undefined && run.request.generation !== undefined) {
+					this.#notePlacement(entry.id, engine.salt, run, engine.predictedFirstToken);
+					if (engine.saveTo !== undefined) {
+						this.#notePlacement(engine.saveTo, engine.salt, run, engine.predictedFirstToken * 2);
+					}
+				}
+
+				this.#links.noteChange();
+			},
+			onBroken: (server, fingerprint) => {
+				this.#noteBroken(server, fingerprint);
+			},
+			onUnreachable: server => {
+				this.#noteDead(server);
+			},
+			onSettled: run => {
+				this.#runs.delete(run);
+				this.#links.noteChange();
+			},
+		};
+	}
+
+	#notePlacement(place: string, salt: string, run: ReceivedRequest, readyIn: Milliseconds): void {
+		const {parts} = run.request.generation!;
+		this.#beliefs.prompts.note(place, salt, parts, this.#parts.now() + readyIn);
+		this.#links.notePlacement({
+			place, salt, parts: [...parts], readyIn,
+		});
+	}
+
+	// A reset alone may be a lost answer; a server that cannot be reached right after it has died of something it ran.
+	#noteBroken(server: string, fingerprint: number): void {
+		const {now} = this.#parts;
+		const recent = (this.#broken.get(server) ?? []).filter(entry => now() - entry.at < deathWindow);
+		this.#broken.set(server, [...recent, {fingerprint, at: now()}]);
+	}
+
+	#noteDead(server: string): void {
+		const {now, log} = this.#parts;
+		const entry = this.#beliefs.servers.find(server);
+		const suspects: SuspectDeath[] = (this.#broken.get(server) ?? [])
+			.filter(broken => now() - broken.at < deathWindow)
+			.map(broken => ({
+				fingerprint: broken.fingerprint, server, incarnation: entry?.incarnation ?? '', failureDomain: entry?.failureDomain ?? '', age: 0,
+			}));
+		this.#broken.delete(server);
+		if (suspects.length > 0) {
+			this.#quarantine.merge(suspects, now());
+			log.info('server-death', {server, suspects: suspects.length});
+		}
+	}
+
+	#retryBudget(service: string): RetryBudget {
+		const {settings} = this.#parts;
+		const known = this.#budgets.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const hosts = this.#beliefs.hosts.peers(this.#parts.now()).length + 1;
+		const budget = new RetryBudget({share: settings.retryRatio, burst: Math.max(settings.retrySlack / hosts, 1)});
+		this.#budgets.set(service, budget);
+		return budget;
+	}
+
+	#tick(): void {
+		const {now} = this.#parts;
+		this.#beliefs.tick();
+		this.#quarantine.tick(now());
+		this.#beliefs.quota.setPeers(this.#beliefs.hosts.sharers(now()), now());
+	}
+
+	#onBehind(peer: HostDescription, message: {readonly configuration: number; readonly revision: number}): void {
+		const {now, log} = this.#parts;
+		const isMissingConfiguration = this.#beliefs.configuration === undefined;
+		if (this.#watch.isInContact && !isMissingConfiguration) {
+			this.#behindSince ??= now();
+			if (now() - this.#behindSince < behindPatience || message.configuration <= (this.#beliefs.configuration?.version ?? 0)) {
+				return;
+			}
+		}
+
+		if (now() - this.#lastSnapshotAt < snapshotInterval) {
+			return;
+		}
+
+		this.#lastSnapshotAt = now();
+		this.#behindSince = undefined;
+		void this.#catchUp(peer, log);
+	}
+
+	async #catchUp(peer: HostDescription, log: Logger): Promise<void> {
+		const snapshot = await fetchSnapshot(peer.snapshotAddress);
+		if (snapshot.isErr) {
+			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
+			return;
+		}
+
+		this.#beliefs.apply(snapshot.value, true, peer.name);
+	}
+
+	async #serveEndpoints(): Promise<void> {
+		const {settings, adapter} = this.#parts;
+		const routers = new Map<string, ReturnType<typeof createRouter>>();
+		const on = (address: string, path: string, answer: (request: IncomingMessage, response: ServerResponse) => void) => {
+			const router = routers.get(address) ?? createRouter({
+				defaultRoute(_request, response) {
+					response.writeHead(404).end();
+				},
+			});
+			routers.set(address, router);
+			router.on('GET', path, (request, response) => {
+				answer(request as IncomingMessage, response as ServerResponse);
+			});
+		};
+
+		on(settings.readinessAddress, adapter.client.readinessPath, (_request, response) => {
+			response.writeHead(this.#state() === 'serving' ? 200 : 503).end();
+		});
+		on(settings.lookupAddress, adapter.client.lookupPath, (request, response) => {
+			this.#answerLookup(request, response);
+		});
+		on(settings.metricsAddress, '/metrics', (_request, response) => {
+			response.writeHead(200, {'Content-Type': 'text/plain; charset=utf-8'}).end(this.#printMetrics());
+		});
+		for (const [address, router] of routers) {
+			const server = createServer({keepAliveTimeout: 5000}, (request, response) => {
+				router.lookup(request, response);
+			});
+			try {
+				await listen(server, address);
+			} catch (error) {
+				this.#parts.log.warn('endpoint-failed', {address, reason: messageOf(error)});
+			}
+		}
+	}
+
+	#answerLookup(request: IncomingMessage, response: ServerResponse): void {
+		const {settings, adapter, now} = this.#parts;
+		const url = request.url ?? '';
+		const question = adapter.client.decodeLookup(url.slice(url.indexOf('?') + 1));
+		const serving = this.#beliefs.hosts.serving(now());
+		const own = this.#state() === 'serving' ? [settings.description] : [];
+		const hosts = nearHosts([...own, ...serving], question);
+		// A host that stops still answers for a while: better its address than none.
+		const named = hosts.length > 0 || this.#state() === 'starting' ? hosts : [settings.description];
+		if (named.length === 0) {
+			response.writeHead(503).end();
+			return;
+		}
+
+		const body = adapter.client.lookupBody(named.map(host => host.clientAddress), addressKeep);
+		response.writeHead(200, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)}).end(body);
+	}
+
+	#printMetrics(): string {
+		const gauges: Readonly<Record<string, number>> = {
+			waiting: this.#dispatcher.waiting,
+			running: this.#runs.size,
+			client_connections: this.#clients?.connections() ?? 0,
+			configuration_version: this.#beliefs.configuration?.version ?? 0,
+			configuration_age_milliseconds: Math.round(this.#beliefs.configurationAge()),
+			store_revision: this.#beliefs.revision,
+			store_contact: this.#watch.isInContact ? 1 : 0,
+			unreadable_entries: this.#beliefs.unreadable,
+			hosts_serving: this.#beliefs.hosts.serving(this.#parts.now()).length,
+			servers: this.#beliefs.servers.all().length,
+			log_lines_dropped: this.#parts.droppedLogLines(),
+		};
+		return `${this.#metrics.print()}${Object.entries(gauges).map(([name, value]) => `lacewingpoint_${name} ${value}\n`).join('')}`;
+	}
+}
--- /dev/null
+++ b/packages/host/src/index.ts
@@ -0,0 +1,3 @@
+export {Host, type HostParts} from './host.js';
+export {holderKey, termKey} from './weights-controller.js';
+export type * from './ports.js';
--- /dev/null
+++ b/packages/host/src/ports.ts
@@ -0,0 +1,212 @@
+import type {HostDescription} from '@lacewingpoint/coordination';
+import type {
+	Configuration, PromptPart, Route, ServerEntry,
+} from '@lacewingpoint/routing';
+import type {Bytes, LayerError, Milliseconds, Tokens} from '@lacewingpoint/shared';
+import type {Result} from 'true-myth';
+
+/** Header names and values in turn, as they stand on the wire. */
+export type HeaderList = readonly string[];
+
+/**
+ * Why a call to the store failed.
+ * `refused`: nothing was done. `unknown`: it may have been done, or may be yet. `history-lost`: changes since a revision are no
+ * longer to be had. `lease-ended`: no such lease. `malformed`: the answer makes no sense.
+ */
+export type StoreError = LayerError<'refused' | 'unknown' | 'history-lost' | 'lease-ended' | 'malformed'>;
+
+/** Something that the store tells; every change carries the revision at which it was made. */
+export type BeliefChange
+	= | {readonly type: 'configuration'; readonly revision: number; readonly configuration: Configuration}
+		| {readonly type: 'server'; readonly revision: number; readonly entry: ServerEntry}
+		| {readonly type: 'server-gone'; readonly revision: number; readonly id: string}
+		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number}
+		| {readonly type: 'host'; readonly revision: number; readonly description: HostDescription}
+		| {readonly type: 'host-gone'; readonly revision: number; readonly name: string}
+		| {readonly type: 'holder'; readonly revision: number; readonly holder?: string | undefined}
+		| {readonly type: 'unreadable'; readonly revision: number; readonly key: string; readonly reason: string};
+
+/** Changes up to a revision of the store. */
+export type BeliefReading = {readonly changes: readonly BeliefChange[]; readonly revision: number};
+
+/** One key of the product's own in the store. */
+export type StoreItem = {readonly value: string; readonly revision: number};
+
+/** A write under the condition that the key was last written at `expected` (0: does not exist). */
+export type StoreWrite = {readonly key: string; readonly value: string; readonly expected: number; readonly lease?: number | undefined};
+
+/** The platform's store: what the operators and servers write, and keys of the product's own. */
+export type ControlStore = {
+	/** Reads everything that a host has to know, linearizably. */
+	readAll(): Promise<Result<BeliefReading, StoreError>>;
+	/**
+	 * Waits for changes.
+	 *
+	 * @param after - The revision up to which changes are known.
+	 * @param wait - How long the store may wait for a first change.
+	 * @returns The changes, none when the wait ran out.
+	 */
+	watch(after: number, wait: Milliseconds): Promise<Result<BeliefReading, StoreError>>;
+	/** Reads one key of the product's own. */
+	read(key: string): Promise<Result<StoreItem | undefined, StoreError>>;
+	/** Writes keys of the product's own, all or none; false when a condition does not hold. */
+	write(writes: readonly StoreWrite[]): Promise<Result<boolean, StoreError>>;
+	/** Makes a host's description known under a lease. */
+	announce(description: HostDescription, lease: number): Promise<Result<boolean, StoreError>>;
+	grantLease(ttl: Milliseconds): Promise<Result<number, StoreError>>;
+	renewLease(lease: number): Promise<Result<void, StoreError>>;
+	endLease(lease: number): Promise<Result<void, StoreError>>;
+};
+
+/** What a client asks, decoded. */
+export type ClientRequest = {
+	/** The client's id of this attempt. */
+	readonly id: string;
+	readonly host: string;
+	readonly method: string;
+	/** Path and query as the client sent them. */
+	readonly target: string;
+	readonly credential: string | undefined;
+	readonly generation: {
+		readonly model: string;
+		readonly parts: readonly PromptPart[];
+		readonly promptTokens: Tokens;
+		readonly outputTokens: Tokens;
+	} | undefined;
+	/** How long the client will wait, from the moment at which it sent the request. */
+	readonly deadline: Milliseconds | undefined;
+	/** The last event of the stream that the client has. */
+	readonly lastEvent: string | undefined;
+	/** Headers to hand on, without those of one connection and those that the system sets. */
+	readonly headers: HeaderList;
+};
+
+/** Why a request cannot be read. */
+export type ClientFault = {readonly status: number; readonly message: string};
+
+/** How a request is sent to one server. */
+export type SendTerms = {
+	/** The server that must answer; another one at the address refuses. */
+	readonly server: string;
+	readonly workspace: string | undefined;
+	readonly timeLeft: Milliseconds;
+	/** 0 goes first at the server, 9 last. */
+	readonly urgency: number | undefined;
+	readonly lastEvent: string | undefined;
+	readonly cacheSalt: string | undefined;
+	readonly weightsVersion: number | undefined;
+	readonly fetchFrom: string | undefined;
+	readonly saveTo: string | undefined;
+};
+
+/** What a server's answer says about itself. */
+export type AnswerHead = {
+	/** The request that it answers. */
+	readonly requestId: string | undefined;
+	/** The server vouches for the answer. */
+	readonly isStamped: boolean;
+	/** The server did not run the request and never will. */
+	readonly isNotRun: boolean;
+	/** Another server has the address now, or the weights differ from those expected. */
+	readonly isMisdirected: boolean;
+	readonly instance: string | undefined;
+	readonly weightsVersion: number | undefined;
+};
+
+/** What a model server says of its weights. */
+export type WeightsReport = {
+	readonly weights: Readonly<Record<string, number>>;
+	readonly isLoading: boolean;
+	/** Orders accepted so far: an order that expects this number is refused after another one. */
+	readonly orders: number;
+};
+
+export type WeightsOrder = {
+	readonly model: string;
+	readonly version: number;
+	readonly holder: string;
+	readonly fencingToken: number;
+	readonly expectedOrders: number;
+};
+
+/** Wire forms of requests to servers. */
+export type BackendProtocol = {
+	requestHeaders(request: ClientRequest, terms: SendTerms): HeaderList;
+	readAnswerHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
+	/** The path at which a model server reports. */
+	readonly reportPath: string;
+	readReport(body: unknown): Result<WeightsReport, LayerError>;
+	readonly orderPath: string;
+	orderBody(order: WeightsOrder): string;
+	/** Headers for a call that only one server may answer. */
+	callHeaders(server: string): HeaderList;
+};
+
+/** Wire forms of what clients send and get. */
+export type ClientProtocol = {
+	decode(head: {readonly method: string; readonly target: string; readonly rawHeaders: readonly string[]}): Result<ClientRequest, ClientFault>;
+	/** Headers of a refusal. */
+	refusalHeaders(retryAfter: Milliseconds | undefined): HeaderList;
+	readonly lookupPath: string;
+	readonly readinessPath: string;
+	decodeLookup(search: string): {readonly region: string | undefined; readonly failureDomain: string | undefined};
+	lookupBody(addresses: readonly string[], keepFor: Milliseconds): string;
+};
+
+/** Settings of the host and bounds of the deployment. */
+export type HostSettings = {
+	readonly description: HostDescription;
+	readonly clientAddress: string;
+	readonly readinessAddress: string;
+	readonly lookupAddress: string;
+	readonly datagramAddress: string;
+	readonly snapshotAddress: string;
+	readonly metricsAddress: string;
+	/** Snapshot addresses of some hosts, perhaps stale. */
+	readonly seeds: readonly string[];
+	readonly memory: Bytes;
+	readonly weightsLease: Milliseconds;
+	readonly stopGrace: Milliseconds;
+	/** The longest time that clients keep an address. */
+	readonly longestKeep: Milliseconds;
+	/** How soon a changed configuration must be in force. */
+	readonly applyWithin: Milliseconds;
+	readonly retryRatio: number;
+	readonly retryWindow: Milliseconds;
+	readonly retrySlack: number;
+};
+
+export type Adapter = {
+	readonly store: ControlStore;
+	readonly backend: BackendProtocol;
+	readonly client: ClientProtocol;
+};
+
+/** Where an answer to a client goes. */
+export type ClientReply = {
+	/** Whether the client is gone. */
+	readonly isGone: boolean;
+	/** Passes on the beginning of a server's answer. */
+	begin(status: number, headers: HeaderList): void;
+	/** @returns False when the client reads slowly: `onDrain` tells when to go on. */
+	write(chunk: Uint8Array): boolean;
+	end(): void;
+	/** Breaks the connection, so that a part of an answer does not look whole. */
+	destroy(): void;
+	/** Answers without a server. */
+	refuse(status: number, message: string, retryAfter: Milliseconds | undefined): void;
+	onGone(listener: () => void): void;
+	onDrain(listener: () => void): void;
+};
+
+/** A request whose body has been read. */
+export type ReceivedRequest = {
+	readonly request: ClientRequest;
+	readonly body: Uint8Array;
+	/** When its first byte was read. */
+	readonly receivedAt: Milliseconds;
+	readonly reply: ClientReply;
+};
+
+/** A route together with the services that may run its requests. */
+export type RoutedRequest = ReceivedRequest & {readonly route: Route};
--- /dev/null
+++ b/packages/host/src/request-run.ts
@@ -0,0 +1,631 @@
+import {
+	type Quarantine, type RequestLoad, type Route, type RouteIndex, type Workspace, RetryBudget,
+} from '@lacewingpoint/routing';
+import {
+	type Logger, type Metrics, type Milliseconds, type RandomSource, hashText,
+} from '@lacewingpoint/shared';
+import type {BackendConnections, Exchange, ExchangeFailure} from './backend-connections.js';
+import type {Beliefs} from './beliefs.js';
+import type {ChosenServer, Dispatcher, Waiter} from './dispatcher.js';
+import {EventRelay} from './event-relay.js';
+import type {
+	AnswerHead, BackendProtocol, HeaderList, ReceivedRequest,
+} from './ports.js';
+
+/** What requests need of their host. */
+export type PipelineContext = {
+	readonly beliefs: Beliefs;
+	readonly dispatcher: Dispatcher;
+	readonly connections: BackendConnections;
+	readonly backend: BackendProtocol;
+	readonly quarantine: Quarantine;
+	readonly random: RandomSource;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly now: () => Milliseconds;
+	/** The retry budget of a service on this host. */
+	retryBudget(service: string): RetryBudget;
+	/** Tells the peers at once what was placed. */
+	onPlaced(chosen: ChosenServer, run: ReceivedRequest): void;
+	/** Notes that a server broke off a request that it may have run. */
+	onBroken(server: string, fingerprint: number): void;
+	/** Notes that a server could not be reached. */
+	onUnreachable(server: string): void;
+	onSettled(run: RequestRun): void;
+};
+
+/** Sends at most, whatever becomes of them: beyond the servers that may run a request come those that did not run it. */
+const sendsBeyondRuns = 2;
+
+/** Time kept from the server's deadline for the way back to the client. */
+const wayBack: Milliseconds = 10;
+
+/** The share of its time that a request may wait in line: later it could hardly be served, and its client can still come back. */
+const longestWaitShare = 0.4;
+
+/** A client honours at most this share of the time that it has left. */
+const honouredShare = 0.33;
+
+/** The shortest time worth a request to a server. */
+const leastTime: Milliseconds = 15;
+
+const defaultDeadline: Milliseconds = 30_000;
+
+/** The pause offered when nothing tells how long a lack of servers will last. */
+const unknownPause: Milliseconds = 300;
+
+/** A stream without an event for this long has lost its server: model servers make several a second. */
+const streamSilence: Milliseconds = 1200;
+
+/** An idempotent call is tried elsewhere when it has taken this many times its objective. */
+const silentCallFactor = 2;
+
+type Attempt = {
+	readonly chosen: ChosenServer;
+	readonly sentAt: Milliseconds;
+	load: RequestLoad;
+	exchange: Exchange | undefined;
+	head: AnswerHead | undefined;
+	status: number;
+	isOver: boolean;
+	hasFirstByte: boolean;
+};
+
+/** One request from its arrival to its last byte: route, authorize, charge, wait, place, send, relay, perhaps again. */
+export class RequestRun implements Waiter {
+	readonly received: ReceivedRequest;
+	readonly #context: PipelineContext;
+	readonly #avoided = new Set<string>();
+	readonly #relay = new EventRelay();
+	readonly #trail: Array<Record<string, unknown>> = [];
+	#route: Route | undefined;
+	#workspace: Workspace | undefined;
+	#service = '';
+	#charged = 0;
+	#fingerprint = 0;
+	#attempt: Attempt | undefined;
+	#runs = 0;
+	#sends = 0;
+	#firstRunVersion: number | undefined;
+	#hasBegun = false;
+	#isWaiting = false;
+	#isSettled = false;
+	#deadlineTimer: NodeJS.Timeout | undefined;
+	#silenceTimer: NodeJS.Timeout | undefined;
+	#firstByteAt: Milliseconds | undefined;
+	#placedAt: Milliseconds | undefined;
+	#isPaused = false;
+
+	constructor(received: ReceivedRequest, context: PipelineContext) {
+		this.received = received;
+		this.#context = context;
+	}
+
+	get #isStream(): boolean {
+		return this.#route?.repeatability === 'stream' || this.#route?.repeatability === 'resumable-stream';
+	}
+
+	get #mayRunAgain(): boolean {
+		return this.#route?.repeatability === 'idempotent' || this.#route?.repeatability === 'resumable-stream';
+	}
+
+	/** Takes the request up to its first send, its place in line or its refusal. */
+	start(): void {
+		const {beliefs, quarantine, now} = this.#context;
+		const {request, reply, body} = this.received;
+		const routes = beliefs.routes;
+		if (routes === undefined) {
+			this.#refuse(503, 'no configuration is known yet', unknownPause);
+			return;
+		}
+
+		if (!this.#authorize(routes)) {
+			return;
+		}
+
+		this.#fingerprint = hashText(`${request.method} ${request.target} ${request.credential ?? ''}`, hashText(Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1')));
+		if (quarantine.judge(this.#fingerprint, now()) === 'quarantined') {
+			this.#refuse(503, 'the request is quarantined: servers that ran it crashed', undefined);
+			return;
+		}
+
+		if (!this.#charge()) {
+			return;
+		}
+
+		this.#service = this.#chooseService();
+		this.#context.retryBudget(this.#service).noteRequest();
+		reply.onGone(() => {
+			this.#clientGone();
+		});
+		reply.onDrain(() => {
+			if (this.#isPaused) {
+				this.#isPaused = false;
+				this.#attempt?.exchange?.resume();
+			}
+		});
+		this.#deadlineTimer = setTimeout(() => {
+			this.#outOfTime();
+		}, Math.max(this.#timeLeft(), 0));
+		this.#placeOrWait();
+	}
+
+	tryPlace(): boolean {
+		if (this.#isSettled) {
+			return true;
+		}
+
+		const answer = this.#place();
+		if (answer.type !== 'chosen') {
+			return false;
+		}
+
+		this.#isWaiting = false;
+		this.#send(answer.chosen);
+		return true;
+	}
+
+	giveUp(): void {
+		this.#isWaiting = false;
+		this.#fail('no server had room in time', this.#timeLeft() * honouredShare);
+	}
+
+	#authorize(routes: RouteIndex): boolean {
+		const {request} = this.received;
+		const query = request.target.indexOf('?');
+		this.#route = routes.find(request.host, query === -1 ? request.target : request.target.slice(0, query));
+		if (this.#route === undefined) {
+			this.#refuse(404, `no route for ${request.host}${request.target}`, undefined);
+			return false;
+		}
+
+		if (routes.configuration.workspaces !== undefined && !this.#route.isOpen) {
+			this.#workspace = request.credential === undefined ? undefined : routes.workspaceOf(request.credential);
+			if (this.#workspace === undefined) {
+				this.#refuse(401, 'the key is missing or unknown', undefined);
+				return false;
+			}
+		}
+
+		return true;
+	}
+
+	#charge(): boolean {
+		const workspace = this.#workspace;
+		if (workspace === undefined || workspace.unitsPerSecond === 0) {
+			return true;
+		}
+
+		const {generation} = this.received.request;
+		const tokens = generation === undefined ? workspace.plainTokens : generation.promptTokens + generation.outputTokens;
+		const units = workspace.countsTokens ? tokens : 1;
+		const wait = this.#context.beliefs.quota.charge(workspace.name, units, this.#context.now());
+		if (wait > 0) {
+			this.#refuse(429, `workspace ${workspace.name} is over its quota`, Math.min(wait, this.#timeLeft() * honouredShare));
+			return false;
+		}
+
+		this.#charged = units;
+		return true;
+	}
+
+	#chooseService(): string {
+		const {services} = this.#route!;
+		const total = services.reduce((sum, share) => sum + share.weight, 0);
+		let draw = this.#context.random.next() * total;
+		for (const share of services) {
+			draw -= share.weight;
+			if (draw < 0) {
+				return share.service;
+			}
+		}
+
+		return services[0]!.service;
+	}
+
+	#timeLeft(): Milliseconds {
+		const allowed = Math.min(this.received.request.deadline ?? defaultDeadline, this.#route?.timeout ?? defaultDeadline);
+		return this.received.receivedAt + allowed - this.#context.now();
+	}
+
+	#rank(): number {
+		return this.#workspace?.rank ?? this.#route?.rank ?? 0;
+	}
+
+	#place() {
+		return this.#context.dispatcher.place({
+			request: this.received.request,
+			route: this.#route!,
+			service: this.#service,
+			workspace: this.#workspace?.name,
+			isIsolated: this.#workspace?.isIsolated === true,
+			avoided: this.#avoided,
+		});
+	}
+
+	#placeOrWait(): void {
+		const timeLeft = this.#timeLeft();
+		if (timeLeft < leastTime) {
+			this.#fail('too little time is left', undefined);
+			return;
+		}
+
+		const answer = this.#place();
+		if (answer.type === 'chosen') {
+			this.#send(answer.chosen);
+			return;
+		}
+
+		if (answer.type === 'none') {
+			if (this.#avoided.size > 0 && this.#runs === 0) {
+				// Every server has refused it once; another try is worth more than a refusal.
+				this.#avoided.clear();
+				this.#waitInLine(Math.min(timeLeft * longestWaitShare, unknownPause));
+				return;
+			}
+
+			this.#fail('no server can be used', Math.min(unknownPause, timeLeft * honouredShare));
+			return;
+		}
+
+		if (answer.wait > timeLeft * longestWaitShare) {
+			this.#fail('the line is too long for the time left', Math.min(answer.wait, timeLeft * honouredShare));
+			return;
+		}
+
+		this.#waitInLine(timeLeft * longestWaitShare);
+	}
+
+	#waitInLine(longest: Milliseconds): void {
+		const {generation} = this.received.request;
+		this.#isWaiting = true;
+		this.#context.dispatcher.wait(this.#service, {
+			workspace: this.#workspace?.name ?? '',
+			rank: this.#rank(),
+			size: generation === undefined ? 1 : generation.promptTokens,
+			giveUpAt: this.#context.now() + longest,
+			item: this,
+		});
+	}
+
+	#send(chosen: ChosenServer): void {
+		const {now, backend, connections, beliefs} = this.#context;
+		const {request, body} = this.received;
+		const {entry, engine} = chosen;
+		const attempt: Attempt = {
+			chosen,
+			sentAt: now(),
+			load: {
+				unreadTokens: engine?.unreadTokens ?? 0,
+				memoryTokens: engine === undefined ? 0 : request.generation!.promptTokens + request.generation!.outputTokens,
+			},
+			exchange: undefined,
+			head: undefined,
+			status: 0,
+			isOver: false,
+			hasFirstByte: false,
+		};
+		this.#attempt = attempt;
+		this.#sends++;
+		this.#placedAt ??= attempt.sentAt;
+		this.#avoided.add(entry.id);
+		beliefs.loads.begin(entry.id, attempt.load);
+		this.#context.onPlaced(chosen, this.received);
+		this.#trail.push({
+			server: entry.id, predicted: round(engine?.predictedFirstToken), cost: round(engine?.cost), nextBest: round(engine?.nextBestCost), cached: engine?.cachedTokens, fetched: engine?.fetchedTokens, unread: engine?.unreadTokens, from: engine?.fetchFrom, weights: engine?.weightsVersion, at: round(attempt.sentAt - this.received.receivedAt),
+		});
+		const headers = backend.requestHeaders(request, {
+			server: entry.id,
+			workspace: this.#workspace?.name,
+			timeLeft: Math.max(Math.floor(this.#timeLeft() - wayBack), 1),
+			urgency: engine === undefined ? undefined : Math.min(this.#rank(), 9),
+			lastEvent: this.#relay.lastEvent ?? request.lastEvent,
+			cacheSalt: engine?.salt,
+			weightsVersion: engine?.weightsVersion,
+			fetchFrom: engine?.fetchFrom,
+			saveTo: engine?.saveTo,
+		});
+		attempt.exchange = connections.send(entry, {
+			method: request.method, target: request.target, headers, body,
+		}, {
+			onHead: (status, answerHeaders, rawHeaders) => {
+				this.#onHead(attempt, status, answerHeaders, rawHeaders);
+			},
+			onData: chunk => {
+				this.#onData(attempt, chunk);
+			},
+			onEnd: () => {
+				this.#onEnd(attempt);
+			},
+			onFailure: failure => {
+				if (attempt === this.#attempt && !attempt.isOver) {
+					this.#attemptFailed(failure);
+				}
+			},
+		});
+		this.#watchSilence(attempt);
+	}
+
+	#watchSilence(attempt: Attempt): void {
+		clearTimeout(this.#silenceTimer);
+		if (!this.#mayRunAgain || this.#runs + 1 >= this.#route!.maxServers) {
+			return;
+		}
+
+		const objective = this.#route!.objective;
+		const predicted = attempt.chosen.engine?.predictedFirstToken ?? 0;
+		const patience = attempt.hasFirstByte ? streamSilence : Math.max(objective * silentCallFactor, predicted * 2);
+		if (attempt.hasFirstByte && !this.#isStream) {
+			return;
+		}
+
+		this.#silenceTimer = setTimeout(() => {
+			if (!attempt.isOver && attempt === this.#attempt && !this.#isPaused && this.#timeLeft() > objective / 2) {
+				this.#attemptFailed({wasWritten: true, reason: `silent for ${Math.round(patience)} ms`}, true);
+			}
+		}, patience);
+	}
+
+	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
+		const {backend, beliefs, now} = this.#context;
+		const head = backend.readAnswerHead(status, headers);
+		const {entry, engine} = attempt.chosen;
+		attempt.head = head;
+		attempt.status = status;
+		if (head.weightsVersion !== undefined && this.received.request.generation !== undefined && (head.instance ?? entry.id) === entry.id) {
+			beliefs.noteWeights(entry.id, this.received.request.generation.model, head.weightsVersion);
+		}
+
+		if (head.isNotRun) {
+			this.#notRun(attempt, head);
+			return;
+		}
+
+		if (head.requestId !== this.received.request.id || !head.isStamped) {
+			this.#attemptFailed({wasWritten: true, reason: head.isStamped ? 'answer to another request' : `unstamped answer ${status}`});
+			return;
+		}
+
+		this.#runs++;
+		if (status >= 500 && this.#route!.repeatability === 'idempotent' && this.#mayTryAgain()) {
+			this.#runs--;
+			this.#attemptFailed({wasWritten: true, reason: `server answered ${status}`});
+			return;
+		}
+
+		if (this.#hasBegun) {
+			// A resumed stream keeps the head of its first server.
+			if (status >= 300) {
+				this.#attemptFailed({wasWritten: true, reason: `resume answered ${status}`});
+			}
+
+			return;
+		}
+
+		this.#hasBegun = true;
+		this.#firstRunVersion = engine?.weightsVersion;
+		beliefs.health.noteOutcome(entry.id, false, now());
+		this.received.reply.begin(status, rawHeaders);
+	}
+
+	#onData(attempt: Attempt, chunk: Uint8Array): void {
+		if (attempt.isOver || attempt.head === undefined || attempt !== this.#attempt) {
+			return;
+		}
+
+		if (!attempt.hasFirstByte) {
+			this.#noteFirstByte(attempt);
+		}
+
+		this.#watchSilence(attempt);
+		const bytes = this.#isStream && attempt.status === 200 ? this.#relay.push(chunk) : chunk;
+		if (bytes.length > 0 && !this.received.reply.write(bytes)) {
+			this.#isPaused = true;
+			attempt.exchange?.pause();
+		}
+	}
+
+	#noteFirstByte(attempt: Attempt): void {
+		const {beliefs, metrics, now} = this.#context;
+		const {entry, engine} = attempt.chosen;
+		attempt.hasFirstByte = true;
+		const taken = now() - attempt.sentAt;
+		if (engine !== undefined) {
+			beliefs.loads.noteRead(entry.id, attempt.load.unreadTokens);
+			attempt.load = {...attempt.load, unreadTokens: 0};
+			beliefs.health.noteSpeed(entry.id, taken / Math.max(engine.predictedFirstToken, 1), now());
+		}
+
+		if (this.#firstByteAt === undefined) {
+			this.#firstByteAt = now();
+			metrics.time('first_byte', this.#firstByteAt - this.received.receivedAt, {route: this.#route!.name});
+		}
+	}
+
+	#onEnd(attempt: Attempt): void {
+		if (attempt.isOver || attempt !== this.#attempt) {
+			return;
+		}
+
+		if (this.#isStream && attempt.status === 200) {
+			const rest = this.#relay.flush();
+			if (rest.length > 0) {
+				this.received.reply.write(rest);
+			}
+		}
+
+		this.#closeAttempt(attempt, 'whole');
+		this.#context.quarantine.clear(this.#fingerprint);
+		this.#settle('answered', attempt.status);
+		this.received.reply.end();
+	}
+
+	#notRun(attempt: Attempt, head: AnswerHead): void {
+		const {beliefs, now} = this.#context;
+		const {entry} = attempt.chosen;
+		if (head.isMisdirected && head.instance !== undefined && head.instance !== entry.id) {
+			beliefs.health.noteUnreachable(entry.id, now());
+		}
+
+		this.#closeAttempt(attempt, `not run (${attempt.status})`);
+		attempt.exchange?.abort();
+		if (this.#sends < this.#route!.maxServers + sendsBeyondRuns && this.#context.retryBudget(this.#service).take()) {
+			this.#placeOrWait();
+		} else {
+			this.#fail('servers refused the request', Math.min(unknownPause, this.#timeLeft() * honouredShare));
+		}
+	}
+
+	#mayTryAgain(): boolean {
+		return this.#mayRunAgain
+			&& this.#runs < this.#route!.maxServers
+			&& this.#sends < this.#route!.maxServers + sendsBeyondRuns
+			&& this.#timeLeft() > leastTime
+			&& this.#context.retryBudget(this.#service).take();
+	}
+
+	#attemptFailed(failure: ExchangeFailure, isSilence = false): void {
+		const attempt = this.#attempt;
+		if (attempt === undefined || attempt.isOver || this.#isSettled) {
+			return;
+		}
+
+		const {beliefs, now} = this.#context;
+		const {entry} = attempt.chosen;
+		attempt.exchange?.abort();
+		this.#closeAttempt(attempt, failure.reason);
+		if (!failure.wasWritten) {
+			beliefs.health.noteUnreachable(entry.id, now());
+			this.#context.onUnreachable(entry.id);
+			this.#context.log.info('server-unreachable', {server: entry.id, reason: failure.reason, id: this.received.request.id});
+			if (this.#sends < this.#route!.maxServers + sendsBeyondRuns + 2) {
+				this.#placeOrWait();
+				return;
+			}
+
+			this.#fail('servers could not be reached', Math.min(unknownPause, this.#timeLeft() * honouredShare));
+			return;
+		}
+
+		beliefs.health.noteOutcome(entry.id, true, now());
+		this.#context.onBroken(entry.id, this.#fingerprint);
+		if (isSilence) {
+			beliefs.health.noteUnreachable(entry.id, now());
+		}
+
+		const countsAsRun = attempt.head === undefined || !this.#hasBegun || attempt.status === 0;
+		if (countsAsRun) {
+			this.#runs++;
+		}
+
+		this.#relay.dropPartial();
+		if (this.#mayTryAgain()) {
+			this.#placeOrWait();
+			return;
+		}
+
+		this.#fail(failure.reason, undefined);
+	}
+
+	#closeAttempt(attempt: Attempt, result: string): void {
+		if (attempt.isOver) {
+			return;
+		}
+
+		const {beliefs, now, dispatcher} = this.#context;
+		attempt.isOver = true;
+		clearTimeout(this.#silenceTimer);
+		beliefs.loads.end(attempt.chosen.entry.id, attempt.load);
+		Object.assign(this.#trail.at(-1)!, {result, took: round(now() - attempt.sentAt), status: attempt.status});
+		queueMicrotask(() => {
+			dispatcher.offer();
+		});
+	}
+
+	#outOfTime(): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		if (attempt !== undefined && !attempt.isOver) {
+			attempt.exchange?.abort();
+			this.#closeAttempt(attempt, 'out of time');
+			this.#runs++;
+		}
+
+		this.#fail('out of time', undefined);
+	}
+
+	// The last word to the client: true about whether the request has run.
+	#fail(reason: string, retryAfter: Milliseconds | undefined): void {
+		if (this.#hasBegun) {
+			this.#settle('broken-off', 0, reason);
+			this.received.reply.destroy();
+			return;
+		}
+
+		if (this.#runs > 0) {
+			this.#settle('failed', reason === 'out of time' ? 504 : 502, reason);
+			this.received.reply.refuse(reason === 'out of time' ? 504 : 502, reason, undefined);
+			return;
+		}
+
+		this.#refundCharge();
+		this.#refuse(503, reason, retryAfter);
+	}
+
+	#refuse(status: number, reason: string, retryAfter: Milliseconds | undefined): void {
+		this.#settle('refused', status, reason, retryAfter);
+		this.received.reply.refuse(status, reason, retryAfter);
+	}
+
+	#refundCharge(): void {
+		if (this.#workspace !== undefined && this.#charged > 0) {
+			this.#context.beliefs.quota.refund(this.#workspace.name, this.#charged);
+			this.#charged = 0;
+		}
+	}
+
+	#clientGone(): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		const attempt = this.#attempt;
+		if (attempt !== undefined && !attempt.isOver) {
+			attempt.exchange?.abort();
+			this.#closeAttempt(attempt, 'client gone');
+		}
+
+		this.#settle('client-gone', 0);
+	}
+
+	#settle(outcome: string, status: number, cause?: string, retryAfter?: Milliseconds): void {
+		if (this.#isSettled) {
+			return;
+		}
+
+		this.#isSettled = true;
+		clearTimeout(this.#deadlineTimer);
+		clearTimeout(this.#silenceTimer);
+		if (this.#isWaiting) {
+			this.#isWaiting = false;
+			this.#context.dispatcher.leave(this.#service, this);
+		}
+
+		const {beliefs, log, metrics, now} = this.#context;
+		const took = now() - this.received.receivedAt;
+		const route = this.#route?.name ?? 'none';
+		metrics.count('requests', {route, outcome, status: String(status)});
+		metrics.time('request', took, {route});
+		log.info('request', {
+			id: this.received.request.id, route, workspace: this.#workspace?.name, service: this.#service, outcome, status, cause, retryAfter: round(retryAfter), took: round(took), firstByte: round(this.#firstByteAt === undefined ? undefined : this.#firstByteAt - this.received.receivedAt), waited: round(this.#placedAt === undefined ? undefined : this.#placedAt - this.received.receivedAt), deadline: this.received.request.deadline, configuration: beliefs.configuration?.version, configurationAge: round(beliefs.configurationAge()), revision: beliefs.revision, weights: this.#firstRunVersion, sends: this.#trail,
+		});
+		this.#context.onSettled(this);
+	}
+}
+
+function round(value: number | undefined): number | undefined {
+	return value === undefined ? undefined : Math.round(value * 10) / 10;
+}
--- /dev/null
+++ b/packages/host/src/weights-controller.ts
@@ -0,0 +1,394 @@
+import {type RolloutRow, type ServerEntry, WeightsRollout} from '@lacewingpoint/routing';
+import {
+	type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, describeError, messageOf,
+} from '@lacewingpoint/shared';
+import type {BackendConnections} from './backend-connections.js';
+import type {Beliefs} from './beliefs.js';
+import type {HostLinks} from './host-links.js';
+import type {
+	BackendProtocol, ControlStore, HeaderList, WeightsReport,
+} from './ports.js';
+
+export const holderKey = 'lacewingpoint/weights/holder';
+export const termKey = 'lacewingpoint/weights/term';
+
+const tickInterval: Milliseconds = 100;
+
+/** The lease is renewed this many times within its length. */
+const renewalsPerLease = 3;
+
+/** Orders stop this long before the lease could end, for what an order takes on its way. */
+const leaseMargin: Milliseconds = 500;
+
+/** Hosts that see the lease free wait up to this long, so that they do not all write at once. */
+const electionSpread: Milliseconds = 200;
+
+/** An order without effect is given again after this long: unanswered ones may act for some ten seconds. */
+const orderExpiry: Milliseconds = 8000;
+
+/** Time for the peers to stop sending to a server that is about to load weights. */
+const noticeTime: Milliseconds = 30;
+
+/** How often a server that loads weights is asked whether it has them. */
+const pollInterval: Milliseconds = 200;
+
+const callTimeout: Milliseconds = 800;
+
+/** A server that did not answer a call of the roll-out is left alone this long. */
+const failurePause: Milliseconds = 500;
+
+type Tenure = {
+	readonly lease: number;
+	readonly term: number;
+	/** Orders may be given from here on: the holder before has stopped by then. */
+	readonly ordersFrom: Milliseconds;
+	/** When the renewal was sent that succeeded last. */
+	renewedAt: Milliseconds;
+	renewalSentAt: Milliseconds;
+};
+
+type CallAnswer = {readonly status: number; readonly body: string};
+
+export type WeightsControllerOptions = {
+	readonly name: string;
+	readonly leaseTime: Milliseconds;
+	readonly store: ControlStore;
+	readonly beliefs: Beliefs;
+	readonly links: HostLinks;
+	readonly connections: BackendConnections;
+	readonly backend: BackendProtocol;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly random: RandomSource;
+	readonly now: () => Milliseconds;
+};
+
+/** Brings the model servers to the named weights, while this host holds the lease that allows it to give orders. */
+export class WeightsController implements Disposable {
+	readonly #options: WeightsControllerOptions;
+	readonly #rollout = new WeightsRollout({shareAtOnce: 0.25, orderExpiry});
+	readonly #underway = new Set<string>();
+	readonly #loading = new Set<string>();
+	readonly #pausedUntil = new Map<string, Milliseconds>();
+	#tenure: Tenure | undefined;
+	#holder: string | undefined;
+	#isElecting = false;
+	#isRenewing = false;
+	#isStopped = false;
+	#timer: NodeJS.Timeout | undefined;
+
+	constructor(options: WeightsControllerOptions) {
+		this.#options = options;
+	}
+
+	/** Starts the rounds. */
+	start(): void {
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, tickInterval);
+	}
+
+	/**
+	 * Takes over who holds the lease, as the store tells.
+	 *
+	 * @param holder - The host's name; nothing when the lease is free.
+	 */
+	noteHolder(holder: string | undefined): void {
+		if (holder !== this.#holder) {
+			this.#options.log.info('weights-holder', {holder, before: this.#holder});
+		}
+
+		this.#holder = holder;
+		if (holder === undefined) {
+			void this.#elect();
+		}
+	}
+
+	/** Gives the lease back. */
+	async release(): Promise<void> {
+		this.#isStopped = true;
+		clearInterval(this.#timer);
+		const tenure = this.#tenure;
+		this.#tenure = undefined;
+		if (tenure !== undefined) {
+			await this.#options.store.endLease(tenure.lease);
+		}
+	}
+
+	dispose(): void {
+		this.#isStopped = true;
+		clearInterval(this.#timer);
+	}
+
+	#tick(): void {
+		const tenure = this.#tenure;
+		if (tenure === undefined) {
+			return;
+		}
+
+		const {leaseTime, now, log} = this.#options;
+		if (now() > tenure.renewedAt + leaseTime) {
+			this.#tenure = undefined;
+			log.warn('weights-lease-lost', {term: tenure.term});
+			return;
+		}
+
+		if (!this.#isRenewing && now() - tenure.renewalSentAt >= leaseTime / renewalsPerLease) {
+			void this.#renew(tenure);
+		}
+
+		if (this.#mayOrder(tenure)) {
+			this.#orderDue(tenure);
+		}
+	}
+
+	#mayOrder(tenure: Tenure): boolean {
+		const {leaseTime, now} = this.#options;
+		return this.#tenure === tenure && !this.#isStopped && now() >= tenure.ordersFrom && now() < tenure.renewedAt + leaseTime - leaseMargin;
+	}
+
+	async #renew(tenure: Tenure): Promise<void> {
+		const {store, now, log} = this.#options;
+		this.#isRenewing = true;
+		const sentAt = now();
+		tenure.renewalSentAt = sentAt;
+		const renewed = await store.renewLease(tenure.lease);
+		this.#isRenewing = false;
+		if (renewed.isOk) {
+			tenure.renewedAt = sentAt;
+		} else if (renewed.error.code === 'lease-ended' && this.#tenure === tenure) {
+			this.#tenure = undefined;
+			log.warn('weights-lease-lost', {term: tenure.term, reason: describeError(renewed.error)});
+		}
+	}
+
+	async #elect(): Promise<void> {
+		if (this.#isElecting || this.#isStopped) {
+			return;
+		}
+
+		this.#isElecting = true;
+		await pause(this.#options.random.next() * electionSpread);
+		while (this.#holder === undefined && this.#tenure === undefined && !this.#isStopped) {
+			if (!await this.#tryToHold()) {
+				await pause(electionSpread * (1 + this.#options.random.next()));
+			}
+		}
+
+		this.#isElecting = false;
+	}
+
+	async #tryToHold(): Promise<boolean> {
+		const {store, name, leaseTime, log, now} = this.#options;
+		const last = await store.read(termKey);
+		if (last.isErr) {
+			return false;
+		}
+
+		const before = last.value === undefined ? undefined : JSON.parse(last.value.value) as {readonly term: number; readonly holder: string};
+		const sentAt = now();
+		const lease = await store.grantLease(leaseTime);
+		if (lease.isErr) {
+			return false;
+		}
+
+		const term = (before?.term ?? 0) + 1;
+		const written = await store.write([
+			{
+				key: holderKey, value: name, expected: 0, lease: lease.value,
+			},
+			{key: termKey, value: JSON.stringify({term, holder: name}), expected: last.value?.revision ?? 0},
+		]);
+		if (written.isErr || !written.value) {
+			await store.endLease(lease.value);
+			return written.isOk;
+		}
+
+		// The holder before may have given an order just before its lease ended.
+		const ordersFrom = before === undefined || before.holder === name ? now() : now() + leaseTime + leaseMargin;
+		this.#holder = name;
+		this.#tenure = {
+			lease: lease.value, term, ordersFrom, renewedAt: sentAt, renewalSentAt: sentAt,
+		};
+		log.info('weights-lease-held', {term, before: before?.holder, ordersIn: Math.round(ordersFrom - now())});
+		return true;
+	}
+
+	#orderDue(tenure: Tenure): void {
+		const {beliefs, now} = this.#options;
+		for (const model of beliefs.namedModels()) {
+			const wanted = beliefs.wantedWeights(model).version;
+			const entries = beliefs.servers.all().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining);
+			const rows = entries.map(entry => this.#row(entry, model));
+			for (const row of this.#rollout.due(wanted, rows, now())) {
+				const entry = entries.find(candidate => candidate.id === row.server)!;
+				void this.#order(tenure, entry, row, model, wanted);
+			}
+		}
+	}
+
+	#row(entry: ServerEntry, model: string): RolloutRow {
+		const {beliefs, now} = this.#options;
+		return {
+			server: entry.id,
+			incarnation: entry.incarnation,
+			weightsVersion: beliefs.weightsAt(entry, model),
+			requests: beliefs.loads.total(entry.id, now()).requests,
+			isBusy: this.#underway.has(entry.id) || this.#loading.has(entry.id),
+			isUsable: beliefs.health.judge(entry.id, now()) !== 'paused' && now() >= (this.#pausedUntil.get(entry.id) ?? 0),
+		};
+	}
+
+	async #order(tenure: Tenure, entry: ServerEntry, row: RolloutRow, model: string, version: number): Promise<void> {
+		const {beliefs, links, backend, name, log, metrics, now} = this.#options;
+		this.#underway.add(entry.id);
+		beliefs.noteLoading(entry.id, now() + orderExpiry);
+		links.noteLoading(entry.id, orderExpiry);
+		await pause(noticeTime);
+		const report = await this.#report(entry);
+		if (report === undefined || !this.#mayOrder(tenure)) {
+			this.#orderFailed(entry, 'no report');
+			return;
+		}
+
+		if ((report.weights[model] ?? 0) >= version) {
+			this.#underway.delete(entry.id);
+			this.#noteWeights(entry, model, report.weights[model]!);
+			return;
+		}
+
+		if (report.isLoading) {
+			this.#underway.delete(entry.id);
+			this.#rollout.noteOrder(row, version, now());
+			void this.#poll(entry, model, version);
+			return;
+		}
+
+		metrics.count('orders', {model});
+		this.#rollout.noteOrder(row, version, now());
+		const answer = await this.#call(entry, 'POST', backend.orderPath, backend.orderBody({
+			model, version, holder: name, fencingToken: tenure.term, expectedOrders: report.orders,
+		}));
+		this.#underway.delete(entry.id);
+		log.info('order', {
+			server: entry.id, model, version, term: tenure.term, expected: report.orders, status: answer?.status ?? 'none', requests: row.requests, age: Math.round(beliefs.wantedWeights(model).age),
+		});
+		if (answer !== undefined && answer.status !== 202 && answer.status !== 200) {
+			this.#rollout.noteRefusal(entry.id);
+			this.#orderFailed(entry, `status ${answer.status}`);
+			return;
+		}
+
+		void this.#poll(entry, model, version);
+	}
+
+	#orderFailed(entry: ServerEntry, reason: string): void {
+		const {beliefs, now, log} = this.#options;
+		this.#underway.delete(entry.id);
+		this.#pausedUntil.set(entry.id, now() + failurePause);
+		beliefs.noteLoading(entry.id, 0);
+		this.#options.links.noteLoading(entry.id, 0);
+		log.info('order-failed', {server: entry.id, reason});
+	}
+
+	async #poll(entry: ServerEntry, model: string, version: number): Promise<void> {
+		if (this.#loading.has(entry.id)) {
+			return;
+		}
+
+		const {beliefs, now} = this.#options;
+		const until = now() + orderExpiry;
+		this.#loading.add(entry.id);
+		let idlePolls = 0;
+		while (now() < until && !this.#isStopped && beliefs.servers.find(entry.id)?.incarnation === entry.incarnation) {
+			await pause(pollInterval);
+			const report = await this.#report(entry);
+			const seen = report?.weights[model] ?? 0;
+			if (seen >= version) {
+				this.#loading.delete(entry.id);
+				this.#noteWeights(entry, model, seen);
+				return;
+			}
+
+			// Reports lag by some hundred milliseconds; a server idle for longer has not taken the order.
+			idlePolls = report !== undefined && !report.isLoading ? idlePolls + 1 : 0;
+			if (idlePolls > 5) {
+				break;
+			}
+		}
+
+		this.#loading.delete(entry.id);
+		this.#rollout.noteRefusal(entry.id);
+		this.#orderFailed(entry, 'the order had no effect');
+	}
+
+	#noteWeights(entry: ServerEntry, model: string, version: number): void {
+		this.#rollout.noteRefusal(entry.id);
+		this.#options.beliefs.noteWeights(entry.id, model, version);
+		this.#options.beliefs.noteLoading(entry.id, 0);
+		this.#options.links.noteWeights(entry.id, model, version);
+		this.#options.links.noteLoading(entry.id, 0);
+	}
+
+	async #report(entry: ServerEntry): Promise<WeightsReport | undefined> {
+		const {backend, log, metrics} = this.#options;
+		metrics.count('reports');
+		const answer = await this.#call(entry, 'GET', backend.reportPath, undefined);
+		if (answer?.status !== 200) {
+			return undefined;
+		}
+
+		let body: unknown;
+		try {
+			body = JSON.parse(answer.body);
+		} catch (error) {
+			log.warn('report-unreadable', {server: entry.id, reason: messageOf(error)});
+			return undefined;
+		}
+
+		const report = backend.readReport(body);
+		if (report.isErr) {
+			log.warn('report-unreadable', {server: entry.id, reason: describeError(report.error)});
+			return undefined;
+		}
+
+		return report.value;
+	}
+
+	async #call(entry: ServerEntry, method: string, target: string, body: string | undefined): Promise<CallAnswer | undefined> {
+		const {connections, backend} = this.#options;
+		const headers: HeaderList = backend.callHeaders(entry.id);
+		return new Promise(resolve => {
+			let status = 0;
+			const chunks: Uint8Array[] = [];
+			const exchange = connections.send(entry, {
+				method, target, headers: body === undefined ? headers : [...headers, 'Content-Type', 'application/json'], body: body === undefined ? undefined : Buffer.from(body),
+			}, {
+				onHead(headStatus) {
+					status = headStatus;
+				},
+				onData(chunk) {
+					chunks.push(chunk);
+				},
+				onEnd() {
+					clearTimeout(timer);
+					resolve({status, body: Buffer.concat(chunks).toString('utf8')});
+				},
+				onFailure() {
+					clearTimeout(timer);
+					resolve(undefined);
+				},
+			});
+			const timer = setTimeout(() => {
+				exchange.abort();
+				resolve(undefined);
+			}, callTimeout);
+		});
+	}
+}
+
+async function pause(time: Milliseconds): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, time);
+	});
+}
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -16,7 +16,7 @@
 import {readUsage} from './completion-usage.js';
 import type {NamedRoute} from './configuration-view.js';
 import type {InFlightTable} from './in-flight-table.js';
-import type {Metrics} from './metrics.js';
+import type {Metrics} from '@lacewingpoint/shared';
 import {type Refusal, mayHaveRun, notRun} from './router-error.js';
 import type {Tables} from './tables.js';
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -13,7 +13,7 @@
 import type {Clock} from './clock.js';
 import {CreditService} from './credit-service.js';
 import {InFlightTable} from './in-flight-table.js';
-import {Metrics} from './metrics.js';
+import {Metrics} from '@lacewingpoint/shared';
 import {OperatorsServer} from './operators-server.js';
 import {PeerLinks, answerExchange} from './peer-links.js';
 import type {RouterContext} from './router-context.js';
--- a/packages/router/src/index.ts
+++ b/packages/router/src/index.ts
@@ -5,7 +5,7 @@
 export {type Clock, systemClock} from './clock.js';
 export {applyChanges} from './configuration-change.js';
 export {RouterDaemon} from './daemon.js';
-export {Metrics} from './metrics.js';
+export {Metrics} from '@lacewingpoint/shared';
 export {
 	type Refusal, type RefusalCode, notRun, refusalBody,
 } from './router-error.js';
--- a/packages/router/src/operators-server.ts
+++ b/packages/router/src/operators-server.ts
@@ -4,7 +4,7 @@
 import findMyWay from 'find-my-way';
 import * as v from 'valibot';
 import type {Clock} from './clock.js';
-import type {Metrics} from './metrics.js';
+import type {Metrics} from '@lacewingpoint/shared';
 import type {Tables} from './tables.js';
 
 export type OperatorsServerOptions = {
--- a/packages/router/src/service-call.ts
+++ b/packages/router/src/service-call.ts
@@ -12,7 +12,7 @@
 import type {Clock} from './clock.js';
 import {serviceKey} from './configuration-change.js';
 import type {NamedRoute} from './configuration-view.js';
-import type {Metrics} from './metrics.js';
+import type {Metrics} from '@lacewingpoint/shared';
 import {type Refusal, mayHaveRun, notRun} from './router-error.js';
 import type {Tables} from './tables.js';
 
--- /dev/null
+++ b/packages/routing/src/engine-placement.ts
@@ -0,0 +1,261 @@
+import {
+	type Milliseconds, type Tokens, hashText, rendezvousWeight,
+} from '@lacewingpoint/shared';
+import type {PromptCacheIndex, PromptPart} from './prompt-cache-index.js';
+import type {HostLoad} from './server-loads.js';
+
+/** A model server as placement sees it. */
+export type EngineRow = {
+	readonly id: string;
+	readonly address: string;
+	readonly failureDomain: string;
+	/** The weights that it runs for the request's model. */
+	readonly weightsVersion: number;
+	readonly slots: number;
+	readonly memoryTokens: Tokens;
+	readonly load: HostLoad;
+	/** Time taken over time predicted, lately. */
+	readonly slowness: number;
+	/** It fails part of its requests: used only when no other can be. */
+	readonly isFailing: boolean;
+};
+
+/** A prompt store as placement sees it. */
+export type PromptStoreRow = {readonly address: string; readonly failureDomain: string};
+
+/** A generation to be placed. */
+export type Generation = {
+	readonly parts: readonly PromptPart[];
+	readonly promptTokens: Tokens;
+	readonly outputTokens: Tokens;
+	readonly objective: Milliseconds;
+	/** The text under which parts are shared on servers that run some version of the weights. */
+	saltFor(weightsVersion: number): string;
+};
+
+export type PlacementContext = {
+	/** The host's own failure domain: bytes between domains cost. */
+	readonly failureDomain: string;
+	readonly store: PromptStoreRow | undefined;
+	/** The version that the weights ought to have, and since when. */
+	readonly wantedVersion: number;
+	readonly isOldVersionCostly: boolean;
+	readonly now: Milliseconds;
+};
+
+/** Where a generation goes and what is expected there. */
+export type EnginePlacement = {
+	readonly server: string;
+	readonly weightsVersion: number;
+	readonly salt: string;
+	/** Tokens that the server holds already. */
+	readonly cachedTokens: Tokens;
+	/** Tokens that it gets from elsewhere. */
+	readonly fetchedTokens: Tokens;
+	readonly unreadTokens: Tokens;
+	readonly fetchFrom: string | undefined;
+	readonly saveTo: string | undefined;
+	readonly predictedFirstToken: Milliseconds;
+	readonly cost: Milliseconds;
+	/** The cost at the next best server, for the log. */
+	readonly nextBestCost: Milliseconds | undefined;
+};
+
+export type EnginePlacementOptions = {
+	/** Prompt tokens that a server reads in a millisecond; each server's slowness corrects it. */
+	readonly tokensPerMillisecond: number;
+	/** Time to a first token with nothing to read or to wait for. */
+	readonly baseTime: Milliseconds;
+	/** What each running request adds to a step. */
+	readonly timePerRunningRequest: Milliseconds;
+	readonly fetchSetup: Milliseconds;
+	readonly fetchTokensPerMillisecond: number;
+	/** A fetch from another failure domain takes this much longer. */
+	readonly fetchFactorAcross: number;
+	/** What a millisecond of a link's time weighs against one of waiting. */
+	readonly fetchWeight: number;
+	/** What it weighs to read a token where a part's home or holder would read it only once. */
+	readonly rereadTimePerToken: Milliseconds;
+	/** The share of the objective that a request on old weights weighs. */
+	readonly oldWeightsShare: number;
+	readonly acrossDomains: Milliseconds;
+	/** What a failing server weighs. */
+	readonly failing: Milliseconds;
+	/** The share of a server's memory that requests may fill. */
+	readonly memoryShare: number;
+	/** Unread tokens at a server, as time, above which requests wait at the host instead. */
+	readonly longestQueue: Milliseconds;
+};
+
+export const enginePlacementOptions: EnginePlacementOptions = {
+	tokensPerMillisecond: 110,
+	baseTime: 35,
+	timePerRunningRequest: 1,
+	fetchSetup: 8,
+	fetchTokensPerMillisecond: 350,
+	fetchFactorAcross: 2,
+	fetchWeight: 1.5,
+	rereadTimePerToken: 0.15,
+	oldWeightsShare: 0.6,
+	acrossDomains: 4,
+	failing: 2000,
+	memoryShare: 0.9,
+	longestQueue: 400,
+};
+
+type Source = {readonly place: string; readonly address: string; readonly failureDomain: string; readonly tokens: Tokens};
+
+/**
+ * Places a generation where its first token and the work it causes cost least: queue, prompt parts held there, parts to be fetched,
+ * parts that would be read a second time, and weights that are out of date.
+ * Load pattern: few long shared prompts, asked for by many hosts at once, on servers whose caches are emptied by new weights.
+ */
+export class EnginePlacer {
+	readonly #index: PromptCacheIndex;
+	readonly #options: EnginePlacementOptions;
+
+	constructor(index: PromptCacheIndex, options: EnginePlacementOptions = enginePlacementOptions) {
+		this.#index = index;
+		this.#options = options;
+	}
+
+	/**
+	 * Chooses among servers that may take the request.
+	 *
+	 * @param generation - The request.
+	 * @param rows - The servers.
+	 * @param context - What else the choice depends on.
+	 * @returns The placement; nothing when no server has room now.
+	 */
+	choose(generation: Generation, rows: readonly EngineRow[], context: PlacementContext): EnginePlacement | undefined {
+		let best: EnginePlacement | undefined;
+		let nextBestCost: number | undefined;
+		for (const row of rows) {
+			if (!this.#hasRoom(generation, row)) {
+				continue;
+			}
+
+			const placement = this.#price(generation, row, rows, context);
+			if (best === undefined || placement.cost < best.cost) {
+				nextBestCost = best?.cost;
+				best = placement;
+			} else if (nextBestCost === undefined || placement.cost < nextBestCost) {
+				nextBestCost = placement.cost;
+			}
+		}
+
+		return best === undefined ? undefined : {...best, nextBestCost};
+	}
+
+	#hasRoom(generation: Generation, row: EngineRow): boolean {
+		const memory = row.load.memoryTokens + generation.promptTokens + generation.outputTokens;
+		const queue = row.load.unreadTokens * row.slowness / this.#options.tokensPerMillisecond;
+		return row.load.requests === 0
+			|| (row.load.requests < row.slots && memory <= row.memoryTokens * this.#options.memoryShare && queue <= this.#options.longestQueue);
+	}
+
+	#price(generation: Generation, row: EngineRow, rows: readonly EngineRow[], context: PlacementContext): EnginePlacement {
+		const options = this.#options;
+		const salt = generation.saltFor(row.weightsVersion);
+		const own = this.#index.match(row.id, salt, generation.parts);
+		const source = this.#source(generation, row, rows, salt, context);
+		const fetched = Math.max((source?.tokens ?? 0) - own.tokens, 0);
+		const unread = Math.max(generation.promptTokens - own.tokens - fetched, 0);
+		const factor = source === undefined || source.failureDomain === row.failureDomain ? 1 : options.fetchFactorAcross;
+		const fetchTime = fetched === 0 ? 0 : options.fetchSetup + (fetched * factor / options.fetchTokensPerMillisecond);
+		const readTime = (row.load.unreadTokens + unread) * row.slowness / options.tokensPerMillisecond;
+		const pendingTime = own.parts > 0 ? Math.max(own.readyAt - context.now, 0) : 0;
+		const predicted = (options.baseTime * row.slowness) + Math.max(readTime, pendingTime) + fetchTime + (row.load.requests * options.timePerRunningRequest);
+		const cost = predicted
+			+ (fetchTime * (options.fetchWeight - 1))
+			+ this.#rereadCost(generation, row, rows, own.parts, source)
+			+ (context.isOldVersionCostly && row.weightsVersion < context.wantedVersion ? generation.objective * options.oldWeightsShare : 0)
+			+ (row.failureDomain === context.failureDomain ? 0 : options.acrossDomains)
+			+ (row.isFailing ? options.failing : 0);
+		const sharedParts = generation.parts.slice(0, -1);
+		const isStored = context.store === undefined || this.#index.match(context.store.address, salt, sharedParts).parts === sharedParts.length;
+		return {
+			server: row.id,
+			weightsVersion: row.weightsVersion,
+			salt,
+			cachedTokens: own.tokens,
+			fetchedTokens: fetched,
+			unreadTokens: unread,
+			fetchFrom: fetched > 0 ? source?.address : undefined,
+			saveTo: isStored ? undefined : context.store?.address,
+			predictedFirstToken: predicted,
+			cost,
+			nextBestCost: undefined,
+		};
+	}
+
+	// Only parts that have been read already can be fetched; the store goes first among equals, since servers are busy.
+	#source(generation: Generation, row: EngineRow, rows: readonly EngineRow[], salt: string, context: PlacementContext): Source | undefined {
+		let best: Source | undefined;
+		const consider = (place: string, address: string, failureDomain: string) => {
+			const match = this.#index.match(place, salt, generation.parts);
+			if (match.tokens > (best?.tokens ?? 0) && match.readyAt <= context.now) {
+				best = {
+					place, address, failureDomain, tokens: match.tokens,
+				};
+			}
+		};
+
+		if (context.store !== undefined) {
+			consider(context.store.address, context.store.address, context.store.failureDomain);
+		}
+
+		for (const other of rows) {
+			if (other.id !== row.id && other.weightsVersion === row.weightsVersion) {
+				consider(other.id, other.address, other.failureDomain);
+			}
+		}
+
+		return best;
+	}
+
+	// A shared part that nobody holds is read at its home; one that is being read elsewhere is waited for there.
+	#rereadCost(generation: Generation, row: EngineRow, rows: readonly EngineRow[], ownParts: number, source: Source | undefined): Milliseconds {
+		const shared = generation.parts.slice(0, -1);
+		const covered = Math.max(ownParts, this.#coveredParts(generation, source));
+		const missing = shared.slice(covered);
+		const first = missing[0];
+		if (first === undefined) {
+			return 0;
+		}
+
+		const homeKey = hashText(first.id);
+		let home = row.id;
+		for (const other of rows) {
+			if (other.weightsVersion === row.weightsVersion && rendezvousWeight(homeKey, other.id) > rendezvousWeight(homeKey, home)) {
+				home = other.id;
+			}
+		}
+
+		if (home === row.id) {
+			return 0;
+		}
+
+		let tokens = 0;
+		for (const part of missing) {
+			tokens += part.tokens;
+		}
+
+		return tokens * this.#options.rereadTimePerToken;
+	}
+
+	#coveredParts(generation: Generation, source: Source | undefined): number {
+		let tokens = 0;
+		let parts = 0;
+		for (const part of generation.parts) {
+			tokens += part.tokens;
+			if (source === undefined || tokens > source.tokens) {
+				break;
+			}
+
+			parts++;
+		}
+
+		return parts;
+	}
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,3 +25,23 @@
 export {
 	type DesiredWeights, type EngineView, type ReconciliationOptions, type ReconciliationStep, dueSteps,
 } from './weights-reconciliation.js';
+export type {
+	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, ServiceShare, Workspace,
+} from './configuration.js';
+export {RouteIndex} from './route-index.js';
+export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
+export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
+export {
+	type HostLoad, type RequestLoad, ServerLoads, noLoad,
+} from './server-loads.js';
+export {type ServerHealthOptions, ServerHealth} from './server-health.js';
+export {
+	type EnginePlacement, type EnginePlacementOptions, type EngineRow, type Generation, type PlacementContext, type PromptStoreRow,
+	EnginePlacer, enginePlacementOptions,
+} from './engine-placement.js';
+export {
+	type PlainPlacementOptions, type PlainServerRow, choosePlainServer, estimateWait, plainPlacementOptions,
+} from './service-placement.js';
+export {type WaitingRequest, WaitingLine} from './waiting-line.js';
+export {type RolloutOptions, type RolloutRow, WeightsRollout} from './weights-rollout.js';
+export {type Place, nearHosts} from './near-hosts.js';
--- a/packages/routing/src/quarantine.ts
+++ b/packages/routing/src/quarantine.ts
@@ -64,6 +64,15 @@
 		}
 	}
 
+	/**
+	 * Acquits a request: it ran to its end.
+	 *
+	 * @param fingerprint - The hash of the request's content and workspace.
+	 */
+	clear(fingerprint: number): void {
+		this.#deaths.delete(fingerprint);
+	}
+
 	/**
 	 * Tells whether a request may run.
 	 *
--- /dev/null
+++ b/packages/routing/src/server-loads.ts
@@ -0,0 +1,124 @@
+import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
+
+/** What one host has under way at a server. */
+export type HostLoad = {
+	readonly requests: number;
+	/** Prompt tokens of requests whose first token is still to come, cached ones left out. */
+	readonly unreadTokens: Tokens;
+	/** Tokens that the requests may fill in the server's memory. */
+	readonly memoryTokens: Tokens;
+};
+
+/** A request's weight on a server. */
+export type RequestLoad = {readonly unreadTokens: Tokens; readonly memoryTokens: Tokens};
+
+export const noLoad: HostLoad = {requests: 0, unreadTokens: 0, memoryTokens: 0};
+
+function add(left: HostLoad, right: HostLoad): HostLoad {
+	return {
+		requests: left.requests + right.requests,
+		unreadTokens: left.unreadTokens + right.unreadTokens,
+		memoryTokens: left.memoryTokens + right.memoryTokens,
+	};
+}
+
+type PeerLoads = {heardAt: Milliseconds; loads: ReadonlyMap<string, HostLoad>};
+
+/**
+ * What all hosts have under way at each server: this host's own requests exactly, the peers' as they last told.
+ * Load pattern: many hosts place at once and would herd on the server that looked empty to each of them.
+ */
+export class ServerLoads {
+	readonly #own = new Map<string, HostLoad>();
+	readonly #peers = new Map<string, PeerLoads>();
+	readonly #peerExpiry: Milliseconds;
+
+	/**
+	 * @param peerExpiry - A peer's word is used for this long.
+	 */
+	constructor(peerExpiry: Milliseconds) {
+		this.#peerExpiry = peerExpiry;
+	}
+
+	/**
+	 * Notes that a request was sent.
+	 *
+	 * @param server - The server.
+	 * @param load - The request's weight.
+	 */
+	begin(server: string, load: RequestLoad): void {
+		this.#own.set(server, add(this.own(server), {requests: 1, ...load}));
+	}
+
+	/**
+	 * Notes that a prompt has been read: its first token came.
+	 *
+	 * @param server - The server.
+	 * @param unreadTokens - The request's tokens that were to be read.
+	 */
+	noteRead(server: string, unreadTokens: Tokens): void {
+		this.#own.set(server, add(this.own(server), {requests: 0, unreadTokens: -unreadTokens, memoryTokens: 0}));
+	}
+
+	/**
+	 * Notes that a request has ended.
+	 *
+	 * @param server - The server.
+	 * @param load - What of the request's weight is left.
+	 */
+	end(server: string, load: RequestLoad): void {
+		const left = add(this.own(server), {requests: -1, unreadTokens: -load.unreadTokens, memoryTokens: -load.memoryTokens});
+		if (left.requests <= 0) {
+			this.#own.delete(server);
+		} else {
+			this.#own.set(server, left);
+		}
+	}
+
+	/**
+	 * Reads what this host has under way.
+	 *
+	 * @param server - The server.
+	 * @returns This host's load there.
+	 */
+	own(server: string): HostLoad {
+		return this.#own.get(server) ?? noLoad;
+	}
+
+	/** @returns This host's loads, for its peers. */
+	allOwn(): ReadonlyMap<string, HostLoad> {
+		return this.#own;
+	}
+
+	/**
+	 * Takes in a peer's loads; they replace what it told before.
+	 *
+	 * @param peer - The peer's name.
+	 * @param loads - Its loads by server.
+	 * @param now - The present moment.
+	 */
+	hear(peer: string, loads: ReadonlyMap<string, HostLoad>, now: Milliseconds): void {
+		this.#peers.set(peer, {heardAt: now, loads});
+	}
+
+	/**
+	 * Adds up the load of all hosts.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 * @returns The load.
+	 */
+	total(server: string, now: Milliseconds): HostLoad {
+		let total = this.own(server);
+		for (const [peer, {heardAt, loads}] of this.#peers) {
+			if (now - heardAt > this.#peerExpiry) {
+				this.#peers.delete(peer);
+				continue;
+			}
+
+			total = add(total, loads.get(server) ?? noLoad);
+		}
+
+		return total;
+	}
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export {type BoundedOutput, createBoundedOutput} from './bounded-output.js';
 export {type Disposable, DisposableStore} from './disposable-store.js';
 export {hashText, rankByRendezvous, rendezvousWeight} from './hashing.js';
 export {
@@ -6,6 +7,7 @@
 export {
 	type LogFields, type Logger, createLogger, silentLogger,
 } from './logger.js';
+export {type Labels, Metrics} from './metrics.js';
 export {type RandomSource, createSeededRandom} from './random-source.js';
 export {startRepeatingTask} from './repeating-task.js';
 export {type SettingsError, type SettingsFault, readSettings} from './settings-text.js';
--- a/packages/shared/src/layer-error.ts
+++ b/packages/shared/src/layer-error.ts
@@ -1,5 +1,5 @@
 /** The layers that report errors of their own. */
-export type Layer = 'settings' | 'platform' | 'backend' | 'peer' | 'coordination' | 'routing' | 'router' | 'controller' | 'command-line';
+export type Layer = 'settings' | 'platform' | 'backend' | 'peer' | 'coordination' | 'routing' | 'host' | 'router' | 'controller' | 'command-line';
 
 /** An error of one layer; an error of the layer below is kept as its cause. */
 export type LayerError<Code extends string = string> = {
--- a/packages/shared/src/logger.ts
+++ b/packages/shared/src/logger.ts
@@ -1,7 +1,7 @@
 import loglevel from 'loglevel';
 
 /** One field of a log line. */
-export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
+export type LogFields = Readonly<Record<string, unknown>>;
 
 /** Writes structured lines; used for changes of state only, counters carry the rest. */
 export type Logger = {
@@ -10,17 +10,18 @@
 };
 
 /**
- * Makes a logger that prints one JSON object a line to standard error.
+ * Makes a logger that prints one JSON object a line.
  *
  * @param program - The name of the program that logs.
  * @param identity - The name of the host that it runs on.
  * @param wallClock - Gives the time of day for the line.
+ * @param write - Takes each line; standard error where it is left out.
  * @returns The logger.
  */
-export function createLogger(program: string, identity: string, wallClock: () => Date): Logger {
+export function createLogger(program: string, identity: string, wallClock: () => Date, write = writeToStandardError): Logger {
 	const sink = loglevel.getLogger(program);
 	sink.methodFactory = () => (line: unknown) => {
-		process.stderr.write(`${String(line)}\n`);
+		write(String(line));
 	};
 
 	sink.setLevel('info', false);
@@ -37,6 +38,10 @@
 	};
 }
 
+function writeToStandardError(line: string): void {
+	process.stderr.write(`${line}\n`);
+}
+
 /** A logger that drops every line. */
 export const silentLogger: Logger = {
 	info() {/* Dropped. */},
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -1,6 +1,7 @@
 import {build} from 'esbuild';
 
 const programs = {
+	'lacewingpoint-host': 'platform/src/main.ts',
 	'lacewingpoint-router': 'packages/router/src/main.ts',
 	'lacewingpoint-controller': 'packages/controller/src/main.ts',
 	lacewingpointctl: 'packages/command-line/src/main.ts',
@@ -9,7 +10,8 @@
 
 await build({
 	entryPoints: programs,
-	outdir: 'dist',
+	// The deploy file names another folder.
+	outdir: process.argv[2] ?? 'dist',
 	outExtension: {'.js': '.mjs'},
 	bundle: true,
 	platform: 'node',
