Weights: hold the lease while stopping, tell the next holder how long ago the last order was, never use weights far out of date

Cause: with all hosts restarted in turn each holder released the lease at once and the next waited 3.5 s, so no roll-out got further than two servers; servers that came back with old weights took requests whatever the age.

--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -20,7 +20,13 @@
 /** The part of an engine's memory taken to hold cached parts; running requests take the rest. */
 const cacheShare = 0.8;
 
-type NamedWeights = {readonly version: number; readonly revision: number; readonly knownSince: Milliseconds};
+/** A version known from the first reading after a start may have been named this long before. */
+const assumedAge: Milliseconds = 5000;
+
+/** Named versions remembered for each model: a server may be several behind. */
+const rememberedVersions = 16;
+
+type NamedWeights = {readonly version: number; readonly revision: number; knownSince: Milliseconds};
 
 /** Everything that a host believes of the configuration, servers, weights and hosts, with its age. */
 export class Beliefs {
@@ -39,7 +45,8 @@
 	onHolder: (holder: string | undefined) => void = () => {/* Nobody listens yet. */};
 	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
-	readonly #wantedWeights = new Map<string, NamedWeights>();
+	/** Named versions by model, oldest first. */
+	readonly #namedWeights = new Map<string, NamedWeights[]>();
 	/** Weights that servers were seen to run, fresher than their entries: by server, then model. */
 	readonly #seenWeights = new Map<string, Map<string, number>>();
 	readonly #loadingUntil = new Map<string, Milliseconds>();
@@ -108,10 +115,12 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		for (const [model, {version, revision}] of this.#wantedWeights) {
-			changes.push({
-				type: 'weights', revision, model, version,
-			});
+		for (const [model, named] of this.#namedWeights) {
+			for (const {version, revision, knownSince} of named) {
+				changes.push({
+					type: 'weights', revision, model, version, age: this.#now() - knownSince,
+				});
+			}
 		}
 
 		for (const description of this.hosts.peers(this.#now())) {
@@ -135,13 +144,25 @@
 	 * @returns The version and how long it has been known; version 0 when none was named.
 	 */
 	wantedWeights(model: string): {readonly version: number; readonly age: Milliseconds} {
-		const named = this.#wantedWeights.get(model);
+		const named = this.#namedWeights.get(model)?.at(-1);
 		return named === undefined ? {version: 0, age: 0} : {version: named.version, age: this.#now() - named.knownSince};
 	}
 
+	/**
+	 * Tells how long a version of the weights has been out of date.
+	 *
+	 * @param model - The model.
+	 * @param version - The version that a server runs.
+	 * @returns The time since the next newer version was named; 0 when there is none.
+	 */
+	outdatedFor(model: string, version: number): Milliseconds {
+		const newer = this.#namedWeights.get(model)?.find(named => named.version > version);
+		return newer === undefined ? 0 : this.#now() - newer.knownSince;
+	}
+
 	/** @returns The models whose weights have been named. */
 	namedModels(): string[] {
-		return [...this.#wantedWeights.keys()];
+		return [...this.#namedWeights.keys()];
 	}
 
 	/**
@@ -181,13 +202,18 @@
 	}
 
 	/**
-	 * Notes that a server is about to load weights and takes no requests.
+	 * Notes that a server is about to load weights and takes no requests, or that it takes them again.
 	 *
 	 * @param id - The server.
-	 * @param until - When the load is over at the latest.
+	 * @param until - When the load is over at the latest; in the past when it is over.
 	 */
 	noteLoading(id: string, until: Milliseconds): void {
-		this.#loadingUntil.set(id, until);
+		if (until <= this.#now()) {
+			this.#loadingUntil.delete(id);
+			return;
+		}
+
+		this.#loadingUntil.set(id, Math.max(this.#loadingUntil.get(id) ?? 0, until));
 	}
 
 	/**
@@ -222,14 +248,7 @@
 			}
 
 			case 'weights': {
-				const known = this.#wantedWeights.get(change.model);
-				if (change.version > (known?.version ?? 0)) {
-					this.#wantedWeights.set(change.model, {version: change.version, revision: change.revision, knownSince: this.#now()});
-					this.#log.info('weights-named', {
-						model: change.model, version: change.version, revision: change.revision, source,
-					});
-				}
-
+				this.#applyNamedWeights(change, source);
 				break;
 			}
 
@@ -282,6 +301,25 @@
 		});
 	}
 
+	#applyNamedWeights(change: BeliefChange & {readonly type: 'weights'}, source: string): void {
+		const {model, version, revision} = change;
+		const named = this.#namedWeights.get(model) ?? [];
+		// What a host finds when it starts was named before; a peer knows how long.
+		const age = change.age ?? (this.#revision === 0 ? assumedAge : 0);
+		const knownSince = this.#now() - age;
+		const known = named.find(candidate => candidate.version === version);
+		if (known !== undefined) {
+			known.knownSince = Math.min(known.knownSince, change.age === undefined ? known.knownSince : knownSince);
+			return;
+		}
+
+		this.#namedWeights.set(model, [...named, {version, revision, knownSince}]
+			.toSorted((left, right) => left.version - right.version).slice(-rememberedVersions));
+		this.#log.info('weights-named', {
+			model, version, revision, age: Math.round(age), source,
+		});
+	}
+
 	#applyServer(entry: ServerEntry, revision: number, source: string): void {
 		const before = this.servers.find(entry.id);
 		const change = this.servers.put(entry, revision);
@@ -297,6 +335,7 @@
 		for (const [model, version] of Object.entries(entry.weights)) {
 			if (before !== undefined && change === 'entry' && version > (before.weights[model] ?? 0) && version > (this.#seenWeights.get(entry.id)?.get(model) ?? 0)) {
 				this.prompts.drop(entry.id);
+				this.#loadingUntil.delete(entry.id);
 			}
 		}
 
--- a/packages/host/src/dispatcher.ts
+++ b/packages/host/src/dispatcher.ts
@@ -47,20 +47,32 @@
 /** The time of a plain call until outcomes are known, for the estimate of waits. */
 const plainServiceTime: Milliseconds = 50;
 
+/** No request is sent to weights that will be out of date for too long by the time it begins: servers may queue it this long. */
+const beginMargin: Milliseconds = 1500;
+
+export type DispatcherOptions = {
+	readonly failureDomain: string;
+	/** How long weights may be out of date when a request begins on them. */
+	readonly weightsWithin: Milliseconds;
+	readonly now: () => Milliseconds;
+};
+
 /** Chooses servers by what the host believes, and keeps those who wait in line. */
 export class Dispatcher {
 	readonly #beliefs: Beliefs;
 	readonly #placer: EnginePlacer;
 	readonly #failureDomain: string;
+	readonly #weightsWithin: Milliseconds;
 	readonly #now: () => Milliseconds;
 	readonly #lines = new Map<string, WaitingLine<Waiter>>();
 	#isOffering = false;
 
-	constructor(beliefs: Beliefs, failureDomain: string, now: () => Milliseconds) {
+	constructor(beliefs: Beliefs, options: DispatcherOptions) {
 		this.#beliefs = beliefs;
 		this.#placer = new EnginePlacer(beliefs.prompts);
-		this.#failureDomain = failureDomain;
-		this.#now = now;
+		this.#failureDomain = options.failureDomain;
+		this.#weightsWithin = options.weightsWithin;
+		this.#now = options.now;
 	}
 
 	get waiting(): number {
@@ -173,16 +185,17 @@
 	#placeGeneration(question: PlacementQuestion, service: Service, candidates: readonly ServerEntry[]): PlacementAnswer {
 		const now = this.#now();
 		const generation = question.request.generation!;
-		const wanted = this.#beliefs.wantedWeights(generation.model);
 		const rows: EngineRow[] = [];
 		for (const entry of candidates) {
 			const weightsVersion = this.#beliefs.weightsAt(entry, generation.model);
-			if (weightsVersion > 0) {
+			const outdatedFor = this.#beliefs.outdatedFor(generation.model, weightsVersion);
+			if (weightsVersion > 0 && outdatedFor < this.#weightsWithin - beginMargin) {
 				rows.push({
 					id: entry.id,
 					address: entry.address,
 					failureDomain: entry.failureDomain,
 					weightsVersion,
+					isOutdated: outdatedFor >= oldWeightsGrace,
 					slots: entry.slots,
 					memoryTokens: service.engine!.memoryTokens,
 					load: this.#beliefs.loads.total(entry.id, now),
@@ -207,8 +220,6 @@
 		}, rows, {
 			failureDomain: this.#failureDomain,
 			store,
-			wantedVersion: wanted.version,
-			isOldVersionCostly: wanted.age >= oldWeightsGrace,
 			now,
 		});
 		if (placement === undefined) {
--- a/packages/host/src/host-registration.ts
+++ b/packages/host/src/host-registration.ts
@@ -74,7 +74,7 @@
 		}
 
 		const announced = await this.#store.announce(this.#description, lease.value);
-		if (announced.isOk && announced.value) {
+		if (announced.isOk) {
 			this.#lease = lease.value;
 			this.#renewedAt = this.#now();
 			this.#log.info('registered', {lease: lease.value});
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -79,7 +79,7 @@
 		const {settings, adapter, log, random, now, wallClock} = parts;
 		this.#parts = parts;
 		this.#beliefs = new Beliefs(log, now);
-		this.#dispatcher = new Dispatcher(this.#beliefs, settings.description.failureDomain, now);
+		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: settings.weightsWithin, now});
 		this.#connections = new BackendConnections({
 			connectTimeout: 300,
 			idleTimeout: 4000,
@@ -169,15 +169,17 @@
 		this.#isStopping = true;
 		log.info('stop', {requests: this.#runs.size, connections: this.#clients?.connections() ?? 0});
 		this.#links.tell();
-		await Promise.all([this.#weights.release(), this.#registration.release()]);
+		this.#weights.stopElecting();
+		await this.#registration.release();
 		const lastAnswer = startedAt + settings.stopGrace - stopMargin;
 		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, settings.longestKeep) + 400;
-		while (now() < lastAnswer && (now() < addressesForgotten || this.#runs.size > 0)) {
+		while (now() < lastAnswer && (now() < addressesForgotten || this.#runs.size > 0 || this.#weights.hasWork)) {
 			await new Promise(resolve => {
 				setTimeout(resolve, 50);
 			});
 		}
 
+		await this.#weights.release();
 		log.info('stopped', {requests: this.#runs.size, took: Math.round(now() - startedAt)});
 		this.#links.tell();
 		this.#watch.dispose();
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -20,7 +20,7 @@
 	= | {readonly type: 'configuration'; readonly revision: number; readonly configuration: Configuration}
 		| {readonly type: 'server'; readonly revision: number; readonly entry: ServerEntry}
 		| {readonly type: 'server-gone'; readonly revision: number; readonly id: string}
-		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number}
+		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number; /** How long ago it was named, where a peer tells. */ readonly age?: Milliseconds | undefined}
 		| {readonly type: 'host'; readonly revision: number; readonly description: HostDescription}
 		| {readonly type: 'host-gone'; readonly revision: number; readonly name: string}
 		| {readonly type: 'holder'; readonly revision: number; readonly holder?: string | undefined}
@@ -49,10 +49,10 @@
 	watch(after: number, wait: Milliseconds): Promise<Result<BeliefReading, StoreError>>;
 	/** Reads one key of the product's own. */
 	read(key: string): Promise<Result<StoreItem | undefined, StoreError>>;
-	/** Writes keys of the product's own, all or none; false when a condition does not hold. */
-	write(writes: readonly StoreWrite[]): Promise<Result<boolean, StoreError>>;
+	/** Writes keys of the product's own, all or none: gives their revision, nothing when a condition does not hold. */
+	write(writes: readonly StoreWrite[]): Promise<Result<number | undefined, StoreError>>;
 	/** Makes a host's description known under a lease. */
-	announce(description: HostDescription, lease: number): Promise<Result<boolean, StoreError>>;
+	announce(description: HostDescription, lease: number): Promise<Result<number | undefined, StoreError>>;
 	grantLease(ttl: Milliseconds): Promise<Result<number, StoreError>>;
 	renewLease(lease: number): Promise<Result<void, StoreError>>;
 	endLease(lease: number): Promise<Result<void, StoreError>>;
@@ -166,6 +166,8 @@
 	readonly seeds: readonly string[];
 	readonly memory: Bytes;
 	readonly weightsLease: Milliseconds;
+	/** How old a named version of the weights may be when a request still begins on an older one. */
+	readonly weightsWithin: Milliseconds;
 	readonly stopGrace: Milliseconds;
 	/** The longest time that clients keep an address. */
 	readonly longestKeep: Milliseconds;
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -60,6 +60,9 @@
 /** An idempotent call is tried elsewhere when it has taken this many times its objective. */
 const silentCallFactor = 2;
 
+/** A model server that refuses while newer weights are named is loading them: it is left alone until the holder tells or this long. */
+const refusalPause: Milliseconds = 300;
+
 type Attempt = {
 	readonly chosen: ChosenServer;
 	readonly sentAt: Milliseconds;
@@ -467,6 +470,10 @@
 			beliefs.health.noteUnreachable(entry.id, now());
 		}
 
+		if (attempt.chosen.engine !== undefined && beliefs.outdatedFor(this.received.request.generation!.model, attempt.chosen.engine.weightsVersion) > 0) {
+			beliefs.noteLoading(entry.id, now() + refusalPause);
+		}
+
 		this.#closeAttempt(attempt, `not run (${attempt.status})`);
 		attempt.exchange?.abort();
 		if (this.#sends < this.#route!.maxServers + sendsBeyondRuns && this.#context.retryBudget(this.#service).take()) {
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights-controller.ts
@@ -2,6 +2,7 @@
 import {
 	type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, describeError, messageOf,
 } from '@lacewingpoint/shared';
+import * as v from 'valibot';
 import type {BackendConnections} from './backend-connections.js';
 import type {Beliefs} from './beliefs.js';
 import type {HostLinks} from './host-links.js';
@@ -20,8 +21,15 @@
 /** Orders stop this long before the lease could end, for what an order takes on its way. */
 const leaseMargin: Milliseconds = 500;
 
+/** What a new holder adds to the pause after the last order of the one before. */
+const turnMargin: Milliseconds = 150;
+
 /** Hosts that see the lease free wait up to this long, so that they do not all write at once. */
-const electionSpread: Milliseconds = 200;
+const electionSpread: Milliseconds = 150;
+
+/** Hosts that have run longer leave the lease to others by up to this: in a restart of all in turn they are the next to go. */
+const seniorityPause: Milliseconds = 250;
+const seniorAfter: Milliseconds = 30_000;
 
 /** An order without effect is given again after this long: unanswered ones may act for some ten seconds. */
 const orderExpiry: Milliseconds = 8000;
@@ -40,6 +48,8 @@
 type Tenure = {
 	readonly lease: number;
 	readonly term: number;
+	/** The store's revision of the term's record. */
+	readonly termRevision: number;
 	/** Orders may be given from here on: the holder before has stopped by then. */
 	readonly ordersFrom: Milliseconds;
 	/** When the renewal was sent that succeeded last. */
@@ -70,15 +80,24 @@
 	readonly #underway = new Set<string>();
 	readonly #loading = new Set<string>();
 	readonly #pausedUntil = new Map<string, Milliseconds>();
+	readonly #startedAt: Milliseconds;
+	#lastOrderAt = Number.NEGATIVE_INFINITY;
 	#tenure: Tenure | undefined;
 	#holder: string | undefined;
 	#isElecting = false;
 	#isRenewing = false;
 	#isStopped = false;
+	#isLeaving = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: WeightsControllerOptions) {
 		this.#options = options;
+		this.#startedAt = options.now();
+	}
+
+	/** Whether this host has servers still to bring to the named weights. */
+	get hasWork(): boolean {
+		return this.#tenure !== undefined && (this.#underway.size > 0 || this.#loading.size > 0 || this.#dueRows().length > 0);
 	}
 
 	/** Starts the rounds. */
@@ -99,20 +118,31 @@
 		}
 
 		this.#holder = holder;
-		if (holder === undefined) {
+		// Its own name without a tenure is that of this host before its restart.
+		if (holder === undefined || holder === this.#options.name) {
 			void this.#elect();
 		}
 	}
 
-	/** Gives the lease back. */
+	/** Leaves the lease to others if it becomes free: this host is about to stop. */
+	stopElecting(): void {
+		this.#isLeaving = true;
+	}
+
+	/** Gives the lease back and tells how long ago the last order was given, so that the next holder waits no longer than it must. */
 	async release(): Promise<void> {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
 		const tenure = this.#tenure;
 		this.#tenure = undefined;
-		if (tenure !== undefined) {
-			await this.#options.store.endLease(tenure.lease);
+		if (tenure === undefined) {
+			return;
 		}
+
+		const {store, name, now} = this.#options;
+		const quiet = Math.min(now() - this.#lastOrderAt, this.#options.leaseTime);
+		await store.write([{key: termKey, value: JSON.stringify({term: tenure.term, holder: name, quiet}), expected: tenure.termRevision}]);
+		await store.endLease(tenure.lease);
 	}
 
 	dispose(): void {
@@ -163,29 +193,38 @@
 	}
 
 	async #elect(): Promise<void> {
-		if (this.#isElecting || this.#isStopped) {
+		if (this.#isElecting || this.#tenure !== undefined) {
 			return;
 		}
 
+		const {random, now, name} = this.#options;
 		this.#isElecting = true;
-		await pause(this.#options.random.next() * electionSpread);
-		while (this.#holder === undefined && this.#tenure === undefined && !this.#isStopped) {
+		const seniority = Math.min((now() - this.#startedAt) / seniorAfter, 1) * seniorityPause;
+		await pause(seniority + (random.next() * electionSpread));
+		while ((this.#holder === undefined || this.#holder === name) && this.#tenure === undefined && !this.#isStopped && !this.#isLeaving) {
 			if (!await this.#tryToHold()) {
-				await pause(electionSpread * (1 + this.#options.random.next()));
+				await pause(electionSpread * (1 + random.next()));
 			}
 		}
 
 		this.#isElecting = false;
 	}
 
+	/** @returns Whether the lease has a holder now, this host or another. */
 	async #tryToHold(): Promise<boolean> {
 		const {store, name, leaseTime, log, now} = this.#options;
 		const last = await store.read(termKey);
-		if (last.isErr) {
+		const held = await store.read(holderKey);
+		if (last.isErr || held.isErr) {
 			return false;
 		}
 
-		const before = last.value === undefined ? undefined : JSON.parse(last.value.value) as {readonly term: number; readonly holder: string};
+		if (held.value !== undefined && held.value.value !== name) {
+			this.#holder = held.value.value;
+			return true;
+		}
+
+		const before = last.value === undefined ? undefined : readTerm(last.value.value);
 		const sentAt = now();
 		const lease = await store.grantLease(leaseTime);
 		if (lease.isErr) {
@@ -195,36 +234,43 @@
 		const term = (before?.term ?? 0) + 1;
 		const written = await store.write([
 			{
-				key: holderKey, value: name, expected: 0, lease: lease.value,
+				key: holderKey, value: name, expected: held.value?.revision ?? 0, lease: lease.value,
 			},
-			{key: termKey, value: JSON.stringify({term, holder: name}), expected: last.value?.revision ?? 0},
+			{key: termKey, value: JSON.stringify({term, holder: name, quiet: 0}), expected: last.value?.revision ?? 0},
 		]);
-		if (written.isErr || !written.value) {
+		if (written.isErr || written.value === undefined) {
 			await store.endLease(lease.value);
-			return written.isOk;
+			return false;
 		}
 
-		// The holder before may have given an order just before its lease ended.
-		const ordersFrom = before === undefined || before.holder === name ? now() : now() + leaseTime + leaseMargin;
+		// The holder before may have given an order just before it lost the lease.
+		const ordersIn = before === undefined || before.holder === name ? 0 : Math.max(leaseTime - before.quiet, 0) + turnMargin;
 		this.#holder = name;
 		this.#tenure = {
-			lease: lease.value, term, ordersFrom, renewedAt: sentAt, renewalSentAt: sentAt,
+			lease: lease.value, term, termRevision: written.value, ordersFrom: now() + ordersIn, renewedAt: sentAt, renewalSentAt: sentAt,
 		};
-		log.info('weights-lease-held', {term, before: before?.holder, ordersIn: Math.round(ordersFrom - now())});
+		log.info('weights-lease-held', {
+			term, before: before?.holder, quiet: before?.quiet, ordersIn,
+		});
 		return true;
 	}
 
 	#orderDue(tenure: Tenure): void {
+		for (const {entry, row, model, wanted} of this.#dueRows()) {
+			void this.#order(tenure, entry, row, model, wanted);
+		}
+	}
+
+	#dueRows(): Array<{readonly entry: ServerEntry; readonly row: RolloutRow; readonly model: string; readonly wanted: number}> {
 		const {beliefs, now} = this.#options;
-		for (const model of beliefs.namedModels()) {
+		return beliefs.namedModels().flatMap(model => {
 			const wanted = beliefs.wantedWeights(model).version;
 			const entries = beliefs.servers.all().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining);
 			const rows = entries.map(entry => this.#row(entry, model));
-			for (const row of this.#rollout.due(wanted, rows, now())) {
-				const entry = entries.find(candidate => candidate.id === row.server)!;
-				void this.#order(tenure, entry, row, model, wanted);
-			}
-		}
+			return this.#rollout.due(wanted, rows, now()).map(row => ({
+				entry: entries.find(candidate => candidate.id === row.server)!, row, model, wanted,
+			}));
+		});
 	}
 
 	#row(entry: ServerEntry, model: string): RolloutRow {
@@ -265,6 +311,7 @@
 		}
 
 		metrics.count('orders', {model});
+		this.#lastOrderAt = now();
 		this.#rollout.noteOrder(row, version, now());
 		const answer = await this.#call(entry, 'POST', backend.orderPath, backend.orderBody({
 			model, version, holder: name, fencingToken: tenure.term, expectedOrders: report.orders,
@@ -318,8 +365,11 @@
 		}
 
 		this.#loading.delete(entry.id);
-		this.#rollout.noteRefusal(entry.id);
-		this.#orderFailed(entry, 'the order had no effect');
+		// A host that stops leaves the servers that load to the next holder.
+		if (!this.#isStopped) {
+			this.#rollout.noteRefusal(entry.id);
+			this.#orderFailed(entry, 'the order had no effect');
+		}
 	}
 
 	#noteWeights(entry: ServerEntry, model: string, version: number): void {
@@ -387,6 +437,13 @@
 	}
 }
 
+type TermRecord = {readonly term: number; readonly holder: string; readonly quiet: Milliseconds};
+
+function readTerm(text: string): TermRecord | undefined {
+	const checked = v.safeParse(v.object({term: v.number(), holder: v.string(), quiet: v.optional(v.number(), 0)}), JSON.parse(text));
+	return checked.success ? checked.output : undefined;
+}
+
 async function pause(time: Milliseconds): Promise<void> {
 	await new Promise(resolve => {
 		setTimeout(resolve, time);
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -11,6 +11,8 @@
 	readonly failureDomain: string;
 	/** The weights that it runs for the request's model. */
 	readonly weightsVersion: number;
+	/** Newer weights were named so long ago that an answer on these is worth less. */
+	readonly isOutdated: boolean;
 	readonly slots: number;
 	readonly memoryTokens: Tokens;
 	readonly load: HostLoad;
@@ -37,9 +39,6 @@
 	/** The host's own failure domain: bytes between domains cost. */
 	readonly failureDomain: string;
 	readonly store: PromptStoreRow | undefined;
-	/** The version that the weights ought to have, and since when. */
-	readonly wantedVersion: number;
-	readonly isOldVersionCostly: boolean;
 	readonly now: Milliseconds;
 };
 
@@ -169,7 +168,7 @@
 		const cost = predicted
 			+ (fetchTime * (options.fetchWeight - 1))
 			+ this.#rereadCost(generation, row, rows, own.parts, source)
-			+ (context.isOldVersionCostly && row.weightsVersion < context.wantedVersion ? generation.objective * options.oldWeightsShare : 0)
+			+ (row.isOutdated ? generation.objective * options.oldWeightsShare : 0)
 			+ (row.failureDomain === context.failureDomain ? 0 : options.acrossDomains)
 			+ (row.isFailing ? options.failing : 0);
 		const sharedParts = generation.parts.slice(0, -1);
