--- a/packages/host/src/belief-watch.ts
+++ b/packages/host/src/belief-watch.ts
@@ -5,7 +5,7 @@
 import type {ControlStore} from './ports.js';
 
 /** How long the store holds a watch: a watch that has gone silent is noticed after this and the client's margin. */
-const watchWait: Milliseconds = 1400;
+const watchWait: Milliseconds = 2000;
 
 /** Pauses between tries while the store does not answer. */
 const retryPause = {shortest: 50, longest: 400} as const;
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -17,6 +17,9 @@
 /** Loads told by a peer that has fallen silent count this long: its requests end within seconds. */
 const peerLoadExpiry: Milliseconds = 1500;
 
+/** The holder tells again and again which servers are to run empty; its word counts this long. */
+const emptyingExpiry: Milliseconds = 500;
+
 /** The part of an engine's memory taken to hold cached parts; running requests take the rest. */
 const cacheShare = 0.8;
 
@@ -34,7 +37,7 @@
 	readonly hosts = new HostDirectory({silence: hostSilence, forgetAfter: hostForgetAfter});
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly health = new ServerHealth({
-		firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, forgiveAfter: 5000,
+		firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, silence: 700, trustOwnEars: 400, forgiveAfter: 5000,
 	});
 	readonly prompts = new PromptCacheIndex();
 	readonly quota = new QuotaLedger({silence: hostSilence, startShare: 0.25, silentShare: 0.5});
@@ -50,6 +53,7 @@
 	/** Weights that servers were seen to run, fresher than their entries: by server, then model. */
 	readonly #seenWeights = new Map<string, Map<string, number>>();
 	readonly #loadingUntil = new Map<string, Milliseconds>();
+	readonly #emptyingUntil = new Map<string, Milliseconds>();
 	#routes: RouteIndex | undefined;
 	#configurationRevision = 0;
 	#configurationAt = 0;
@@ -185,7 +189,7 @@
 	 * @returns Whether that is news.
 	 */
 	noteWeights(id: string, model: string, version: number): boolean {
-		const entry = this.servers.find(id);
+		const entry = this.servers.entryOf(id);
 		if (entry === undefined || version <= this.weightsAt(entry, model)) {
 			return false;
 		}
@@ -227,6 +231,25 @@
 		return until !== undefined && this.#now() < until;
 	}
 
+	/**
+	 * Notes that a server is to be left to run empty.
+	 *
+	 * @param id - The server.
+	 */
+	noteEmptying(id: string): void {
+		this.#emptyingUntil.set(id, this.#now() + emptyingExpiry);
+	}
+
+	/**
+	 * Tells whether a server is to be left to run empty.
+	 *
+	 * @param id - The server.
+	 * @returns Whether others go first.
+	 */
+	isEmptying(id: string): boolean {
+		return this.#now() < (this.#emptyingUntil.get(id) ?? 0);
+	}
+
 	#applyChange(change: BeliefChange, source: string): void {
 		switch (change.type) {
 			case 'configuration': {
@@ -321,7 +344,7 @@
 	}
 
 	#applyServer(entry: ServerEntry, revision: number, source: string): void {
-		const before = this.servers.find(entry.id);
+		const before = this.servers.entryOf(entry.id);
 		const change = this.servers.put(entry, revision);
 		if (change === 'nothing') {
 			return;
@@ -363,5 +386,6 @@
 		this.health.forget(id);
 		this.#seenWeights.delete(id);
 		this.#loadingUntil.delete(id);
+		this.#emptyingUntil.delete(id);
 	}
 }
--- a/packages/host/src/dispatcher.ts
+++ b/packages/host/src/dispatcher.ts
@@ -200,6 +200,7 @@
 					memoryTokens: service.engine!.memoryTokens,
 					load: this.#beliefs.loads.total(entry.id, now),
 					slowness: this.#beliefs.health.slowness(entry.id, now),
+					isEmptying: this.#beliefs.isEmptying(entry.id),
 					isFailing: this.#beliefs.health.judge(entry.id, now) === 'failing',
 				});
 			}
@@ -214,7 +215,7 @@
 		const placement = this.#placer.choose({
 			parts: generation.parts,
 			promptTokens: generation.promptTokens,
-			outputTokens: generation.outputTokens,
+			outputTokens: Math.min(generation.expectedTokens ?? generation.outputTokens, generation.outputTokens),
 			objective: question.route.objective,
 			saltFor: version => `${salt} ${version}`,
 		}, rows, {
@@ -227,6 +228,10 @@
 			return {type: 'full', wait: ahead / (enginePlacementOptions.tokensPerMillisecond * rows.length)};
 		}
 
+		if (placement.readyAt > now) {
+			return {type: 'full', wait: placement.readyAt - now};
+		}
+
 		return {type: 'chosen', chosen: {entry: candidates.find(entry => entry.id === placement.server)!, engine: placement}};
 	}
 
--- a/packages/host/src/host-links.ts
+++ b/packages/host/src/host-links.ts
@@ -38,6 +38,8 @@
 	#notes: PlacementNote[] = [];
 	#weights: HostMessage['weights'] = [];
 	#loading: HostMessage['loading'] = [];
+	readonly #emptying = new Set<string>();
+	readonly #unreachable = new Set<string>();
 	#hasNews = false;
 	#lastTold = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -105,6 +107,26 @@
 		this.tell();
 	}
 
+	/**
+	 * Notes that a server is to be left to run empty.
+	 *
+	 * @param server - The server.
+	 */
+	noteEmptying(server: string): void {
+		this.#emptying.add(server);
+		this.#hasNews = true;
+	}
+
+	/**
+	 * Tells at once that a server could not be reached.
+	 *
+	 * @param server - The server.
+	 */
+	noteUnreachable(server: string): void {
+		this.#unreachable.add(server);
+		this.tell();
+	}
+
 	/** Tells the peers all there is to tell. */
 	tell(): void {
 		const {beliefs, now} = this.#options;
@@ -125,6 +147,8 @@
 		} while (this.#notes.length > 0);
 		this.#weights = [];
 		this.#loading = [];
+		this.#emptying.clear();
+		this.#unreachable.clear();
 	}
 
 	dispose(): void {
@@ -149,6 +173,8 @@
 			placements,
 			weights: this.#weights,
 			loading: this.#loading,
+			emptying: [...this.#emptying],
+			unreachable: [...this.#unreachable],
 			deaths: quarantine.suspects(now()),
 		};
 	}
@@ -175,7 +201,11 @@
 		beliefs.quota.hear(host.name, host.incarnation, new Map(Object.entries(message.charged)), moment);
 		beliefs.loads.hear(host.name, new Map(Object.entries(message.loads).map(([server, [requests, unreadTokens, memoryTokens]]) => [server, {requests, unreadTokens, memoryTokens}])), moment);
 		for (const note of message.placements) {
-			beliefs.prompts.note(note.place, note.salt, note.parts, moment + note.readyIn);
+			if (note.readyIn === undefined) {
+				beliefs.prompts.forget(note.place, note.salt, note.parts);
+			} else {
+				beliefs.prompts.note(note.place, note.salt, note.parts, moment + note.readyIn);
+			}
 		}
 
 		for (const {server, model, version} of message.weights) {
@@ -186,6 +216,14 @@
 			beliefs.noteLoading(server, moment + time);
 		}
 
+		for (const server of message.unreachable) {
+			beliefs.health.hearUnreachable(server, moment);
+		}
+
+		for (const server of message.emptying) {
+			beliefs.noteEmptying(server);
+		}
+
 		quarantine.merge(message.deaths, moment);
 		if (message.configuration > (beliefs.configuration?.version ?? 0) || message.revision > beliefs.revision) {
 			this.#options.onBehind(host, message);
--- a/packages/host/src/host-messages.ts
+++ b/packages/host/src/host-messages.ts
@@ -16,8 +16,8 @@
 	place: v.string(),
 	salt: v.string(),
 	parts: v.array(v.object({id: v.string(), tokens: v.number()})),
-	/** Time until the prompt will have been read. */
-	readyIn: v.number(),
+	/** Time until the prompt will have been read; nothing when it will not be: the server did not run it. */
+	readyIn: v.optional(v.number()),
 });
 
 const hostMessageSchema = v.object({
@@ -34,6 +34,10 @@
 	weights: v.array(v.object({server: v.string(), model: v.string(), version: v.number()})),
 	/** Servers about to load weights, and for how long at most. */
 	loading: v.array(v.object({server: v.string(), time: v.number()})),
+	/** Servers that could not be reached. */
+	unreachable: v.array(v.string()),
+	/** Servers to be left to run empty, before they load weights. */
+	emptying: v.array(v.string()),
 	/** Requests that were in flight at the death of a server. */
 	deaths: v.array(v.object({
 		fingerprint: v.number(), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -11,7 +11,7 @@
 import {BeliefWatch} from './belief-watch.js';
 import {Beliefs} from './beliefs.js';
 import {type ClientServer, listen, serveClients} from './client-server.js';
-import {Dispatcher} from './dispatcher.js';
+import {type ChosenServer, Dispatcher} from './dispatcher.js';
 import {HostLinks} from './host-links.js';
 import {HostRegistration} from './host-registration.js';
 import type {Adapter, HostSettings, ReceivedRequest} from './ports.js';
@@ -36,6 +36,15 @@
 
 const tickInterval: Milliseconds = 100;
 
+/** A prompt is taken to be read this much later than predicted, until its first token tells. */
+const readingMargin = 1.3;
+
+/** The time from a prompt's first token until the prompt store has its parts. */
+const savingTime: Milliseconds = 60;
+
+/** How often a host that knows no configuration asks a seed for one. */
+const seedInterval: Milliseconds = 300;
+
 /** The part of the memory that bodies of requests may take. */
 const bodyMemoryShare = 0.15;
 
@@ -73,6 +82,7 @@
 	#clients: ClientServer | undefined;
 	#isStopping = false;
 	#lastSnapshotAt = 0;
+	#seedTurn = 0;
 	#behindSince: Milliseconds | undefined;
 
 	constructor(parts: HostParts) {
@@ -81,7 +91,7 @@
 		this.#beliefs = new Beliefs(log, now);
 		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: settings.weightsWithin, now});
 		this.#connections = new BackendConnections({
-			connectTimeout: 300,
+			connectTimeout: 200,
 			idleTimeout: 4000,
 			idleConnections: 24,
 			rest: 4,
@@ -219,19 +229,23 @@
 			onPlaced: (chosen, run) => {
 				const {engine, entry} = chosen;
 				if (engine !== undefined && run.request.generation !== undefined) {
-					this.#notePlacement(entry.id, engine.salt, run, engine.predictedFirstToken);
+					this.#notePlacement(entry.id, engine.salt, run, engine.predictedFirstToken * readingMargin);
 					if (engine.saveTo !== undefined) {
-						this.#notePlacement(engine.saveTo, engine.salt, run, engine.predictedFirstToken * 2);
+						this.#notePlacement(engine.saveTo, engine.salt, run, (engine.predictedFirstToken * readingMargin) + savingTime);
 					}
 				}
 
 				this.#links.noteChange();
 			},
+			onPromptRead: (chosen, run, isRead) => {
+				this.#notePromptRead(chosen, run, isRead);
+			},
 			onBroken: (server, fingerprint) => {
 				this.#noteBroken(server, fingerprint);
 			},
 			onUnreachable: server => {
 				this.#noteDead(server);
+				this.#links.noteUnreachable(server);
 			},
 			onSettled: run => {
 				this.#runs.delete(run);
@@ -248,6 +262,34 @@
 		});
 	}
 
+	#notePromptRead(chosen: ChosenServer, run: ReceivedRequest, isRead: boolean): void {
+		const {engine, entry} = chosen;
+		if (engine === undefined || run.request.generation === undefined) {
+			return;
+		}
+
+		const {parts} = run.request.generation;
+		if (isRead) {
+			// Peers need to hear it only where others may wait for shared parts.
+			if (engine.saveTo !== undefined) {
+				this.#notePlacement(entry.id, engine.salt, run, 0);
+			}
+
+			return;
+		}
+
+		// What the server held before it still holds; the rest was not read.
+		let tokens = 0;
+		const unread = parts.filter(part => {
+			tokens += part.tokens;
+			return tokens > engine.cachedTokens;
+		});
+		for (const place of engine.saveTo === undefined ? [entry.id] : [entry.id, engine.saveTo]) {
+			this.#beliefs.prompts.forget(place, engine.salt, unread);
+			this.#links.notePlacement({place, salt: engine.salt, parts: unread});
+		}
+	}
+
 	// A reset alone may be a lost answer; a server that cannot be reached right after it has died of something it ran.
 	#noteBroken(server: string, fingerprint: number): void {
 		const {now} = this.#parts;
@@ -257,7 +299,7 @@
 
 	#noteDead(server: string): void {
 		const {now, log} = this.#parts;
-		const entry = this.#beliefs.servers.find(server);
+		const entry = this.#beliefs.servers.entryOf(server);
 		const suspects: SuspectDeath[] = (this.#broken.get(server) ?? [])
 			.filter(broken => now() - broken.at < deathWindow)
 			.map(broken => ({
@@ -286,10 +328,25 @@
 	#tick(): void {
 		const {now} = this.#parts;
 		this.#beliefs.tick();
+		this.#askSeed();
 		this.#quarantine.tick(now());
 		this.#beliefs.quota.setPeers(this.#beliefs.hosts.sharers(now()), now());
 	}
 
+	// A host that starts while the store is away knows no peers: the settings name some hosts.
+	#askSeed(): void {
+		const {settings, now, log} = this.#parts;
+		const seeds = settings.seeds.filter(seed => seed !== settings.snapshotAddress);
+		const seed = seeds[this.#seedTurn % seeds.length];
+		if (this.#beliefs.configuration !== undefined || seed === undefined || now() - this.#lastSnapshotAt < seedInterval) {
+			return;
+		}
+
+		this.#seedTurn++;
+		this.#lastSnapshotAt = now();
+		void this.#catchUp({name: seed, snapshotAddress: seed}, log);
+	}
+
 	#onBehind(peer: HostDescription, message: {readonly configuration: number; readonly revision: number}): void {
 		const {now, log} = this.#parts;
 		const isMissingConfiguration = this.#beliefs.configuration === undefined;
@@ -309,7 +366,7 @@
 		void this.#catchUp(peer, log);
 	}
 
-	async #catchUp(peer: HostDescription, log: Logger): Promise<void> {
+	async #catchUp(peer: {readonly name: string; readonly snapshotAddress: string}, log: Logger): Promise<void> {
 		const snapshot = await fetchSnapshot(peer.snapshotAddress);
 		if (snapshot.isErr) {
 			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -71,7 +71,10 @@
 		readonly model: string;
 		readonly parts: readonly PromptPart[];
 		readonly promptTokens: Tokens;
+		/** The most that it may generate. */
 		readonly outputTokens: Tokens;
+		/** What the client expects it to generate; right at the median, often far off. */
+		readonly expectedTokens: Tokens | undefined;
 	} | undefined;
 	/** How long the client will wait, from the moment at which it sent the request. */
 	readonly deadline: Milliseconds | undefined;
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -1,5 +1,5 @@
 import {
-	type Quarantine, type RequestLoad, type Route, type RouteIndex, type Workspace, RetryBudget,
+	type Quarantine, type RequestLoad, type Route, type RouteIndex, type Workspace, RetryBudget, memoryOf,
 } from '@lacewingpoint/routing';
 import {
 	type Logger, type Metrics, type Milliseconds, type RandomSource, hashText,
@@ -27,6 +27,8 @@
 	retryBudget(service: string): RetryBudget;
 	/** Tells the peers at once what was placed. */
 	onPlaced(chosen: ChosenServer, run: ReceivedRequest): void;
+	/** Tells the peers that a prompt has been read, or that it will not be. */
+	onPromptRead(chosen: ChosenServer, run: ReceivedRequest, isRead: boolean): void;
 	/** Notes that a server broke off a request that it may have run. */
 	onBroken(server: string, fingerprint: number): void;
 	/** Notes that a server could not be reached. */
@@ -57,8 +59,14 @@
 /** A stream without an event for this long has lost its server: model servers make several a second. */
 const streamSilence: Milliseconds = 1200;
 
-/** An idempotent call is tried elsewhere when it has taken this many times its objective. */
-const silentCallFactor = 2;
+/** A request that may run again is tried elsewhere after this many objectives, when its server sends nothing to anybody either. */
+const silentServerFactor = 1.4;
+
+/** And after this many in any case: a server may hang with some requests and answer others. */
+const hangingRequestFactor = 3;
+
+/** A server that owes answers and has sent nothing for this long is taken for dead. */
+const deadSilence: Milliseconds = 350;
 
 /** A model server that refuses while newer weights are named is loading them: it is left alone until the holder tells or this long. */
 const refusalPause: Milliseconds = 300;
@@ -176,7 +184,7 @@
 	#authorize(routes: RouteIndex): boolean {
 		const {request} = this.received;
 		const query = request.target.indexOf('?');
-		this.#route = routes.find(request.host, query === -1 ? request.target : request.target.slice(0, query));
+		this.#route = routes.match(request.host, query === -1 ? request.target : request.target.slice(0, query));
 		if (this.#route === undefined) {
 			this.#refuse(404, `no route for ${request.host}${request.target}`, undefined);
 			return false;
@@ -300,7 +308,7 @@
 			sentAt: now(),
 			load: {
 				unreadTokens: engine?.unreadTokens ?? 0,
-				memoryTokens: engine === undefined ? 0 : request.generation!.promptTokens + request.generation!.outputTokens,
+				memoryTokens: engine === undefined ? 0 : memoryOf(request.generation!),
 			},
 			exchange: undefined,
 			head: undefined,
@@ -313,9 +321,10 @@
 		this.#placedAt ??= attempt.sentAt;
 		this.#avoided.add(entry.id);
 		beliefs.loads.begin(entry.id, attempt.load);
+		beliefs.health.noteSent(entry.id, attempt.sentAt);
 		this.#context.onPlaced(chosen, this.received);
 		this.#trail.push({
-			server: entry.id, predicted: round(engine?.predictedFirstToken), cost: round(engine?.cost), nextBest: round(engine?.nextBestCost), cached: engine?.cachedTokens, fetched: engine?.fetchedTokens, unread: engine?.unreadTokens, from: engine?.fetchFrom, weights: engine?.weightsVersion, at: round(attempt.sentAt - this.received.receivedAt),
+			server: entry.id, predicted: round(engine?.predictedFirstToken), cost: round(engine?.cost), nextBest: round(engine?.nextBestCost), cached: engine?.cachedTokens, fetched: engine?.fetchedTokens, unread: engine?.unreadTokens, output: engine === undefined ? undefined : request.generation?.outputTokens, expected: engine === undefined ? undefined : request.generation?.expectedTokens, from: engine?.fetchFrom, weights: engine?.weightsVersion, at: round(attempt.sentAt - this.received.receivedAt),
 		});
 		const headers = backend.requestHeaders(request, {
 			server: entry.id,
@@ -356,22 +365,43 @@
 		}
 
 		const objective = this.#route!.objective;
-		const predicted = attempt.chosen.engine?.predictedFirstToken ?? 0;
-		const patience = attempt.hasFirstByte ? streamSilence : Math.max(objective * silentCallFactor, predicted * 2);
-		if (attempt.hasFirstByte && !this.#isStream) {
+		if (attempt.hasFirstByte) {
+			if (this.#isStream) {
+				this.#silenceTimer = setTimeout(() => {
+					this.#checkSilence(attempt, streamSilence, true);
+				}, streamSilence);
+			}
+
 			return;
 		}
 
+		const predicted = attempt.chosen.engine?.predictedFirstToken ?? 0;
+		const first = Math.max(objective * silentServerFactor, predicted * 2);
+		const last = Math.max(objective * hangingRequestFactor, predicted * 4);
 		this.#silenceTimer = setTimeout(() => {
-			if (!attempt.isOver && attempt === this.#attempt && !this.#isPaused && this.#timeLeft() > objective / 2) {
-				this.#attemptFailed({wasWritten: true, reason: `silent for ${Math.round(patience)} ms`}, true);
+			if (!this.#checkSilence(attempt, first, false)) {
+				this.#silenceTimer = setTimeout(() => {
+					this.#checkSilence(attempt, last, true);
+				}, last - first);
 			}
-		}, patience);
+		}, first);
+	}
+
+	#checkSilence(attempt: Attempt, silence: Milliseconds, isLastCheck: boolean): boolean {
+		const {beliefs, now} = this.#context;
+		const isDead = beliefs.health.silentFor(attempt.chosen.entry.id, now()) >= deadSilence;
+		if (attempt.isOver || attempt !== this.#attempt || this.#isPaused || this.#timeLeft() < this.#route!.objective / 2 || !(isDead || isLastCheck)) {
+			return false;
+		}
+
+		this.#attemptFailed({wasWritten: true, reason: `silent for ${Math.round(silence)} ms`}, isDead);
+		return true;
 	}
 
 	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
 		const {backend, beliefs, now} = this.#context;
 		const head = backend.readAnswerHead(status, headers);
+		beliefs.health.noteHeard(attempt.chosen.entry.id, now());
 		const {entry, engine} = attempt.chosen;
 		attempt.head = head;
 		attempt.status = status;
@@ -416,6 +446,7 @@
 			return;
 		}
 
+		this.#context.beliefs.health.noteHeard(attempt.chosen.entry.id, this.#context.now());
 		if (!attempt.hasFirstByte) {
 			this.#noteFirstByte(attempt);
 		}
@@ -434,6 +465,7 @@
 		attempt.hasFirstByte = true;
 		const taken = now() - attempt.sentAt;
 		if (engine !== undefined) {
+			this.#context.onPromptRead(attempt.chosen, this.received, true);
 			beliefs.loads.noteRead(entry.id, attempt.load.unreadTokens);
 			attempt.load = {...attempt.load, unreadTokens: 0};
 			beliefs.health.noteSpeed(entry.id, taken / Math.max(engine.predictedFirstToken, 1), now());
@@ -518,6 +550,7 @@
 		this.#context.onBroken(entry.id, this.#fingerprint);
 		if (isSilence) {
 			beliefs.health.noteUnreachable(entry.id, now());
+			this.#context.onUnreachable(entry.id);
 		}
 
 		const countsAsRun = attempt.head === undefined || !this.#hasBegun || attempt.status === 0;
@@ -542,7 +575,12 @@
 		const {beliefs, now, dispatcher} = this.#context;
 		attempt.isOver = true;
 		clearTimeout(this.#silenceTimer);
+		if (!attempt.hasFirstByte && attempt.chosen.engine !== undefined) {
+			this.#context.onPromptRead(attempt.chosen, this.received, false);
+		}
+
 		beliefs.loads.end(attempt.chosen.entry.id, attempt.load);
+		beliefs.health.noteEnded(attempt.chosen.entry.id);
 		Object.assign(this.#trail.at(-1)!, {result, took: round(now() - attempt.sentAt), status: attempt.status});
 		queueMicrotask(() => {
 			dispatcher.offer();
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights-controller.ts
@@ -40,7 +40,7 @@
 /** How often a server that loads weights is asked whether it has them. */
 const pollInterval: Milliseconds = 200;
 
-const callTimeout: Milliseconds = 800;
+const callTimeout: Milliseconds = 400;
 
 /** A server that did not answer a call of the roll-out is left alone this long. */
 const failurePause: Milliseconds = 500;
@@ -57,6 +57,15 @@
 	renewalSentAt: Milliseconds;
 };
 
+/** A server and the weights that it is to load, now or next. */
+type RolloutStep = {
+	readonly entry: ServerEntry;
+	readonly row: RolloutRow;
+	readonly model: string;
+	readonly version: number;
+	readonly isDue: boolean;
+};
+
 type CallAnswer = {readonly status: number; readonly body: string};
 
 export type WeightsControllerOptions = {
@@ -97,7 +106,7 @@
 
 	/** Whether this host has servers still to bring to the named weights. */
 	get hasWork(): boolean {
-		return this.#tenure !== undefined && (this.#underway.size > 0 || this.#loading.size > 0 || this.#dueRows().length > 0);
+		return this.#tenure !== undefined && (this.#underway.size > 0 || this.#loading.size > 0 || this.#steps().some(step => step.isDue));
 	}
 
 	/** Starts the rounds. */
@@ -256,19 +265,25 @@
 	}
 
 	#orderDue(tenure: Tenure): void {
-		for (const {entry, row, model, wanted} of this.#dueRows()) {
-			void this.#order(tenure, entry, row, model, wanted);
+		for (const step of this.#steps()) {
+			if (step.isDue) {
+				void this.#order(tenure, step);
+			} else {
+				this.#options.beliefs.noteEmptying(step.entry.id);
+				this.#options.links.noteEmptying(step.entry.id);
+			}
 		}
 	}
 
-	#dueRows(): Array<{readonly entry: ServerEntry; readonly row: RolloutRow; readonly model: string; readonly wanted: number}> {
+	#steps(): RolloutStep[] {
 		const {beliefs, now} = this.#options;
 		return beliefs.namedModels().flatMap(model => {
 			const wanted = beliefs.wantedWeights(model).version;
 			const entries = beliefs.servers.all().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining);
 			const rows = entries.map(entry => this.#row(entry, model));
-			return this.#rollout.due(wanted, rows, now()).map(row => ({
-				entry: entries.find(candidate => candidate.id === row.server)!, row, model, wanted,
+			const {due, upcoming} = this.#rollout.plan(wanted, rows, now());
+			return [...due, ...upcoming].map(row => ({
+				entry: entries.find(candidate => candidate.id === row.server)!, row, model, version: wanted, isDue: due.includes(row),
 			}));
 		});
 	}
@@ -280,19 +295,25 @@
 			incarnation: entry.incarnation,
 			weightsVersion: beliefs.weightsAt(entry, model),
 			requests: beliefs.loads.total(entry.id, now()).requests,
-			isBusy: this.#underway.has(entry.id) || this.#loading.has(entry.id),
-			isUsable: beliefs.health.judge(entry.id, now()) !== 'paused' && now() >= (this.#pausedUntil.get(entry.id) ?? 0),
+			isBusy: this.#loading.has(entry.id),
+			isEmptying: beliefs.isEmptying(entry.id),
+			isUsable: !this.#underway.has(entry.id) && beliefs.health.judge(entry.id, now()) !== 'paused' && now() >= (this.#pausedUntil.get(entry.id) ?? 0),
 		};
 	}
 
-	async #order(tenure: Tenure, entry: ServerEntry, row: RolloutRow, model: string, version: number): Promise<void> {
+	async #order(tenure: Tenure, step: RolloutStep): Promise<void> {
+		const {entry, row, model, version} = step;
 		const {beliefs, links, backend, name, log, metrics, now} = this.#options;
 		this.#underway.add(entry.id);
+		this.#rollout.noteOrder(row, version, now());
 		beliefs.noteLoading(entry.id, now() + orderExpiry);
 		links.noteLoading(entry.id, orderExpiry);
 		await pause(noticeTime);
 		const report = await this.#report(entry);
 		if (report === undefined || !this.#mayOrder(tenure)) {
+			// Others take its turn: a silent server must not hold up the roll-out.
+			this.#rollout.noteRefusal(entry.id);
+			beliefs.health.noteUnreachable(entry.id, now());
 			this.#orderFailed(entry, 'no report');
 			return;
 		}
@@ -305,14 +326,12 @@
 
 		if (report.isLoading) {
 			this.#underway.delete(entry.id);
-			this.#rollout.noteOrder(row, version, now());
 			void this.#poll(entry, model, version);
 			return;
 		}
 
 		metrics.count('orders', {model});
 		this.#lastOrderAt = now();
-		this.#rollout.noteOrder(row, version, now());
 		const answer = await this.#call(entry, 'POST', backend.orderPath, backend.orderBody({
 			model, version, holder: name, fencingToken: tenure.term, expectedOrders: report.orders,
 		}));
@@ -347,7 +366,7 @@
 		const until = now() + orderExpiry;
 		this.#loading.add(entry.id);
 		let idlePolls = 0;
-		while (now() < until && !this.#isStopped && beliefs.servers.find(entry.id)?.incarnation === entry.incarnation) {
+		while (now() < until && !this.#isStopped && beliefs.servers.entryOf(entry.id)?.incarnation === entry.incarnation) {
 			await pause(pollInterval);
 			const report = await this.#report(entry);
 			const seen = report?.weights[model] ?? 0;
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -18,6 +18,8 @@
 	readonly load: HostLoad;
 	/** Time taken over time predicted, lately. */
 	readonly slowness: number;
+	/** It is to run empty before it loads new weights. */
+	readonly isEmptying: boolean;
 	/** It fails part of its requests: used only when no other can be. */
 	readonly isFailing: boolean;
 };
@@ -29,6 +31,7 @@
 export type Generation = {
 	readonly parts: readonly PromptPart[];
 	readonly promptTokens: Tokens;
+	/** Tokens that it is expected to generate. */
 	readonly outputTokens: Tokens;
 	readonly objective: Milliseconds;
 	/** The text under which parts are shared on servers that run some version of the weights. */
@@ -56,17 +59,24 @@
 	readonly saveTo: string | undefined;
 	readonly predictedFirstToken: Milliseconds;
 	readonly cost: Milliseconds;
+	/** Shared parts are being read there until then: sent sooner, the request would have them read a second time. */
+	readonly readyAt: Milliseconds;
 	/** The cost at the next best server, for the log. */
 	readonly nextBestCost: Milliseconds | undefined;
 };
 
 export type EnginePlacementOptions = {
-	/** Prompt tokens that a server reads in a millisecond; each server's slowness corrects it. */
+	/** Prompt tokens that a server reads in a millisecond, without its steps; each server's slowness corrects it. */
 	readonly tokensPerMillisecond: number;
+	/** Prompts are read in pieces of this many tokens, one a step. */
+	readonly tokensPerStep: Tokens;
+	readonly stepTime: Milliseconds;
+	/** What each running request adds to a step. */
+	readonly stepTimePerRequest: Milliseconds;
+	/** What the steps that a request makes longer for all others in its batch weigh against its own waiting. */
+	readonly batchWeight: number;
 	/** Time to a first token with nothing to read or to wait for. */
 	readonly baseTime: Milliseconds;
-	/** What each running request adds to a step. */
-	readonly timePerRunningRequest: Milliseconds;
 	readonly fetchSetup: Milliseconds;
 	readonly fetchTokensPerMillisecond: number;
 	/** A fetch from another failure domain takes this much longer. */
@@ -77,6 +87,8 @@
 	readonly rereadTimePerToken: Milliseconds;
 	/** The share of the objective that a request on old weights weighs. */
 	readonly oldWeightsShare: number;
+	/** The share of the objective that a server weighs that is to run empty. */
+	readonly emptyingShare: number;
 	readonly acrossDomains: Milliseconds;
 	/** What a failing server weighs. */
 	readonly failing: Milliseconds;
@@ -88,20 +100,34 @@
 
 export const enginePlacementOptions: EnginePlacementOptions = {
 	tokensPerMillisecond: 110,
+	tokensPerStep: 1024,
+	stepTime: 3.5,
+	stepTimePerRequest: 0.1,
+	batchWeight: 0.05,
 	baseTime: 35,
-	timePerRunningRequest: 1,
 	fetchSetup: 8,
 	fetchTokensPerMillisecond: 350,
 	fetchFactorAcross: 2,
 	fetchWeight: 1.5,
 	rereadTimePerToken: 0.15,
 	oldWeightsShare: 0.6,
+	emptyingShare: 0.6,
 	acrossDomains: 4,
 	failing: 2000,
 	memoryShare: 0.9,
 	longestQueue: 400,
 };
 
+/**
+ * Estimates the memory that a generation takes on average while it runs: its prompt and half of what it generates.
+ *
+ * @param generation - The generation.
+ * @returns The tokens.
+ */
+export function memoryOf(generation: {readonly promptTokens: Tokens; readonly outputTokens: Tokens}): Tokens {
+	return generation.promptTokens + (generation.outputTokens / 2);
+}
+
 type Source = {readonly place: string; readonly address: string; readonly failureDomain: string; readonly tokens: Tokens};
 
 /**
@@ -147,12 +173,19 @@
 	}
 
 	#hasRoom(generation: Generation, row: EngineRow): boolean {
-		const memory = row.load.memoryTokens + generation.promptTokens + generation.outputTokens;
-		const queue = row.load.unreadTokens * row.slowness / this.#options.tokensPerMillisecond;
+		const memory = row.load.memoryTokens + memoryOf(generation);
+		const queue = this.#readTime(row, row.load.unreadTokens);
 		return row.load.requests === 0
 			|| (row.load.requests < row.slots && memory <= row.memoryTokens * this.#options.memoryShare && queue <= this.#options.longestQueue);
 	}
 
+	// Each piece of a prompt is read within a step of the whole batch, which grows with the running requests.
+	#readTime(row: EngineRow, tokens: Tokens): Milliseconds {
+		const {tokensPerMillisecond, tokensPerStep, stepTime, stepTimePerRequest} = this.#options;
+		const stepShare = (stepTime + (stepTimePerRequest * row.load.requests)) / tokensPerStep;
+		return tokens * ((1 / tokensPerMillisecond) + stepShare) * row.slowness;
+	}
+
 	#price(generation: Generation, row: EngineRow, rows: readonly EngineRow[], context: PlacementContext): EnginePlacement {
 		const options = this.#options;
 		const salt = generation.saltFor(row.weightsVersion);
@@ -162,17 +195,22 @@
 		const unread = Math.max(generation.promptTokens - own.tokens - fetched, 0);
 		const factor = source === undefined || source.failureDomain === row.failureDomain ? 1 : options.fetchFactorAcross;
 		const fetchTime = fetched === 0 ? 0 : options.fetchSetup + (fetched * factor / options.fetchTokensPerMillisecond);
-		const readTime = (row.load.unreadTokens + unread) * row.slowness / options.tokensPerMillisecond;
+		const readTime = this.#readTime(row, row.load.unreadTokens + unread);
 		const pendingTime = own.parts > 0 ? Math.max(own.readyAt - context.now, 0) : 0;
-		const predicted = (options.baseTime * row.slowness) + Math.max(readTime, pendingTime) + fetchTime + (row.load.requests * options.timePerRunningRequest);
+		const predicted = (options.baseTime * row.slowness) + Math.max(readTime, pendingTime) + fetchTime;
 		const cost = predicted
+			+ (row.load.requests * options.stepTimePerRequest * generation.outputTokens * options.batchWeight)
 			+ (fetchTime * (options.fetchWeight - 1))
 			+ this.#rereadCost(generation, row, rows, own.parts, source)
 			+ (row.isOutdated ? generation.objective * options.oldWeightsShare : 0)
+			+ (row.isEmptying ? generation.objective * options.emptyingShare : 0)
 			+ (row.failureDomain === context.failureDomain ? 0 : options.acrossDomains)
 			+ (row.isFailing ? options.failing : 0);
 		const sharedParts = generation.parts.slice(0, -1);
-		const isStored = context.store === undefined || this.#index.match(context.store.address, salt, sharedParts).parts === sharedParts.length;
+		const stored = context.store === undefined ? undefined : this.#index.match(context.store.address, salt, sharedParts);
+		const isStored = stored === undefined || stored.parts === sharedParts.length;
+		// What the server is thought to hold may have yielded; the store then has it, and costs nothing otherwise.
+		const fallback = stored !== undefined && stored.parts > 0 && stored.readyAt <= context.now ? context.store?.address : undefined;
 		return {
 			server: row.id,
 			weightsVersion: row.weightsVersion,
@@ -180,10 +218,11 @@
 			cachedTokens: own.tokens,
 			fetchedTokens: fetched,
 			unreadTokens: unread,
-			fetchFrom: fetched > 0 ? source?.address : undefined,
+			fetchFrom: fetched > 0 ? source?.address : fallback,
 			saveTo: isStored ? undefined : context.store?.address,
 			predictedFirstToken: predicted,
 			cost,
+			readyAt: source !== undefined && source.tokens >= own.tokens ? 0 : this.#index.match(row.id, salt, sharedParts).readyAt,
 			nextBestCost: undefined,
 		};
 	}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -37,11 +37,11 @@
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
 export {
 	type EnginePlacement, type EnginePlacementOptions, type EngineRow, type Generation, type PlacementContext, type PromptStoreRow,
-	EnginePlacer, enginePlacementOptions,
+	EnginePlacer, enginePlacementOptions, memoryOf,
 } from './engine-placement.js';
 export {
 	type PlainPlacementOptions, type PlainServerRow, choosePlainServer, estimateWait, plainPlacementOptions,
 } from './service-placement.js';
 export {type WaitingRequest, WaitingLine} from './waiting-line.js';
-export {type RolloutOptions, type RolloutRow, WeightsRollout} from './weights-rollout.js';
+export {type RolloutOptions, type RolloutPlan, type RolloutRow, WeightsRollout} from './weights-rollout.js';
 export {type Place, nearHosts} from './near-hosts.js';
--- a/packages/routing/src/route-index.ts
+++ b/packages/routing/src/route-index.ts
@@ -29,7 +29,7 @@
 	 * @param path - The path without its query.
 	 * @returns The route, if any.
 	 */
-	find(host: string, path: string): Route | undefined {
+	match(host: string, path: string): Route | undefined {
 		const prefixes = this.#routes.get(host.replace(/:\d+$/v, '').toLowerCase());
 		if (prefixes === undefined) {
 			return undefined;
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -126,7 +126,7 @@
 	 * @param id - Its id.
 	 * @returns Its entry, if it is known.
 	 */
-	find(id: string): ServerEntry | undefined {
+	entryOf(id: string): ServerEntry | undefined {
 		return this.#rows.get(id)?.entry;
 	}
 
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -8,10 +8,17 @@
 	readonly smoothing: number;
 	/** A share of failures above this makes a server a last resort. */
 	readonly failingShare: number;
+	/** A server that owes answers and has sent nothing for this long is a last resort for more requests. */
+	readonly silence: Milliseconds;
+	/** A peer's word that a server cannot be reached is doubted when it was heard here within this time. */
+	readonly trustOwnEars: Milliseconds;
 	/** A server that failed some requests is tried again fully after this long without use. */
 	readonly forgiveAfter: Milliseconds;
 };
 
+/** How long a server has owed an answer, and when it was last heard. */
+type Contact = {owedSince: Milliseconds | undefined; heardAt: Milliseconds; owed: number};
+
 type Row = {
 	unreachable: number;
 	pausedUntil: Milliseconds;
@@ -29,6 +36,7 @@
 export class ServerHealth {
 	readonly #options: ServerHealthOptions;
 	readonly #rows = new Map<string, Row>();
+	readonly #contacts = new Map<string, Contact>();
 
 	constructor(options: ServerHealthOptions) {
 		this.#options = options;
@@ -44,8 +52,65 @@
 		const row = this.#row(server, now);
 		row.unreachable++;
 		const pause = this.#options.firstPause * (2 ** (row.unreachable - 1));
-		row.pausedUntil = now + Math.min(pause, this.#options.longestPause);
-		row.touchedAt = now;
+		this.#pause(server, now, Math.min(pause, this.#options.longestPause));
+	}
+
+	/**
+	 * Notes that a request was sent, so that an answer is owed.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 */
+	noteSent(server: string, now: Milliseconds): void {
+		const contact = this.#contacts.get(server) ?? {owedSince: undefined, heardAt: Number.NEGATIVE_INFINITY, owed: 0};
+		contact.owed++;
+		contact.owedSince ??= now;
+		this.#contacts.set(server, contact);
+	}
+
+	/**
+	 * Notes that something came from a server.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 */
+	noteHeard(server: string, now: Milliseconds): void {
+		const contact = this.#contacts.get(server);
+		if (contact !== undefined) {
+			contact.heardAt = now;
+			contact.owedSince = contact.owed > 0 ? now : undefined;
+		}
+	}
+
+	/**
+	 * Notes that a request is no longer under way.
+	 *
+	 * @param server - The server.
+	 */
+	noteEnded(server: string): void {
+		const contact = this.#contacts.get(server);
+		if (contact !== undefined) {
+			contact.owed--;
+			if (contact.owed <= 0) {
+				contact.owed = 0;
+				contact.owedSince = undefined;
+			}
+		}
+	}
+
+	/**
+	 * Takes in that a peer could not reach a server. A host that is itself cut off says so of every server: what has been heard
+	 * here lately counts for more.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 */
+	hearUnreachable(server: string, now: Milliseconds): void {
+		const heardAt = this.#contacts.get(server)?.heardAt ?? Number.NEGATIVE_INFINITY;
+		const isPaused = now < (this.#rows.get(server)?.pausedUntil ?? 0);
+		if (!isPaused && now - heardAt > this.#options.trustOwnEars) {
+			this.#pause(server, now, this.#options.firstPause);
+		}
 	}
 
 	/**
@@ -86,6 +151,19 @@
 	 */
 	forget(server: string): void {
 		this.#rows.delete(server);
+		this.#contacts.delete(server);
+	}
+
+	/**
+	 * Tells how long a server has owed answers without sending anything: a busy server is slow with some, a dead one with all.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 * @returns The time since it was last heard or since the oldest request was sent; 0 when it owes nothing.
+	 */
+	silentFor(server: string, now: Milliseconds): Milliseconds {
+		const owedSince = this.#contacts.get(server)?.owedSince;
+		return owedSince === undefined ? 0 : now - owedSince;
 	}
 
 	/**
@@ -96,6 +174,10 @@
 	 * @returns `good`, `failing` (a last resort) or `paused` (not to be used).
 	 */
 	judge(server: string, now: Milliseconds): 'good' | 'failing' | 'paused' {
+		if (this.silentFor(server, now) > this.#options.silence) {
+			return 'failing';
+		}
+
 		const row = this.#rows.get(server);
 		if (row === undefined) {
 			return 'good';
@@ -121,6 +203,12 @@
 		return row === undefined || now - row.touchedAt > this.#options.forgiveAfter ? 1 : row.slowness;
 	}
 
+	#pause(server: string, now: Milliseconds, time: Milliseconds): void {
+		const row = this.#row(server, now);
+		row.pausedUntil = now + time;
+		row.touchedAt = now;
+	}
+
 	#row(server: string, now: Milliseconds): Row {
 		const known = this.#rows.get(server);
 		if (known !== undefined) {
--- a/packages/routing/src/weights-rollout.ts
+++ b/packages/routing/src/weights-rollout.ts
@@ -11,6 +11,16 @@
 	readonly isBusy: boolean;
 	/** It can be reached. */
 	readonly isUsable: boolean;
+	/** The hosts have been asked to send it no more. */
+	readonly isEmptying: boolean;
+};
+
+/** What a roll-out does next. */
+export type RolloutPlan = {
+	/** Servers to order now. */
+	readonly due: readonly RolloutRow[];
+	/** Servers to order after those; with fewer requests under way by then, their loads begin sooner. */
+	readonly upcoming: readonly RolloutRow[];
 };
 
 export type RolloutOptions = {
@@ -40,15 +50,16 @@
 	 * @param wanted - The version that all servers ought to run.
 	 * @param rows - The servers of the model.
 	 * @param now - The present moment.
-	 * @returns The servers, in the order in which to give the orders.
+	 * @returns The servers to order and those that follow.
 	 */
-	due(wanted: number, rows: readonly RolloutRow[], now: Milliseconds): RolloutRow[] {
-		const atOnce = Math.max(Math.floor(rows.length * this.#options.shareAtOnce), 1);
+	plan(wanted: number, rows: readonly RolloutRow[], now: Milliseconds): RolloutPlan {
+		const atOnce = Math.max(Math.round(rows.length * this.#options.shareAtOnce), 1);
 		const loading = rows.filter(row => this.#isLoading(row, now)).length;
 		const candidates = rows.filter(row => row.isUsable && row.weightsVersion < wanted && !this.#isLoading(row, now));
-		return candidates
-			.toSorted((left, right) => left.weightsVersion - right.weightsVersion || left.requests - right.requests)
-			.slice(0, Math.max(atOnce - loading, 0));
+		const ordered = candidates.toSorted((left, right) =>
+			left.weightsVersion - right.weightsVersion || Number(right.isEmptying) - Number(left.isEmptying) || left.requests - right.requests);
+		const free = Math.max(atOnce - loading, 0);
+		return {due: ordered.slice(0, free), upcoming: ordered.slice(free, free + atOnce)};
 	}
 
 	/**
