Pass on an answer's headers without those of one connection; begin no second answer after a first

Ruled out: a reset taken for an end (tests with resets, short lengths and missing chunks pass before and after).

--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -8,3 +8,7 @@
 export {type KeyValueFaults, MemoryKeyValueService} from './memory-key-value-service.js';
 export {type PlatformFaults, PlatformStandIn} from './platform-stand-in.js';
 export {type SeenRequest, type ServiceFaults, ServiceStandIn} from './service-stand-in.js';
+export {
+	type PlatformRequest, type ServerBehaviour, PlatformServerStandIn, answerEvents, answerWhole, runAndReset, stampedHead,
+} from './platform-server.js';
+export {type StoreTrouble, PlatformStoreStandIn} from './platform-store.js';
--- /dev/null
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -0,0 +1,194 @@
+import {
+	type AddressInfo, type Server, type Socket, createServer,
+} from 'node:net';
+
+/** A request as a backend server has read it. */
+export type PlatformRequest = {
+	readonly method: string;
+	readonly target: string;
+	readonly headers: ReadonlyMap<string, string>;
+	readonly body: string;
+};
+
+/** Answers one request by writing bytes, so that answers can be wrong in any way. */
+export type ServerBehaviour = (request: PlatformRequest, socket: Socket, server: PlatformServerStandIn) => void;
+
+/** A backend server of the users' platform in small: it reads requests and answers as a test tells it. */
+export class PlatformServerStandIn {
+	readonly id: string;
+	/** Requests that it has begun to run. */
+	readonly ran: PlatformRequest[] = [];
+	behaviour: ServerBehaviour;
+	weights = 1;
+	orders = 0;
+	connections = 0;
+	readonly #sockets = new Set<Socket>();
+	readonly #server: Server;
+
+	constructor(id: string, behaviour: ServerBehaviour = answerWhole('hello')) {
+		this.id = id;
+		this.behaviour = behaviour;
+		this.#server = createServer(socket => {
+			this.connections++;
+			this.#sockets.add(socket);
+			socket.on('close', () => this.#sockets.delete(socket));
+			socket.on('error', () => {/* The peer's resets are part of tests. */});
+			this.#read(socket);
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Starts listening on a free port. */
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(0, '127.0.0.1', resolve);
+		});
+	}
+
+	/** Stops and resets its connections, as a crash does. */
+	dispose(): void {
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
+	/**
+	 * Writes what the server says of itself.
+	 *
+	 * @param service - The service.
+	 * @param more - Fields that differ.
+	 * @returns The entry.
+	 */
+	entry(service: string, more: Readonly<Record<string, unknown>> = {}): Record<string, unknown> {
+		return {
+			service, address: this.address, zone: 'a', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, seq: 1, born: 1_700_000_000_000, ...more,
+		};
+	}
+
+	#read(socket: Socket): void {
+		let text = '';
+		socket.on('data', chunk => {
+			text += chunk.toString('latin1');
+			for (;;) {
+				const end = text.indexOf('\r\n\r\n');
+				if (end === -1) {
+					return;
+				}
+
+				const [first = '', ...lines] = text.slice(0, end).split('\r\n');
+				const headers = new Map(lines.map(line => [line.slice(0, line.indexOf(':')).toLowerCase(), line.slice(line.indexOf(':') + 1).trim()]));
+				const length = Number(headers.get('content-length') ?? 0);
+				if (text.length < end + 4 + length) {
+					return;
+				}
+
+				const [method = '', target = ''] = first.split(' ');
+				const body = text.slice(end + 4, end + 4 + length);
+				text = text.slice(end + 4 + length);
+				this.#handle({
+					method, target, headers, body,
+				}, socket);
+			}
+		});
+	}
+
+	#handle(request: PlatformRequest, socket: Socket): void {
+		const expected = request.headers.get('expect-instance');
+		if (expected !== undefined && expected !== this.id) {
+			socket.write(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${this.id}\r\nContent-Length: 0\r\n\r\n`);
+			return;
+		}
+
+		if (request.target === '/report') {
+			const body = JSON.stringify({models: [{name: 'm', version: this.weights, adapters: []}], busy: false, seq: this.orders});
+			socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+			return;
+		}
+
+		if (request.target === '/order') {
+			this.weights = (JSON.parse(request.body) as {readonly version: number}).version;
+			this.orders++;
+			socket.write('HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n');
+			return;
+		}
+
+		if (Number(request.headers.get('expect-version') ?? this.weights) !== this.weights) {
+			socket.write(`HTTP/1.1 421 Misdirected Request\r\nInstance-Id: ${this.id}\r\nWeight-Versions: ${this.weights}\r\nContent-Length: 0\r\n\r\n`);
+			return;
+		}
+
+		this.behaviour(request, socket, this);
+	}
+}
+
+/**
+ * Writes the head of an answer that vouches for itself.
+ *
+ * @param request - The request.
+ * @param lines - Further headers.
+ * @returns The head.
+ */
+export function stampedHead(request: PlatformRequest, lines: readonly string[]): string {
+	return ['HTTP/1.1 200 OK', `Attempt-Id: ${request.headers.get('attempt-id') ?? ''}`, 'Response-Stamp: s', ...lines, '', ''].join('\r\n');
+}
+
+/**
+ * Answers with a body of known length.
+ *
+ * @param body - The body.
+ * @returns The behaviour.
+ */
+export function answerWhole(body: string): ServerBehaviour {
+	return (request, socket, server) => {
+		server.ran.push(request);
+		socket.write(`${stampedHead(request, [`Content-Length: ${body.length}`])}${body}`);
+	};
+}
+
+/**
+ * Streams events with ids that go on after the last one that the client has.
+ *
+ * @param count - How many events make the whole stream.
+ * @param breakAfter - Resets the connection within the event after this one.
+ * @returns The behaviour.
+ */
+export function answerEvents(count: number, breakAfter = Number.POSITIVE_INFINITY): ServerBehaviour {
+	return (request, socket, server) => {
+		server.ran.push(request);
+		socket.write(stampedHead(request, ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']));
+		const first = Number(request.headers.get('last-event-id') ?? 0) + 1;
+		for (let id = first; id <= count; id++) {
+			const event = `id: ${id}\ndata: piece ${id}\n\n`;
+			if (id > breakAfter) {
+				const half = event.slice(0, 8);
+				socket.write(`${half.length.toString(16)}\r\n${half}\r\n`, () => {
+					setImmediate(() => socket.resetAndDestroy());
+				});
+				return;
+			}
+
+			socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+		}
+
+		socket.write('0\r\n\r\n');
+	};
+}
+
+/**
+ * Runs the request, sends bytes and resets the connection.
+ *
+ * @param bytes - Makes what is sent before the reset.
+ * @returns The behaviour.
+ */
+export function runAndReset(bytes: (request: PlatformRequest) => string): ServerBehaviour {
+	return (request, socket, server) => {
+		server.ran.push(request);
+		socket.write(bytes(request), () => {
+			setTimeout(() => socket.resetAndDestroy(), 5);
+		});
+	};
+}
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,4 +1,6 @@
-import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer,
+} from 'node:http';
 import type {HostDescription, HostState} from '@lacewingpoint/coordination';
 import {
 	Quarantine, RetryBudget, type SuspectDeath, nearHosts,
@@ -151,7 +153,10 @@
 				log.info('request', {id, outcome: 'rejected', status, cause: reason});
 			},
 		});
-		await serveSnapshots(settings.snapshotAddress, () => this.#beliefs.snapshot());
+		const snapshots = await serveSnapshots(settings.snapshotAddress, () => this.#beliefs.snapshot());
+		this.#store.defer(() => {
+			closeServer(snapshots);
+		});
 		await this.#serveEndpoints();
 		this.#watch.start();
 		this.#registration.start();
@@ -168,6 +173,11 @@
 		});
 	}
 
+	/** Whether clients are served. */
+	get isServing(): boolean {
+		return this.#state() === 'serving' && this.#beliefs.servers.all().length > 0;
+	}
+
 	/** Leaves without cutting off a request: clients learn other addresses first. */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
@@ -192,7 +202,14 @@
 		await this.#weights.release();
 		log.info('stopped', {requests: this.#runs.size, took: Math.round(now() - startedAt)});
 		this.#links.tell();
+		await this.dispose();
+	}
+
+	/** Ends at once, as a loss of power does. */
+	async dispose(): Promise<void> {
 		this.#watch.dispose();
+		this.#weights.dispose();
+		await this.#registration.dispose();
 		this.#links.dispose();
 		this.#connections.dispose();
 		await this.#clients?.dispose();
@@ -404,6 +421,9 @@
 			const server = createServer({keepAliveTimeout: 5000}, (request, response) => {
 				router.lookup(request, response);
 			});
+			this.#store.defer(() => {
+				closeServer(server);
+			});
 			try {
 				await listen(server, address);
 			} catch (error) {
@@ -447,3 +467,8 @@
 		return `${this.#metrics.print()}${Object.entries(gauges).map(([name, value]) => `lacewingpoint_${name} ${value}\n`).join('')}`;
 	}
 }
+
+function closeServer(server: Server): void {
+	server.close();
+	server.closeAllConnections();
+}
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -136,6 +136,8 @@
 export type BackendProtocol = {
 	requestHeaders(request: ClientRequest, terms: SendTerms): HeaderList;
 	readAnswerHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
+	/** The headers of an answer that concern more than the one connection. */
+	answerHeaders(rawHeaders: HeaderList): HeaderList;
 	/** The path at which a model server reports. */
 	readonly reportPath: string;
 	readReport(body: unknown): Result<WeightsReport, LayerError>;
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -80,6 +80,8 @@
 	status: number;
 	isOver: boolean;
 	hasFirstByte: boolean;
+	/** How the end of the answer is told. */
+	framing: 'length' | 'chunks' | 'close' | undefined;
 };
 
 /** One request from its arrival to its last byte: route, authorize, charge, wait, place, send, relay, perhaps again. */
@@ -315,6 +317,7 @@
 			status: 0,
 			isOver: false,
 			hasFirstByte: false,
+			framing: undefined,
 		};
 		this.#attempt = attempt;
 		this.#sends++;
@@ -438,7 +441,8 @@
 		this.#hasBegun = true;
 		this.#firstRunVersion = engine?.weightsVersion;
 		beliefs.health.noteOutcome(entry.id, false, now());
-		this.received.reply.begin(status, rawHeaders);
+		attempt.framing = framingOf(headers);
+		this.received.reply.begin(status, backend.answerHeaders(rawHeaders));
 	}
 
 	#onData(attempt: Attempt, chunk: Uint8Array): void {
@@ -516,7 +520,9 @@
 	}
 
 	#mayTryAgain(): boolean {
+		// Of an answer that has begun, only a stream can go on at another server.
 		return this.#mayRunAgain
+			&& (!this.#hasBegun || this.#isStream)
 			&& this.#runs < this.#route!.maxServers
 			&& this.#sends < this.#route!.maxServers + sendsBeyondRuns
 			&& this.#timeLeft() > leastTime
@@ -581,7 +587,7 @@
 
 		beliefs.loads.end(attempt.chosen.entry.id, attempt.load);
 		beliefs.health.noteEnded(attempt.chosen.entry.id);
-		Object.assign(this.#trail.at(-1)!, {result, took: round(now() - attempt.sentAt), status: attempt.status});
+		Object.assign(this.#trail.at(-1)!, {result, took: round(now() - attempt.sentAt), status: attempt.status, framing: attempt.framing});
 		queueMicrotask(() => {
 			dispatcher.offer();
 		});
@@ -671,6 +677,14 @@
 	}
 }
 
+function framingOf(headers: Readonly<Record<string, string | string[] | undefined>>): Attempt['framing'] {
+	if (headers['transfer-encoding'] !== undefined) {
+		return 'chunks';
+	}
+
+	return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
 function round(value: number | undefined): number | undefined {
 	return value === undefined ? undefined : Math.round(value * 10) / 10;
 }
--- a/packages/shared/src/bounded-output.ts
+++ b/packages/shared/src/bounded-output.ts
@@ -1,4 +1,4 @@
-import {SonicBoom} from 'sonic-boom';
+import sonicBoom from 'sonic-boom';
 import type {Bytes} from './units.js';
 
 /** Text lines written in the background; lines that do not fit are dropped and counted. */
@@ -20,7 +20,7 @@
  * @returns The output.
  */
 export function createBoundedOutput(bufferBytes: Bytes): BoundedOutput {
-	const stream = new SonicBoom({
+	const stream = new sonicBoom.SonicBoom({
 		fd: 1, sync: false, minLength: 4096, maxLength: bufferBytes, periodicFlush: flushInterval,
 	});
 	let dropped = 0;
