--- /dev/null
+++ b/packages/coordination/__tests__/host-directory.test.ts
@@ -0,0 +1,52 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type HostDescription, HostDirectory} from '../src/index.js';
+
+const test = suite('HostDirectory');
+
+function describeHost(name: string, incarnation = 'one'): HostDescription {
+	return {
+		name, incarnation, failureDomain: 'a', region: 'r', clientAddress: `${name}:1`, peerAddress: `${name}:2`, snapshotAddress: `${name}:3`,
+	};
+}
+
+const create = () => new HostDirectory({silence: 750, forgetAfter: 60_000});
+const names = (hosts: readonly HostDescription[]) => hosts.map(host => host.name).toSorted();
+
+test('names to clients only hosts that serve and were heard lately', () => {
+	const directory = create();
+	directory.list(describeHost('listed'));
+	directory.hear(describeHost('serving'), 'serving', 1000);
+	directory.hear(describeHost('stopping'), 'stopping', 1000);
+	directory.hear(describeHost('starting'), 'starting', 1000);
+	assert.equal(names(directory.serving(1500)), ['serving']);
+	assert.equal(names(directory.serving(1800)), []);
+	assert.equal(directory.silent(1800).toSorted(), ['serving', 'starting', 'stopping']);
+});
+
+test('goes on talking to hosts that the store no longer lists while they speak', () => {
+	const directory = create();
+	directory.list(describeHost('one'));
+	directory.hear(describeHost('one'), 'serving', 1000);
+	directory.unlist('one');
+	assert.equal(names(directory.peers(30_000)), ['one']);
+	assert.equal(names(directory.peers(62_000)), []);
+});
+
+test('tells news from repetition', () => {
+	const directory = create();
+	assert.is(directory.hear(describeHost('one'), 'serving', 1000), true);
+	assert.is(directory.hear(describeHost('one'), 'serving', 1200), false);
+	assert.is(directory.hear(describeHost('one', 'two'), 'serving', 1300), true);
+	assert.is(directory.hear(describeHost('one', 'two'), 'serving', 9000), true);
+});
+
+test('reckons with the quota use of silent hosts, not of those that said goodbye', () => {
+	const directory = create();
+	directory.hear(describeHost('silent'), 'serving', 1000);
+	directory.hear(describeHost('left'), 'stopping', 1000);
+	assert.equal(directory.sharers(1200).toSorted(), ['left', 'silent']);
+	assert.equal(directory.sharers(5000), ['silent']);
+});
+
+test.run();
--- /dev/null
+++ b/packages/routing/__tests__/route-index.test.ts
@@ -0,0 +1,44 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type Configuration, type Route, RouteIndex} from '../src/index.js';
+
+const test = suite('RouteIndex');
+
+function route(name: string, host: string, prefix: string): Route {
+	return {
+		name, host, prefix, repeatability: 'idempotent', timeout: 1000, objective: 100, rank: 0, services: [], maxServers: 1, isOpen: false,
+	};
+}
+
+const configuration: Configuration = {
+	version: 1,
+	routes: [route('root', 'a', '/'), route('short', 'a', '/x/'), route('long', 'a', '/x/y/'), route('other', 'b', '/x/')],
+	services: [],
+	workspaces: [{
+		name: 'red', keys: ['k'], isIsolated: false, unitsPerSecond: 0, burstUnits: 0, countsTokens: true, plainTokens: 0,
+	}],
+	limits: {
+		headerBytes: 1, bodyBytes: 1, headerTime: 1, idleTime: 1,
+	},
+};
+const index = new RouteIndex(configuration);
+
+test('the longest prefix of the host wins, whole segments only', () => {
+	assert.is(index.match('a', '/x/y/z')?.name, 'long');
+	assert.is(index.match('a', '/x/yz')?.name, 'short');
+	assert.is(index.match('a', '/xy')?.name, 'root');
+	assert.is(index.match('b', '/x/y/z')?.name, 'other');
+	assert.is(index.match('b', '/x'), undefined);
+	assert.is(index.match('c', '/x/'), undefined);
+});
+
+test('host names are compared without case and port', () => {
+	assert.is(index.match('A:8080', '/x/y/')?.name, 'long');
+});
+
+test('keys lead to their workspace', () => {
+	assert.is(index.workspaceOf('k')?.name, 'red');
+	assert.is(index.workspaceOf('K'), undefined);
+});
+
+test.run();
--- /dev/null
+++ b/packages/routing/__tests__/server-directory.test.ts
@@ -0,0 +1,78 @@
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type ServerEntry, ServerDirectory} from '../src/index.js';
+
+const test = suite('ServerDirectory');
+const seed = 4722;
+
+function entry(id: string, more: Partial<ServerEntry> = {}): ServerEntry {
+	return {
+		id, incarnation: '1', service: 's', address: '10.0.0.1:1', failureDomain: 'a', slots: 4, isDraining: false, weights: {}, ...more,
+	};
+}
+
+const create = () => new ServerDirectory({lapseGrace: 2000});
+const usable = (directory: ServerDirectory) => directory.usable('s').map(server => server.id);
+
+test('a draining server takes no new work from the moment it is known', () => {
+	const directory = create();
+	directory.put(entry('a'), 5);
+	directory.put(entry('a', {isDraining: true}), 6);
+	assert.equal(usable(directory), []);
+});
+
+test('older word never undoes newer word, whoever tells it', () => {
+	const directory = create();
+	directory.put(entry('a', {isDraining: true}), 6);
+	assert.is(directory.put(entry('a'), 5), 'nothing');
+	directory.remove('a', 9, 0);
+	assert.is(directory.put(entry('a'), 8), 'nothing');
+	assert.equal(usable(directory), []);
+	assert.is(directory.put(entry('a', {incarnation: '2'}), 10), 'incarnation');
+});
+
+test('an entry that goes while the store is away is kept until two seconds after its return', () => {
+	const directory = create();
+	directory.put(entry('a'), 5);
+	directory.put(entry('b'), 5);
+	directory.storeLost();
+	directory.storeRegained(10_000);
+	assert.equal(directory.retain(new Set(), 9, 10_000), []);
+	assert.equal(usable(directory), ['a', 'b']);
+	directory.put(entry('a'), 11);
+	assert.equal(directory.expire(11_000), []);
+	assert.equal(directory.expire(12_000), ['b']);
+	assert.equal(usable(directory), ['a']);
+});
+
+test('an entry that goes while the store is calm is gone at once', () => {
+	const directory = create();
+	directory.put(entry('a'), 5);
+	assert.ok(directory.remove('a', 6, 50_000));
+	assert.equal(usable(directory), []);
+});
+
+test('in whatever order changes are told, the newest one stands', () => {
+	const changes = fc.uniqueArray(fc.record({revision: fc.integer({min: 1, max: 50}), isGone: fc.boolean(), isDraining: fc.boolean()}), {
+		selector: change => change.revision, minLength: 1, maxLength: 12,
+	});
+	fc.assert(fc.property(changes, ordered => {
+		const directory = create();
+		for (const change of ordered) {
+			if (change.isGone) {
+				directory.remove('a', change.revision, 0);
+			} else {
+				directory.put(entry('a', {isDraining: change.isDraining}), change.revision);
+			}
+		}
+
+		// Word of an end counts once the server has been heard of, or for nothing: then later entries are newer anyway.
+		const newest = ordered.toSorted((left, right) => right.revision - left.revision)[0]!;
+		if (!newest.isGone) {
+			assert.equal(usable(directory), newest.isDraining ? [] : ['a']);
+		}
+	}), {seed});
+});
+
+test.run();
--- /dev/null
+++ b/packages/routing/__tests__/waiting-line.test.ts
@@ -0,0 +1,62 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {WaitingLine} from '../src/index.js';
+
+const test = suite('WaitingLine');
+
+function waiting(item: string, more: Partial<{workspace: string; rank: number; size: number; giveUpAt: number}> = {}) {
+	return {
+		workspace: 'w', rank: 1, size: 10, giveUpAt: 1000, item, ...more,
+	};
+}
+
+function drain(line: WaitingLine<string>): string[] {
+	const order: string[] = [];
+	line.offer(item => {
+		order.push(item);
+		return true;
+	});
+	return order;
+}
+
+test('lower ranks go first, then arrival', () => {
+	const line = new WaitingLine<string>();
+	line.push(waiting('late', {rank: 2}));
+	line.push(waiting('first', {rank: 1}));
+	line.push(waiting('urgent', {rank: 0}));
+	line.push(waiting('second', {rank: 1}));
+	assert.equal(drain(line), ['urgent', 'first', 'second', 'late']);
+	assert.is(line.size, 0);
+});
+
+test('a workspace that sends far more waits behind one that sends little', () => {
+	const line = new WaitingLine<string>();
+	for (let index = 0; index < 5; index++) {
+		line.push(waiting(`greedy-${index}`, {workspace: 'greedy'}));
+	}
+
+	line.push(waiting('modest', {workspace: 'modest'}));
+	assert.is(drain(line).indexOf('modest'), 1);
+});
+
+test('what cannot run now does not hold up what can', () => {
+	const line = new WaitingLine<string>();
+	line.push(waiting('large'));
+	line.push(waiting('small'));
+	line.offer(item => item === 'small');
+	assert.is(line.size, 1);
+	assert.is(line.sizeAhead(1), 10);
+	assert.is(line.sizeAhead(0), 0);
+});
+
+test('leaves at once when its time is over or its client has gone', () => {
+	const line = new WaitingLine<string>();
+	line.push(waiting('short', {giveUpAt: 100}));
+	line.push(waiting('gone'));
+	line.push(waiting('stays'));
+	line.remove('gone');
+	assert.equal(line.expire(100), ['short']);
+	assert.equal(drain(line), ['stays']);
+});
+
+test.run();
