--- a/packages-private/stand-ins/src/platform-store.ts
+++ b/packages-private/stand-ins/src/platform-store.ts
@@ -1,4 +1,6 @@
-import {type IncomingMessage, type Server, type ServerResponse, createServer} from 'node:http';
+import {
+	type IncomingMessage, type Server, type ServerResponse, createServer,
+} from 'node:http';
 import {type AddressInfo} from 'node:net';
 
 type Item = {readonly key: string; readonly value: string; readonly revision: number; readonly createRev: number; readonly lease: number};
@@ -133,9 +135,9 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		for await (const chunk of request) {
-			chunks.push(chunk as Buffer);
+			chunks.push(chunk as Uint8Array);
 		}
 
 		const body = Buffer.concat(chunks).toString('utf8');
--- a/packages/host/src/backend-connections.ts
+++ b/packages/host/src/backend-connections.ts
@@ -52,12 +52,27 @@
 	isBroken: boolean;
 	/** The socket failed: what undici takes for the end of an answer without a length is a reset. */
 	hasFailed: boolean;
+	/** The answer under way ends with the connection. */
+	endsWithConnection: boolean;
 };
 
-type RawController = {readonly rawHeaders?: Buffer[] | null};
+/**
+ * Tells a reset from an end. When bytes and a reset arrive in one turn of the event loop, Node.js reports an ordinary end;
+ * only a write shows that the connection is gone. An empty line before a request is ignored by servers (RFC 9112, section 2.2).
+ */
+function probeEnd(socket: Socket, connection: Connection): void {
+	socket.write('\r\n', error => {
+		const code = (error)?.code;
+		if (code === 'EPIPE' || code === 'ECONNRESET') {
+			connection.hasFailed = true;
+		}
+	});
+}
+
+type RawController = {readonly rawHeaders?: readonly Uint8Array[]};
 
-function textOf(rawHeaders: Buffer[] | null | undefined): HeaderList {
-	return (rawHeaders ?? []).map(part => part.toString('latin1'));
+function textOf(rawHeaders: readonly Uint8Array[] | undefined): HeaderList {
+	return (rawHeaders ?? []).map(part => Buffer.from(part.buffer, part.byteOffset, part.length).toString('latin1'));
 }
 
 /** Connections to backend servers, one exchange at a time on each. */
@@ -91,11 +106,21 @@
 			}
 		};
 
+		const finish = () => {
+			if (connection.hasFailed) {
+				fail('connection reset before the answer was whole');
+			} else if (!isOver) {
+				isOver = true;
+				this.#release(connection);
+				handler.onEnd();
+			}
+		};
+
 		connection.client.dispatch({
-			method: request.method as 'GET',
+			method: request.method,
 			path: request.target,
 			headers: [...request.headers],
-			// eslint-disable-next-line unicorn/no-null -- undici's word for no body.
+
 			body: request.body === undefined || request.body.length === 0 ? null : Buffer.from(request.body.buffer, request.body.byteOffset, request.body.length),
 			headersTimeout: 0,
 			bodyTimeout: 0,
@@ -109,6 +134,7 @@
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isOver) {
+					connection.endsWithConnection = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 					handler.onHead(status, headers, textOf((controller as unknown as RawController).rawHeaders));
 				}
 			},
@@ -117,16 +143,12 @@
 					handler.onData(chunk);
 				}
 			},
-			onResponseEnd: () => {
-				if (connection.hasFailed) {
-					fail('connection reset before the answer was whole');
-					return;
-				}
-
-				if (!isOver) {
-					isOver = true;
-					this.#release(connection);
-					handler.onEnd();
+			onResponseEnd() {
+				if (connection.endsWithConnection) {
+					// The probe of the end tells within this turn.
+					setImmediate(finish);
+				} else {
+					finish();
 				}
 			},
 			onResponseError(_controller, error) {
@@ -202,10 +224,16 @@
 			keepAliveTimeoutThreshold: 500,
 			connect(options, callback) {
 				connect(options, (...outcome) => {
-					const socket = outcome[1] as Socket | null;
+					const socket = outcome[1];
 					// Registered before undici's own listener, which would end an answer without a length.
-					socket?.prependListener('error', () => {
-						connection.hasFailed = true;
+					socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
+						// Undici destroys the socket with an error of its own after an answer that ends with the connection.
+						connection.hasFailed ||= error.code !== 'UND_ERR_INFO';
+					});
+					socket?.prependListener('end', () => {
+						if (connection.endsWithConnection) {
+							probeEnd(socket, connection);
+						}
 					});
 					onOpened();
 					callback(...outcome);
@@ -213,7 +241,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, key, idleSince: 0, isBroken: false, hasFailed: false,
+			client, key, idleSince: 0, isBroken: false, hasFailed: false, endsWithConnection: false,
 		};
 		client.on('disconnect', () => {
 			connection.isBroken = true;
--- a/packages/host/src/belief-watch.ts
+++ b/packages/host/src/belief-watch.ts
@@ -69,6 +69,7 @@
 
 	dispose(): void {
 		this.#isStopped = true;
+		this.#isInContact = false;
 		clearInterval(this.#jumpTimer);
 	}
 
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -1,6 +1,6 @@
 import {HostDirectory, QuotaLedger, type QuotaLimit} from '@lacewingpoint/coordination';
 import {
-	type Configuration, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads,
+	type Configuration, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, WeightsTable,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {BeliefChange, BeliefReading} from './ports.js';
@@ -17,19 +17,20 @@
 /** Loads told by a peer that has fallen silent count this long: its requests end within seconds. */
 const peerLoadExpiry: Milliseconds = 1500;
 
-/** The holder tells again and again which servers are to run empty; its word counts this long. */
-const emptyingExpiry: Milliseconds = 500;
-
 /** The part of an engine's memory taken to hold cached parts; running requests take the rest. */
 const cacheShare = 0.8;
 
 /** A version known from the first reading after a start may have been named this long before. */
 const assumedAge: Milliseconds = 5000;
 
-/** Named versions remembered for each model: a server may be several behind. */
-const rememberedVersions = 16;
-
-type NamedWeights = {readonly version: number; readonly revision: number; knownSince: Milliseconds};
+/** Hears of changes that others act on. */
+export type BeliefListener = {
+	/** A server that takes work may have appeared, changed or gone. */
+	onServersChanged(): void;
+	onServerGone(id: string): void;
+	/** The store tells who may give orders for weights; nobody when nothing is given. */
+	onHolder(holder: string | undefined): void;
+};
 
 /** Everything that a host believes of the configuration, servers, weights and hosts, with its age. */
 export class Beliefs {
@@ -39,28 +40,21 @@
 	readonly health = new ServerHealth({
 		firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, silence: 700, trustOwnEars: 400, forgiveAfter: 5000,
 	});
+
 	readonly prompts = new PromptCacheIndex();
 	readonly quota = new QuotaLedger({silence: hostSilence, startShare: 0.25, silentShare: 0.5});
-	/** Called when a server that takes work may have appeared, changed or gone. */
-	onServersChanged: () => void = () => {/* Nobody listens yet. */};
-	onServerGone: (id: string) => void = () => {/* Nobody listens yet. */};
-	/** Called when the store tells who may give orders for weights. */
-	onHolder: (holder: string | undefined) => void = () => {/* Nobody listens yet. */};
+	readonly weights = new WeightsTable({rememberedVersions: 16, emptyingExpiry: 500});
+	readonly #listener: BeliefListener;
 	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
-	/** Named versions by model, oldest first. */
-	readonly #namedWeights = new Map<string, NamedWeights[]>();
-	/** Weights that servers were seen to run, fresher than their entries: by server, then model. */
-	readonly #seenWeights = new Map<string, Map<string, number>>();
-	readonly #loadingUntil = new Map<string, Milliseconds>();
-	readonly #emptyingUntil = new Map<string, Milliseconds>();
 	#routes: RouteIndex | undefined;
 	#configurationRevision = 0;
 	#configurationAt = 0;
 	#revision = 0;
 	#unreadable = 0;
 
-	constructor(log: Logger, now: () => Milliseconds) {
+	constructor(log: Logger, now: () => Milliseconds, listener: BeliefListener) {
+		this.#listener = listener;
 		this.#log = log;
 		this.#now = now;
 	}
@@ -108,7 +102,7 @@
 		}
 
 		this.#revision = Math.max(this.#revision, reading.revision);
-		this.onServersChanged();
+		this.#listener.onServersChanged();
 	}
 
 	/** @returns Everything known, for a peer that is behind. */
@@ -119,7 +113,7 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		for (const [model, named] of this.#namedWeights) {
+		for (const [model, named] of this.weights.allNamed()) {
 			for (const {version, revision, knownSince} of named) {
 				changes.push({
 					type: 'weights', revision, model, version, age: this.#now() - knownSince,
@@ -141,34 +135,6 @@
 		}
 	}
 
-	/**
-	 * Reads the version that a model's weights ought to have.
-	 *
-	 * @param model - The model.
-	 * @returns The version and how long it has been known; version 0 when none was named.
-	 */
-	wantedWeights(model: string): {readonly version: number; readonly age: Milliseconds} {
-		const named = this.#namedWeights.get(model)?.at(-1);
-		return named === undefined ? {version: 0, age: 0} : {version: named.version, age: this.#now() - named.knownSince};
-	}
-
-	/**
-	 * Tells how long a version of the weights has been out of date.
-	 *
-	 * @param model - The model.
-	 * @param version - The version that a server runs.
-	 * @returns The time since the next newer version was named; 0 when there is none.
-	 */
-	outdatedFor(model: string, version: number): Milliseconds {
-		const newer = this.#namedWeights.get(model)?.find(named => named.version > version);
-		return newer === undefined ? 0 : this.#now() - newer.knownSince;
-	}
-
-	/** @returns The models whose weights have been named. */
-	namedModels(): string[] {
-		return [...this.#namedWeights.keys()];
-	}
-
 	/**
 	 * Reads the version of the weights that a server runs.
 	 *
@@ -177,7 +143,7 @@
 	 * @returns The newest version seen.
 	 */
 	weightsAt(entry: ServerEntry, model: string): number {
-		return Math.max(entry.weights[model] ?? 0, this.#seenWeights.get(entry.id)?.get(model) ?? 0);
+		return Math.max(entry.weights[model] ?? 0, this.weights.seenAt(entry.id, model));
 	}
 
 	/**
@@ -186,68 +152,18 @@
 	 * @param id - The server.
 	 * @param model - The model.
 	 * @param version - The version.
-	 * @returns Whether that is news.
 	 */
-	noteWeights(id: string, model: string, version: number): boolean {
+	noteWeights(id: string, model: string, version: number): void {
 		const entry = this.servers.entryOf(id);
 		if (entry === undefined || version <= this.weightsAt(entry, model)) {
-			return false;
+			return;
 		}
 
-		const seen = this.#seenWeights.get(id) ?? new Map<string, number>();
-		seen.set(model, version);
-		this.#seenWeights.set(id, seen);
-		this.#loadingUntil.delete(id);
+		this.weights.see(id, model, version);
 		// New weights void what the server had cached.
 		this.prompts.drop(id);
 		this.#log.info('weights', {server: id, model, version});
-		this.onServersChanged();
-		return true;
-	}
-
-	/**
-	 * Notes that a server is about to load weights and takes no requests, or that it takes them again.
-	 *
-	 * @param id - The server.
-	 * @param until - When the load is over at the latest; in the past when it is over.
-	 */
-	noteLoading(id: string, until: Milliseconds): void {
-		if (until <= this.#now()) {
-			this.#loadingUntil.delete(id);
-			return;
-		}
-
-		this.#loadingUntil.set(id, Math.max(this.#loadingUntil.get(id) ?? 0, until));
-	}
-
-	/**
-	 * Tells whether a server is loading weights.
-	 *
-	 * @param id - The server.
-	 * @returns Whether it takes no requests for now.
-	 */
-	isLoading(id: string): boolean {
-		const until = this.#loadingUntil.get(id);
-		return until !== undefined && this.#now() < until;
-	}
-
-	/**
-	 * Notes that a server is to be left to run empty.
-	 *
-	 * @param id - The server.
-	 */
-	noteEmptying(id: string): void {
-		this.#emptyingUntil.set(id, this.#now() + emptyingExpiry);
-	}
-
-	/**
-	 * Tells whether a server is to be left to run empty.
-	 *
-	 * @param id - The server.
-	 * @returns Whether others go first.
-	 */
-	isEmptying(id: string): boolean {
-		return this.#now() < (this.#emptyingUntil.get(id) ?? 0);
+		this.#listener.onServersChanged();
 	}
 
 	#applyChange(change: BeliefChange, source: string): void {
@@ -286,7 +202,7 @@
 			}
 
 			case 'holder': {
-				this.onHolder(change.holder);
+				this.#listener.onHolder(change.holder);
 				break;
 			}
 
@@ -326,21 +242,13 @@
 
 	#applyNamedWeights(change: BeliefChange & {readonly type: 'weights'}, source: string): void {
 		const {model, version, revision} = change;
-		const named = this.#namedWeights.get(model) ?? [];
 		// What a host finds when it starts was named before; a peer knows how long.
 		const age = change.age ?? (this.#revision === 0 ? assumedAge : 0);
-		const knownSince = this.#now() - age;
-		const known = named.find(candidate => candidate.version === version);
-		if (known !== undefined) {
-			known.knownSince = Math.min(known.knownSince, change.age === undefined ? known.knownSince : knownSince);
-			return;
+		if (this.weights.name(model, {version, revision, knownSince: this.#now() - age})) {
+			this.#log.info('weights-named', {
+				model, version, revision, age: Math.round(age), source,
+			});
 		}
-
-		this.#namedWeights.set(model, [...named, {version, revision, knownSince}]
-			.toSorted((left, right) => left.version - right.version).slice(-rememberedVersions));
-		this.#log.info('weights-named', {
-			model, version, revision, age: Math.round(age), source,
-		});
 	}
 
 	#applyServer(entry: ServerEntry, revision: number, source: string): void {
@@ -356,9 +264,9 @@
 		}
 
 		for (const [model, version] of Object.entries(entry.weights)) {
-			if (before !== undefined && change === 'entry' && version > (before.weights[model] ?? 0) && version > (this.#seenWeights.get(entry.id)?.get(model) ?? 0)) {
+			if (before !== undefined && change === 'entry' && version > (before.weights[model] ?? 0) && version > this.weights.seenAt(entry.id, model)) {
 				this.prompts.drop(entry.id);
-				this.#loadingUntil.delete(entry.id);
+				this.weights.see(entry.id, model, version);
 			}
 		}
 
@@ -378,14 +286,12 @@
 		this.#forgetKnowledge(id);
 		this.prompts.remove(id);
 		this.#log.info('server-gone', {id, source, revision: this.#revision});
-		this.onServerGone(id);
+		this.#listener.onServerGone(id);
 	}
 
 	#forgetKnowledge(id: string): void {
 		this.prompts.drop(id);
 		this.health.forget(id);
-		this.#seenWeights.delete(id);
-		this.#loadingUntil.delete(id);
-		this.#emptyingUntil.delete(id);
+		this.weights.forget(id);
 	}
 }
--- a/packages/host/src/client-server.ts
+++ b/packages/host/src/client-server.ts
@@ -11,13 +11,13 @@
 export type ClientServerOptions = {
 	readonly address: string;
 	readonly protocol: ClientProtocol;
+	/** Bytes of bodies that may be held at once. */
+	readonly bodyMemory: Bytes;
+	readonly now: () => Milliseconds;
 	/** The limits in force; none while no configuration is known. */
 	limits(): ClientLimits | undefined;
 	/** Whether connections are to be closed after their answers. */
 	isStopping(): boolean;
-	/** Bytes of bodies that may be held at once. */
-	readonly bodyMemory: Bytes;
-	readonly now: () => Milliseconds;
 	onRequest(received: ReceivedRequest): void;
 	/** A request was answered without entering the pipeline. */
 	onRejected(id: string | undefined, status: number, reason: string): void;
@@ -149,10 +149,10 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let size = 0;
 		let isRejected = false;
-		request.on('data', (chunk: Buffer) => {
+		request.on('data', (chunk: Uint8Array) => {
 			if (isRejected) {
 				return;
 			}
--- a/packages/host/src/dispatcher.ts
+++ b/packages/host/src/dispatcher.ts
@@ -161,7 +161,7 @@
 		return this.#beliefs.servers.usable(question.service).filter(entry =>
 			!question.avoided.has(entry.id)
 			&& this.#beliefs.health.judge(entry.id, now) !== 'paused'
-			&& (service?.engine === undefined || !this.#beliefs.isLoading(entry.id)));
+			&& (service?.engine === undefined || !this.#beliefs.weights.isLoading(entry.id, this.#now())));
 	}
 
 	#placePlain(candidates: readonly ServerEntry[], service: string): PlacementAnswer {
@@ -188,7 +188,7 @@
 		const rows: EngineRow[] = [];
 		for (const entry of candidates) {
 			const weightsVersion = this.#beliefs.weightsAt(entry, generation.model);
-			const outdatedFor = this.#beliefs.outdatedFor(generation.model, weightsVersion);
+			const outdatedFor = this.#beliefs.weights.outdatedFor(generation.model, weightsVersion, now);
 			if (weightsVersion > 0 && outdatedFor < this.#weightsWithin - beginMargin) {
 				rows.push({
 					id: entry.id,
@@ -200,7 +200,7 @@
 					memoryTokens: service.engine!.memoryTokens,
 					load: this.#beliefs.loads.total(entry.id, now),
 					slowness: this.#beliefs.health.slowness(entry.id, now),
-					isEmptying: this.#beliefs.isEmptying(entry.id),
+					isEmptying: this.#beliefs.weights.isEmptying(entry.id, now),
 					isFailing: this.#beliefs.health.judge(entry.id, now) === 'failing',
 				});
 			}
--- a/packages/host/src/host-links.ts
+++ b/packages/host/src/host-links.ts
@@ -35,11 +35,12 @@
 export class HostLinks implements Disposable {
 	readonly #options: HostLinksOptions;
 	readonly #socket: Socket;
-	#notes: PlacementNote[] = [];
+	readonly #notes: PlacementNote[] = [];
 	#weights: HostMessage['weights'] = [];
 	#loading: HostMessage['loading'] = [];
 	readonly #emptying = new Set<string>();
 	readonly #unreachable = new Set<string>();
+	#isClosed = false;
 	#hasNews = false;
 	#lastTold = 0;
 	#timer: NodeJS.Timeout | undefined;
@@ -145,6 +146,7 @@
 				});
 			}
 		} while (this.#notes.length > 0);
+
 		this.#weights = [];
 		this.#loading = [];
 		this.#emptying.clear();
@@ -153,7 +155,10 @@
 
 	dispose(): void {
 		clearInterval(this.#timer);
-		this.#socket.close();
+		if (!this.#isClosed) {
+			this.#isClosed = true;
+			this.#socket.close();
+		}
 	}
 
 	#message(placements: PlacementNote[]): HostMessage {
@@ -213,7 +218,7 @@
 		}
 
 		for (const {server, time} of message.loading) {
-			beliefs.noteLoading(server, moment + time);
+			beliefs.weights.noteLoading(server, moment + time, moment);
 		}
 
 		for (const server of message.unreachable) {
@@ -221,7 +226,7 @@
 		}
 
 		for (const server of message.emptying) {
-			beliefs.noteEmptying(server);
+			beliefs.weights.noteEmptying(server, moment);
 		}
 
 		quarantine.merge(message.deaths, moment);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -17,7 +17,8 @@
 import {HostLinks} from './host-links.js';
 import {HostRegistration} from './host-registration.js';
 import type {Adapter, HostSettings, ReceivedRequest} from './ports.js';
-import {type PipelineContext, RequestRun} from './request-run.js';
+import type {PipelineContext} from './pipeline-context.js';
+import {RequestRun} from './request-run.js';
 import {fetchSnapshot, serveSnapshots} from './snapshot-link.js';
 import {WeightsController} from './weights-controller.js';
 
@@ -78,10 +79,11 @@
 	readonly #weights: WeightsController;
 	readonly #quarantine = new Quarantine({convictingDeaths: 3, domainWindow: 0, lifetime: 60_000});
 	readonly #budgets = new Map<string, RetryBudget>();
-	readonly #runs = new Set<RequestRun>();
 	readonly #broken = new Map<string, Array<{readonly fingerprint: number; readonly at: Milliseconds}>>();
 	readonly #store = new DisposableStore();
 	#clients: ClientServer | undefined;
+	#running = 0;
+	#hasAges = false;
 	#isStopping = false;
 	#lastSnapshotAt = 0;
 	#seedTurn = 0;
@@ -90,7 +92,18 @@
 	constructor(parts: HostParts) {
 		const {settings, adapter, log, random, now, wallClock} = parts;
 		this.#parts = parts;
-		this.#beliefs = new Beliefs(log, now);
+		this.#beliefs = new Beliefs(log, now, {
+			onServersChanged: () => {
+				this.#dispatcher.offer();
+				this.#clients?.applyLimits();
+			},
+			onServerGone: id => {
+				this.#connections.drop(id);
+			},
+			onHolder: holder => {
+				this.#weights.noteHolder(holder);
+			},
+		});
 		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: settings.weightsWithin, now});
 		this.#connections = new BackendConnections({
 			connectTimeout: 200,
@@ -116,7 +129,7 @@
 			},
 		});
 		this.#watch = new BeliefWatch({
-			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact: () => {/* The log tells. */},
+			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact() {/* The log tells. */},
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		this.#weights = new WeightsController({
@@ -127,16 +140,6 @@
 	/** Starts serving: clients get 503 until a configuration is known. */
 	async start(): Promise<void> {
 		const {settings, adapter, log, now} = this.#parts;
-		this.#beliefs.onServersChanged = () => {
-			this.#dispatcher.offer();
-			this.#clients?.applyLimits();
-		};
-		this.#beliefs.onServerGone = id => {
-			this.#connections.drop(id);
-		};
-		this.#beliefs.onHolder = holder => {
-			this.#weights.noteHolder(holder);
-		};
 		await this.#links.start();
 		this.#clients = await serveClients({
 			address: settings.clientAddress,
@@ -150,7 +153,9 @@
 			},
 			onRejected: (id, status, reason) => {
 				this.#metrics.count('requests', {route: 'none', outcome: 'rejected', status: String(status)});
-				log.info('request', {id, outcome: 'rejected', status, cause: reason});
+				log.info('request', {
+					id, outcome: 'rejected', status, cause: reason,
+				});
 			},
 		});
 		const snapshots = await serveSnapshots(settings.snapshotAddress, () => this.#beliefs.snapshot());
@@ -178,6 +183,30 @@
 		return this.#state() === 'serving' && this.#beliefs.servers.all().length > 0;
 	}
 
+	/** The version of the configuration in force, 0 while none is known. */
+	get configurationVersion(): number {
+		return this.#beliefs.configuration?.version ?? 0;
+	}
+
+	get knownServers(): number {
+		return this.#beliefs.servers.all().length;
+	}
+
+	/** Peers that serve and were heard lately. */
+	get knownPeers(): number {
+		return this.#beliefs.hosts.serving(this.#parts.now()).length;
+	}
+
+	/** Whether a peer has told how long named weights have been known. */
+	get hasAges(): boolean {
+		return this.#hasAges;
+	}
+
+	/** Stops following the store, as a host does that the store turns away. */
+	cutFromStore(): void {
+		this.#watch.dispose();
+	}
+
 	/** Leaves without cutting off a request: clients learn other addresses first. */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
@@ -187,20 +216,20 @@
 		const {settings, log, now} = this.#parts;
 		const startedAt = now();
 		this.#isStopping = true;
-		log.info('stop', {requests: this.#runs.size, connections: this.#clients?.connections() ?? 0});
+		log.info('stop', {requests: this.#running, connections: this.#clients?.connections() ?? 0});
 		this.#links.tell();
 		this.#weights.stopElecting();
 		await this.#registration.release();
 		const lastAnswer = startedAt + settings.stopGrace - stopMargin;
 		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, settings.longestKeep) + 400;
-		while (now() < lastAnswer && (now() < addressesForgotten || this.#runs.size > 0 || this.#weights.hasWork)) {
+		while (now() < lastAnswer && (now() < addressesForgotten || this.#running > 0 || this.#weights.hasWork)) {
 			await new Promise(resolve => {
 				setTimeout(resolve, 50);
 			});
 		}
 
 		await this.#weights.release();
-		log.info('stopped', {requests: this.#runs.size, took: Math.round(now() - startedAt)});
+		log.info('stopped', {requests: this.#running, took: Math.round(now() - startedAt)});
 		this.#links.tell();
 		await this.dispose();
 	}
@@ -225,9 +254,8 @@
 	}
 
 	#onRequest(received: ReceivedRequest): void {
-		const run = new RequestRun(received, this.#context);
-		this.#runs.add(run);
-		run.start();
+		this.#running++;
+		new RequestRun(received, this.#context).start();
 	}
 
 	get #context(): PipelineContext {
@@ -264,8 +292,8 @@
 				this.#noteDead(server);
 				this.#links.noteUnreachable(server);
 			},
-			onSettled: run => {
-				this.#runs.delete(run);
+			onSettled: () => {
+				this.#running--;
 				this.#links.noteChange();
 			},
 		};
@@ -346,10 +374,23 @@
 		const {now} = this.#parts;
 		this.#beliefs.tick();
 		this.#askSeed();
+		this.#askAges();
 		this.#quarantine.tick(now());
 		this.#beliefs.quota.setPeers(this.#beliefs.hosts.sharers(now()), now());
 	}
 
+	// The store tells which weights were named, not when; a peer that has run for longer knows.
+	#askAges(): void {
+		const {now, log} = this.#parts;
+		const [peer] = this.#beliefs.hosts.serving(now());
+		if (this.#hasAges || peer === undefined || now() - this.#lastSnapshotAt < snapshotInterval) {
+			return;
+		}
+
+		this.#lastSnapshotAt = now();
+		void this.#catchUp(peer, log);
+	}
+
 	// A host that starts while the store is away knows no peers: the settings name some hosts.
 	#askSeed(): void {
 		const {settings, now, log} = this.#parts;
@@ -390,6 +431,7 @@
 			return;
 		}
 
+		this.#hasAges ||= snapshot.value.changes.length > 0;
 		this.#beliefs.apply(snapshot.value, true, peer.name);
 	}
 
@@ -453,7 +495,7 @@
 	#printMetrics(): string {
 		const gauges: Readonly<Record<string, number>> = {
 			waiting: this.#dispatcher.waiting,
-			running: this.#runs.size,
+			running: this.#running,
 			client_connections: this.#clients?.connections() ?? 0,
 			configuration_version: this.#beliefs.configuration?.version ?? 0,
 			configuration_age_milliseconds: Math.round(this.#beliefs.configurationAge()),
--- /dev/null
+++ b/packages/host/src/pipeline-context.ts
@@ -0,0 +1,33 @@
+import type {Quarantine, RetryBudget} from '@lacewingpoint/routing';
+import type {
+	Logger, Metrics, Milliseconds, RandomSource,
+} from '@lacewingpoint/shared';
+import type {BackendConnections} from './backend-connections.js';
+import type {Beliefs} from './beliefs.js';
+import type {ChosenServer, Dispatcher} from './dispatcher.js';
+import type {BackendProtocol, ReceivedRequest} from './ports.js';
+
+/** What requests need of their host. */
+export type PipelineContext = {
+	readonly beliefs: Beliefs;
+	readonly dispatcher: Dispatcher;
+	readonly connections: BackendConnections;
+	readonly backend: BackendProtocol;
+	readonly quarantine: Quarantine;
+	readonly random: RandomSource;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly now: () => Milliseconds;
+	/** The retry budget of a service on this host. */
+	retryBudget(service: string): RetryBudget;
+	/** Tells the peers at once what was placed. */
+	onPlaced(chosen: ChosenServer, run: ReceivedRequest): void;
+	/** Tells the peers that a prompt has been read, or that it will not be. */
+	onPromptRead(chosen: ChosenServer, run: ReceivedRequest, isRead: boolean): void;
+	/** Notes that a server broke off a request that it may have run. */
+	onBroken(server: string, fingerprint: number): void;
+	/** Notes that a server could not be reached. */
+	onUnreachable(server: string): void;
+	/** Called when a request has had its last word. */
+	onSettled(): void;
+};
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -2,7 +2,9 @@
 import type {
 	Configuration, PromptPart, Route, ServerEntry,
 } from '@lacewingpoint/routing';
-import type {Bytes, LayerError, Milliseconds, Tokens} from '@lacewingpoint/shared';
+import type {
+	Bytes, LayerError, Milliseconds, Tokens,
+} from '@lacewingpoint/shared';
 import type {Result} from 'true-myth';
 
 /** Header names and values in turn, as they stand on the wire. */
@@ -134,14 +136,14 @@
 
 /** Wire forms of requests to servers. */
 export type BackendProtocol = {
+	/** The path at which a model server reports. */
+	readonly reportPath: string;
+	readonly orderPath: string;
 	requestHeaders(request: ClientRequest, terms: SendTerms): HeaderList;
 	readAnswerHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): AnswerHead;
 	/** The headers of an answer that concern more than the one connection. */
 	answerHeaders(rawHeaders: HeaderList): HeaderList;
-	/** The path at which a model server reports. */
-	readonly reportPath: string;
 	readReport(body: unknown): Result<WeightsReport, LayerError>;
-	readonly orderPath: string;
 	orderBody(order: WeightsOrder): string;
 	/** Headers for a call that only one server may answer. */
 	callHeaders(server: string): HeaderList;
@@ -149,11 +151,11 @@
 
 /** Wire forms of what clients send and get. */
 export type ClientProtocol = {
+	readonly lookupPath: string;
+	readonly readinessPath: string;
 	decode(head: {readonly method: string; readonly target: string; readonly rawHeaders: readonly string[]}): Result<ClientRequest, ClientFault>;
 	/** Headers of a refusal. */
 	refusalHeaders(retryAfter: Milliseconds | undefined): HeaderList;
-	readonly lookupPath: string;
-	readonly readinessPath: string;
 	decodeLookup(search: string): {readonly region: string | undefined; readonly failureDomain: string | undefined};
 	lookupBody(addresses: readonly string[], keepFor: Milliseconds): string;
 };
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -1,40 +1,14 @@
+import type {Route, Workspace} from '@lacewingpoint/routing';
+import {type Milliseconds, hashText} from '@lacewingpoint/shared';
 import {
-	type Quarantine, type RequestLoad, type Route, type RouteIndex, type Workspace, RetryBudget, memoryOf,
-} from '@lacewingpoint/routing';
-import {
-	type Logger, type Metrics, type Milliseconds, type RandomSource, hashText,
-} from '@lacewingpoint/shared';
-import type {BackendConnections, Exchange, ExchangeFailure} from './backend-connections.js';
-import type {Beliefs} from './beliefs.js';
-import type {ChosenServer, Dispatcher, Waiter} from './dispatcher.js';
+	type Attempt, type AttemptRecord, createAttempt, framingOf, recordAttempt, roundTime,
+} from './attempt.js';
+import type {ExchangeFailure} from './backend-connections.js';
+import type {ChosenServer, Waiter} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
-import type {
-	AnswerHead, BackendProtocol, HeaderList, ReceivedRequest,
-} from './ports.js';
-
-/** What requests need of their host. */
-export type PipelineContext = {
-	readonly beliefs: Beliefs;
-	readonly dispatcher: Dispatcher;
-	readonly connections: BackendConnections;
-	readonly backend: BackendProtocol;
-	readonly quarantine: Quarantine;
-	readonly random: RandomSource;
-	readonly log: Logger;
-	readonly metrics: Metrics;
-	readonly now: () => Milliseconds;
-	/** The retry budget of a service on this host. */
-	retryBudget(service: string): RetryBudget;
-	/** Tells the peers at once what was placed. */
-	onPlaced(chosen: ChosenServer, run: ReceivedRequest): void;
-	/** Tells the peers that a prompt has been read, or that it will not be. */
-	onPromptRead(chosen: ChosenServer, run: ReceivedRequest, isRead: boolean): void;
-	/** Notes that a server broke off a request that it may have run. */
-	onBroken(server: string, fingerprint: number): void;
-	/** Notes that a server could not be reached. */
-	onUnreachable(server: string): void;
-	onSettled(run: RequestRun): void;
-};
+import type {PipelineContext} from './pipeline-context.js';
+import type {AnswerHead, HeaderList, ReceivedRequest} from './ports.js';
+import {admitRequest, drawService, quotaUnits} from './request-admission.js';
 
 /** Sends at most, whatever becomes of them: beyond the servers that may run a request come those that did not run it. */
 const sendsBeyondRuns = 2;
@@ -71,26 +45,13 @@
 /** A model server that refuses while newer weights are named is loading them: it is left alone until the holder tells or this long. */
 const refusalPause: Milliseconds = 300;
 
-type Attempt = {
-	readonly chosen: ChosenServer;
-	readonly sentAt: Milliseconds;
-	load: RequestLoad;
-	exchange: Exchange | undefined;
-	head: AnswerHead | undefined;
-	status: number;
-	isOver: boolean;
-	hasFirstByte: boolean;
-	/** How the end of the answer is told. */
-	framing: 'length' | 'chunks' | 'close' | undefined;
-};
-
 /** One request from its arrival to its last byte: route, authorize, charge, wait, place, send, relay, perhaps again. */
 export class RequestRun implements Waiter {
 	readonly received: ReceivedRequest;
 	readonly #context: PipelineContext;
 	readonly #avoided = new Set<string>();
 	readonly #relay = new EventRelay();
-	readonly #trail: Array<Record<string, unknown>> = [];
+	readonly #trail: AttemptRecord[] = [];
 	#route: Route | undefined;
 	#workspace: Workspace | undefined;
 	#service = '';
@@ -132,10 +93,15 @@
 			return;
 		}
 
-		if (!this.#authorize(routes)) {
+		const admission = admitRequest(request, routes);
+		this.#route = admission.route;
+		if (admission.type === 'refused') {
+			this.#refuse(admission.status, admission.reason, undefined);
 			return;
 		}
 
+		this.#workspace = admission.workspace;
+
 		this.#fingerprint = hashText(`${request.method} ${request.target} ${request.credential ?? ''}`, hashText(Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1')));
 		if (quarantine.judge(this.#fingerprint, now()) === 'quarantined') {
 			this.#refuse(503, 'the request is quarantined: servers that ran it crashed', undefined);
@@ -146,7 +112,7 @@
 			return;
 		}
 
-		this.#service = this.#chooseService();
+		this.#service = drawService(admission.route, this.#context.random.next()) ?? '';
 		this.#context.retryBudget(this.#service).noteRequest();
 		reply.onGone(() => {
 			this.#clientGone();
@@ -183,38 +149,16 @@
 		this.#fail('no server had room in time', this.#timeLeft() * honouredShare);
 	}
 
-	#authorize(routes: RouteIndex): boolean {
-		const {request} = this.received;
-		const query = request.target.indexOf('?');
-		this.#route = routes.match(request.host, query === -1 ? request.target : request.target.slice(0, query));
-		if (this.#route === undefined) {
-			this.#refuse(404, `no route for ${request.host}${request.target}`, undefined);
-			return false;
-		}
-
-		if (routes.configuration.workspaces !== undefined && !this.#route.isOpen) {
-			this.#workspace = request.credential === undefined ? undefined : routes.workspaceOf(request.credential);
-			if (this.#workspace === undefined) {
-				this.#refuse(401, 'the key is missing or unknown', undefined);
-				return false;
-			}
-		}
-
-		return true;
-	}
-
 	#charge(): boolean {
-		const workspace = this.#workspace;
-		if (workspace === undefined || workspace.unitsPerSecond === 0) {
+		const units = quotaUnits(this.received.request, this.#workspace);
+		if (units === 0) {
 			return true;
 		}
 
-		const {generation} = this.received.request;
-		const tokens = generation === undefined ? workspace.plainTokens : generation.promptTokens + generation.outputTokens;
-		const units = workspace.countsTokens ? tokens : 1;
-		const wait = this.#context.beliefs.quota.charge(workspace.name, units, this.#context.now());
+		const {name} = this.#workspace!;
+		const wait = this.#context.beliefs.quota.charge(name, units, this.#context.now());
 		if (wait > 0) {
-			this.#refuse(429, `workspace ${workspace.name} is over its quota`, Math.min(wait, this.#timeLeft() * honouredShare));
+			this.#refuse(429, `workspace ${name} is over its quota`, Math.min(wait, this.#timeLeft() * honouredShare));
 			return false;
 		}
 
@@ -222,20 +166,6 @@
 		return true;
 	}
 
-	#chooseService(): string {
-		const {services} = this.#route!;
-		const total = services.reduce((sum, share) => sum + share.weight, 0);
-		let draw = this.#context.random.next() * total;
-		for (const share of services) {
-			draw -= share.weight;
-			if (draw < 0) {
-				return share.service;
-			}
-		}
-
-		return services[0]!.service;
-	}
-
 	#timeLeft(): Milliseconds {
 		const allowed = Math.min(this.received.request.deadline ?? defaultDeadline, this.#route?.timeout ?? defaultDeadline);
 		return this.received.receivedAt + allowed - this.#context.now();
@@ -305,20 +235,7 @@
 		const {now, backend, connections, beliefs} = this.#context;
 		const {request, body} = this.received;
 		const {entry, engine} = chosen;
-		const attempt: Attempt = {
-			chosen,
-			sentAt: now(),
-			load: {
-				unreadTokens: engine?.unreadTokens ?? 0,
-				memoryTokens: engine === undefined ? 0 : memoryOf(request.generation!),
-			},
-			exchange: undefined,
-			head: undefined,
-			status: 0,
-			isOver: false,
-			hasFirstByte: false,
-			framing: undefined,
-		};
+		const attempt = createAttempt(chosen, request, now());
 		this.#attempt = attempt;
 		this.#sends++;
 		this.#placedAt ??= attempt.sentAt;
@@ -326,9 +243,6 @@
 		beliefs.loads.begin(entry.id, attempt.load);
 		beliefs.health.noteSent(entry.id, attempt.sentAt);
 		this.#context.onPlaced(chosen, this.received);
-		this.#trail.push({
-			server: entry.id, predicted: round(engine?.predictedFirstToken), cost: round(engine?.cost), nextBest: round(engine?.nextBestCost), cached: engine?.cachedTokens, fetched: engine?.fetchedTokens, unread: engine?.unreadTokens, output: engine === undefined ? undefined : request.generation?.outputTokens, expected: engine === undefined ? undefined : request.generation?.expectedTokens, from: engine?.fetchFrom, weights: engine?.weightsVersion, at: round(attempt.sentAt - this.received.receivedAt),
-		});
 		const headers = backend.requestHeaders(request, {
 			server: entry.id,
 			workspace: this.#workspace?.name,
@@ -506,8 +420,8 @@
 			beliefs.health.noteUnreachable(entry.id, now());
 		}
 
-		if (attempt.chosen.engine !== undefined && beliefs.outdatedFor(this.received.request.generation!.model, attempt.chosen.engine.weightsVersion) > 0) {
-			beliefs.noteLoading(entry.id, now() + refusalPause);
+		if (attempt.chosen.engine !== undefined && beliefs.weights.outdatedFor(this.received.request.generation!.model, attempt.chosen.engine.weightsVersion, now()) > 0) {
+			beliefs.weights.noteLoading(entry.id, now() + refusalPause, now());
 		}
 
 		this.#closeAttempt(attempt, `not run (${attempt.status})`);
@@ -587,7 +501,7 @@
 
 		beliefs.loads.end(attempt.chosen.entry.id, attempt.load);
 		beliefs.health.noteEnded(attempt.chosen.entry.id);
-		Object.assign(this.#trail.at(-1)!, {result, took: round(now() - attempt.sentAt), status: attempt.status, framing: attempt.framing});
+		this.#trail.push(recordAttempt(attempt, this.received.receivedAt, {result, endedAt: now()}));
 		queueMicrotask(() => {
 			dispatcher.offer();
 		});
@@ -671,20 +585,25 @@
 		metrics.count('requests', {route, outcome, status: String(status)});
 		metrics.time('request', took, {route});
 		log.info('request', {
-			id: this.received.request.id, route, workspace: this.#workspace?.name, service: this.#service, outcome, status, cause, retryAfter: round(retryAfter), took: round(took), firstByte: round(this.#firstByteAt === undefined ? undefined : this.#firstByteAt - this.received.receivedAt), waited: round(this.#placedAt === undefined ? undefined : this.#placedAt - this.received.receivedAt), deadline: this.received.request.deadline, configuration: beliefs.configuration?.version, configurationAge: round(beliefs.configurationAge()), revision: beliefs.revision, weights: this.#firstRunVersion, sends: this.#trail,
+			id: this.received.request.id,
+			route,
+			workspace: this.#workspace?.name,
+			service: this.#service,
+			outcome,
+			status,
+			cause,
+			retryAfter: roundTime(retryAfter),
+			took: roundTime(took),
+			firstByte: roundTime(this.#firstByteAt === undefined ? undefined : this.#firstByteAt - this.received.receivedAt),
+			waited: roundTime(this.#placedAt === undefined ? undefined : this.#placedAt - this.received.receivedAt),
+			deadline: this.received.request.deadline,
+			configuration: beliefs.configuration?.version,
+			configurationAge: roundTime(beliefs.configurationAge()),
+			revision: beliefs.revision,
+			weights: this.#firstRunVersion,
+			sends: this.#trail,
 		});
-		this.#context.onSettled(this);
-	}
-}
-
-function framingOf(headers: Readonly<Record<string, string | string[] | undefined>>): Attempt['framing'] {
-	if (headers['transfer-encoding'] !== undefined) {
-		return 'chunks';
+		this.#context.onSettled();
 	}
-
-	return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
-function round(value: number | undefined): number | undefined {
-	return value === undefined ? undefined : Math.round(value * 10) / 10;
-}
--- a/packages/host/src/snapshot-link.ts
+++ b/packages/host/src/snapshot-link.ts
@@ -1,9 +1,8 @@
-import type {Server} from 'node:http';
+import {type Server, createServer} from 'node:http';
 import {type LayerError, type Milliseconds, messageOf} from '@lacewingpoint/shared';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
-import {createServer} from 'node:http';
 import {Result} from 'true-myth';
 import {listen} from './client-server.js';
 import type {BeliefReading} from './ports.js';
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights-controller.ts
@@ -269,7 +269,7 @@
 			if (step.isDue) {
 				void this.#order(tenure, step);
 			} else {
-				this.#options.beliefs.noteEmptying(step.entry.id);
+				this.#options.beliefs.weights.noteEmptying(step.entry.id, this.#options.now());
 				this.#options.links.noteEmptying(step.entry.id);
 			}
 		}
@@ -277,8 +277,8 @@
 
 	#steps(): RolloutStep[] {
 		const {beliefs, now} = this.#options;
-		return beliefs.namedModels().flatMap(model => {
-			const wanted = beliefs.wantedWeights(model).version;
+		return [...beliefs.weights.allNamed().keys()].flatMap(model => {
+			const wanted = beliefs.weights.wanted(model)?.version ?? 0;
 			const entries = beliefs.servers.all().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining);
 			const rows = entries.map(entry => this.#row(entry, model));
 			const {due, upcoming} = this.#rollout.plan(wanted, rows, now());
@@ -296,7 +296,7 @@
 			weightsVersion: beliefs.weightsAt(entry, model),
 			requests: beliefs.loads.total(entry.id, now()).requests,
 			isBusy: this.#loading.has(entry.id),
-			isEmptying: beliefs.isEmptying(entry.id),
+			isEmptying: beliefs.weights.isEmptying(entry.id, now()),
 			isUsable: !this.#underway.has(entry.id) && beliefs.health.judge(entry.id, now()) !== 'paused' && now() >= (this.#pausedUntil.get(entry.id) ?? 0),
 		};
 	}
@@ -306,7 +306,7 @@
 		const {beliefs, links, backend, name, log, metrics, now} = this.#options;
 		this.#underway.add(entry.id);
 		this.#rollout.noteOrder(row, version, now());
-		beliefs.noteLoading(entry.id, now() + orderExpiry);
+		beliefs.weights.noteLoading(entry.id, now() + orderExpiry, now());
 		links.noteLoading(entry.id, orderExpiry);
 		await pause(noticeTime);
 		const report = await this.#report(entry);
@@ -337,7 +337,7 @@
 		}));
 		this.#underway.delete(entry.id);
 		log.info('order', {
-			server: entry.id, model, version, term: tenure.term, expected: report.orders, status: answer?.status ?? 'none', requests: row.requests, age: Math.round(beliefs.wantedWeights(model).age),
+			server: entry.id, model, version, term: tenure.term, expected: report.orders, status: answer?.status ?? 'none', requests: row.requests, age: Math.round(beliefs.weights.outdatedFor(model, version - 1, now())),
 		});
 		if (answer !== undefined && answer.status !== 202 && answer.status !== 200) {
 			this.#rollout.noteRefusal(entry.id);
@@ -352,7 +352,7 @@
 		const {beliefs, now, log} = this.#options;
 		this.#underway.delete(entry.id);
 		this.#pausedUntil.set(entry.id, now() + failurePause);
-		beliefs.noteLoading(entry.id, 0);
+		beliefs.weights.noteLoading(entry.id, 0, now());
 		this.#options.links.noteLoading(entry.id, 0);
 		log.info('order-failed', {server: entry.id, reason});
 	}
@@ -394,7 +394,7 @@
 	#noteWeights(entry: ServerEntry, model: string, version: number): void {
 		this.#rollout.noteRefusal(entry.id);
 		this.#options.beliefs.noteWeights(entry.id, model, version);
-		this.#options.beliefs.noteLoading(entry.id, 0);
+		this.#options.beliefs.weights.noteLoading(entry.id, 0, this.#options.now());
 		this.#options.links.noteWeights(entry.id, model, version);
 		this.#options.links.noteLoading(entry.id, 0);
 	}
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -4,7 +4,7 @@
 import {
 	type Placement, type ServerRow, StreamProgress, uncachedTokens,
 } from '@lacewingpoint/routing';
-import type {Tokens} from '@lacewingpoint/shared';
+import {type Tokens, type Metrics} from '@lacewingpoint/shared';
 import {type Result} from 'true-myth';
 import type {AdmissionService} from './admission-service.js';
 import {authorize} from './authorization.js';
@@ -16,7 +16,6 @@
 import {readUsage} from './completion-usage.js';
 import type {NamedRoute} from './configuration-view.js';
 import type {InFlightTable} from './in-flight-table.js';
-import type {Metrics} from '@lacewingpoint/shared';
 import {type Refusal, mayHaveRun, notRun} from './router-error.js';
 import type {Tables} from './tables.js';
 
--- a/packages/router/src/daemon.ts
+++ b/packages/router/src/daemon.ts
@@ -3,7 +3,7 @@
 import {EtcdKeyValueService, HttpHostList} from '@lacewingpoint/platform';
 import type {Deployment, DeploymentHost} from '@lacewingpoint/settings';
 import {
-	type Disposable, type Logger, DisposableStore, startRepeatingTask,
+	type Disposable, type Logger, DisposableStore, startRepeatingTask, Metrics,
 } from '@lacewingpoint/shared';
 import {AdmissionService} from './admission-service.js';
 import {BackendLinks} from './backend-links.js';
@@ -13,7 +13,6 @@
 import type {Clock} from './clock.js';
 import {CreditService} from './credit-service.js';
 import {InFlightTable} from './in-flight-table.js';
-import {Metrics} from '@lacewingpoint/shared';
 import {OperatorsServer} from './operators-server.js';
 import {PeerLinks, answerExchange} from './peer-links.js';
 import type {RouterContext} from './router-context.js';
--- a/packages/router/src/operators-server.ts
+++ b/packages/router/src/operators-server.ts
@@ -1,10 +1,9 @@
 import {type ServerResponse, createServer} from 'node:http';
 import {type Register, registerSchema} from '@lacewingpoint/coordination';
-import type {Disposable} from '@lacewingpoint/shared';
+import {type Disposable, type Metrics} from '@lacewingpoint/shared';
 import findMyWay from 'find-my-way';
 import * as v from 'valibot';
 import type {Clock} from './clock.js';
-import type {Metrics} from '@lacewingpoint/shared';
 import type {Tables} from './tables.js';
 
 export type OperatorsServerOptions = {
--- a/packages/router/src/router-context.ts
+++ b/packages/router/src/router-context.ts
@@ -1,6 +1,5 @@
-import type {Logger} from '@lacewingpoint/shared';
+import {type Logger, type Metrics} from '@lacewingpoint/shared';
 import type {Clock} from './clock.js';
-import type {Metrics} from '@lacewingpoint/shared';
 import type {Tables} from './tables.js';
 
 /** What every system of a router runs over. */
--- a/packages/router/src/service-call.ts
+++ b/packages/router/src/service-call.ts
@@ -6,13 +6,13 @@
 import type {KeptAnswer} from '@lacewingpoint/coordination';
 import type {ServerRow} from '@lacewingpoint/routing';
 import {Result} from 'true-myth';
+import type {Metrics} from '@lacewingpoint/shared';
 import {authorize} from './authorization.js';
 import type {BackendLinks} from './backend-links.js';
 import type {ClaimService, HeldClaim} from './claim-service.js';
 import type {Clock} from './clock.js';
 import {serviceKey} from './configuration-change.js';
 import type {NamedRoute} from './configuration-view.js';
-import type {Metrics} from '@lacewingpoint/shared';
 import {type Refusal, mayHaveRun, notRun} from './router-error.js';
 import type {Tables} from './tables.js';
 
--- a/packages/routing/__tests__/engine-placement.test.ts
+++ b/packages/routing/__tests__/engine-placement.test.ts
@@ -78,13 +78,17 @@
 
 test('servers that will load weights next are left to run empty', () => {
 	const placer = new EnginePlacer(new PromptCacheIndex());
-	const short: Generation = {...generation, parts: [], promptTokens: 500, objective: 300};
+	const short: Generation = {
+		...generation, parts: [], promptTokens: 500, objective: 300,
+	};
 	assert.is(placer.choose(short, [row('next', {isEmptying: true}), row('other', {load: busy(20, 3000)})], context)!.server, 'other');
 });
 
 test('a batch that is already large is left for a smaller one, however short the prompt', () => {
 	const placer = new EnginePlacer(new PromptCacheIndex());
-	const short: Generation = {...generation, parts: [], promptTokens: 500, outputTokens: 300};
+	const short: Generation = {
+		...generation, parts: [], promptTokens: 500, outputTokens: 300,
+	};
 	assert.is(placer.choose(short, [row('large', {load: busy(60, 0)}), row('small', {load: busy(10, 1000)})], context)!.server, 'small');
 });
 
--- /dev/null
+++ b/packages/routing/__tests__/weights-table.test.ts
@@ -0,0 +1,49 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {WeightsTable} from '../src/index.js';
+
+const test = suite('WeightsTable');
+const create = () => new WeightsTable({rememberedVersions: 16, emptyingExpiry: 500});
+const named = (version: number, knownSince: number) => ({version, revision: version, knownSince});
+
+test('a version is out of date from the naming of the next newer one, not of the newest', () => {
+	const table = create();
+	table.name('m', named(2, 1000));
+	table.name('m', named(4, 9000));
+	assert.is(table.outdatedFor('m', 1, 10_000), 9000);
+	assert.is(table.outdatedFor('m', 2, 10_000), 1000);
+	assert.is(table.outdatedFor('m', 4, 10_000), 0);
+	assert.is(table.wanted('m')?.version, 4);
+});
+
+test('told twice, the earlier moment stands', () => {
+	const table = create();
+	assert.is(table.name('m', named(2, 5000)), true);
+	assert.is(table.name('m', named(2, 3000)), false);
+	assert.is(table.name('m', named(2, 8000)), false);
+	assert.is(table.outdatedFor('m', 1, 10_000), 7000);
+});
+
+test('a load is over when the server runs the version, when it is said to be, or after its time', () => {
+	const table = create();
+	table.noteLoading('a', 8000, 0);
+	table.noteLoading('a', 300, 0);
+	assert.is(table.isLoading('a', 7999), true);
+	assert.is(table.isLoading('a', 8000), false);
+	table.see('a', 'm', 2);
+	assert.is(table.isLoading('a', 100), false);
+	table.noteLoading('a', 8000, 0);
+	table.noteLoading('a', 0, 0);
+	assert.is(table.isLoading('a', 100), false);
+});
+
+test('a server that has started anew is known for nothing', () => {
+	const table = create();
+	table.see('a', 'm', 3);
+	table.noteEmptying('a', 0);
+	table.forget('a');
+	assert.is(table.seenAt('a', 'm'), 0);
+	assert.is(table.isEmptying('a', 100), false);
+});
+
+test.run();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -43,5 +43,8 @@
 	type PlainPlacementOptions, type PlainServerRow, choosePlainServer, estimateWait, plainPlacementOptions,
 } from './service-placement.js';
 export {type WaitingRequest, WaitingLine} from './waiting-line.js';
-export {type RolloutOptions, type RolloutPlan, type RolloutRow, WeightsRollout} from './weights-rollout.js';
+export {
+	type RolloutOptions, type RolloutPlan, type RolloutRow, WeightsRollout,
+} from './weights-rollout.js';
 export {type Place, nearHosts} from './near-hosts.js';
+export {type NamedWeights, type WeightsTableOptions, WeightsTable} from './weights-table.js';
--- a/packages/routing/src/waiting-line.ts
+++ b/packages/routing/src/waiting-line.ts
@@ -47,7 +47,7 @@
 	 * @param take - Takes a request or says that it cannot run now.
 	 */
 	offer(take: (item: Item) => boolean): void {
-		for (const request of [...this.#waiting]) {
+		for (const request of this.#waiting) {
 			if (take(request.item)) {
 				this.#virtualTime = Math.max(this.#virtualTime, request.startTag);
 				this.remove(request.item);
--- /dev/null
+++ b/packages/routing/src/weights-table.ts
@@ -0,0 +1,153 @@
+import type {Milliseconds} from '@lacewingpoint/shared';
+
+export type WeightsTableOptions = {
+	/** Named versions remembered for each model: a server may be several behind. */
+	readonly rememberedVersions: number;
+	/** The holder tells again and again which servers are to run empty; its word counts this long. */
+	readonly emptyingExpiry: Milliseconds;
+};
+
+/** A version of a model's weights that the operators named. */
+export type NamedWeights = {readonly version: number; readonly revision: number; readonly knownSince: Milliseconds};
+
+/** What is known of weights: which versions were named and when, which servers were seen to run them, and which are about to. */
+export class WeightsTable {
+	readonly #options: WeightsTableOptions;
+	/** Named versions by model, oldest first. */
+	readonly #named = new Map<string, readonly NamedWeights[]>();
+	/** Versions that servers were seen to run, fresher than their entries: by server, then model. */
+	readonly #seen = new Map<string, Map<string, number>>();
+	readonly #loadingUntil = new Map<string, Milliseconds>();
+	readonly #emptyingUntil = new Map<string, Milliseconds>();
+
+	constructor(options: WeightsTableOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Takes over that a version was named. Told twice, the earlier moment stands.
+	 *
+	 * @param model - The model.
+	 * @param named - The version.
+	 * @returns Whether it was unknown.
+	 */
+	name(model: string, named: NamedWeights): boolean {
+		const known = this.#named.get(model) ?? [];
+		const before = known.find(other => other.version === named.version);
+		const others = known.filter(other => other !== before);
+		const kept = before !== undefined && before.knownSince <= named.knownSince ? before : named;
+		this.#named.set(model, [...others, kept].toSorted((left, right) => left.version - right.version).slice(-this.#options.rememberedVersions));
+		return before === undefined;
+	}
+
+	/** @returns All named versions, by model. */
+	allNamed(): ReadonlyMap<string, readonly NamedWeights[]> {
+		return this.#named;
+	}
+
+	/**
+	 * Reads the version that a model's weights ought to have.
+	 *
+	 * @param model - The model.
+	 * @returns The newest version named; nothing when none was.
+	 */
+	wanted(model: string): NamedWeights | undefined {
+		return this.#named.get(model)?.at(-1);
+	}
+
+	/**
+	 * Tells how long a version has been out of date.
+	 *
+	 * @param model - The model.
+	 * @param version - The version that a server runs.
+	 * @param now - The present moment.
+	 * @returns The time since the next newer version was named; 0 when there is none.
+	 */
+	outdatedFor(model: string, version: number, now: Milliseconds): Milliseconds {
+		const newer = this.#named.get(model)?.find(named => named.version > version);
+		return newer === undefined ? 0 : now - newer.knownSince;
+	}
+
+	/**
+	 * Reads the newest version that a server was seen to run.
+	 *
+	 * @param server - The server.
+	 * @param model - The model.
+	 * @returns The version, 0 when none was seen.
+	 */
+	seenAt(server: string, model: string): number {
+		return this.#seen.get(server)?.get(model) ?? 0;
+	}
+
+	/**
+	 * Takes over that a server runs a version; a load is over with it.
+	 *
+	 * @param server - The server.
+	 * @param model - The model.
+	 * @param version - The version.
+	 */
+	see(server: string, model: string, version: number): void {
+		const seen = this.#seen.get(server) ?? new Map<string, number>();
+		seen.set(model, version);
+		this.#seen.set(server, seen);
+		this.#loadingUntil.delete(server);
+	}
+
+	/**
+	 * Notes that a server is about to load weights and takes no requests, or that it takes them again.
+	 *
+	 * @param server - The server.
+	 * @param until - When the load is over at the latest; in the past when it is over.
+	 * @param now - The present moment.
+	 */
+	noteLoading(server: string, until: Milliseconds, now: Milliseconds): void {
+		if (until <= now) {
+			this.#loadingUntil.delete(server);
+		} else {
+			this.#loadingUntil.set(server, Math.max(this.#loadingUntil.get(server) ?? 0, until));
+		}
+	}
+
+	/**
+	 * Tells whether a server is loading weights.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 * @returns Whether it takes no requests for now.
+	 */
+	isLoading(server: string, now: Milliseconds): boolean {
+		return now < (this.#loadingUntil.get(server) ?? 0);
+	}
+
+	/**
+	 * Notes that a server is to be left to run empty.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 */
+	noteEmptying(server: string, now: Milliseconds): void {
+		this.#emptyingUntil.set(server, now + this.#options.emptyingExpiry);
+	}
+
+	/**
+	 * Tells whether a server is to be left to run empty.
+	 *
+	 * @param server - The server.
+	 * @param now - The present moment.
+	 * @returns Whether others go first.
+	 */
+	isEmptying(server: string, now: Milliseconds): boolean {
+		return now < (this.#emptyingUntil.get(server) ?? 0);
+	}
+
+	/**
+	 * Forgets a server, as when it has started anew.
+	 *
+	 * @param server - The server.
+	 */
+	forget(server: string): void {
+		this.#seen.delete(server);
+		this.#loadingUntil.delete(server);
+		this.#emptyingUntil.delete(server);
+	}
+}
