--- a/packages/host/src/backend-connections.ts
+++ b/packages/host/src/backend-connections.ts
@@ -62,7 +62,7 @@
  */
 function probeEnd(socket: Socket, connection: Connection): void {
 	socket.write('\r\n', error => {
-		const code = (error)?.code;
+		const code = error instanceof Error && 'code' in error ? error.code : undefined;
 		if (code === 'EPIPE' || code === 'ECONNRESET') {
 			connection.hasFailed = true;
 		}
