--- a/packages/host/__tests__/beliefs.test.ts
+++ b/packages/host/__tests__/beliefs.test.ts
@@ -19,8 +19,8 @@
 test('weights found at the start are taken to be old: all hosts may have restarted long after they were named', () => {
 	const {clock, beliefs} = create();
 	beliefs.apply({changes: [named(2, 5)], revision: 9}, true, 'store');
-	// Out of use, with the dispatcher's 1.5 s, before the host has run for three seconds.
-	assert.ok(beliefs.weights.outdatedFor('m', 1, clock.now + 3000) >= weightsWithin - 1500);
+	// Out of use, with the dispatcher's 1.5 s, two seconds after the first reading: the process began up to a second earlier.
+	assert.ok(beliefs.weights.outdatedFor('m', 1, clock.now + 2000) >= weightsWithin - 1500);
 });
 
 test('weights named while the host runs are known since then', () => {
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -22,9 +22,10 @@
 
 /**
  * After a start nobody may know how long named weights have been known. They are taken to be so old that old ones go out of use
- * by the time from which a restarted host is held to the rule again: three seconds, less the margin of the dispatcher.
+ * before a restarted host is held to the rule again: three seconds after the process began, of which its own start takes up to one,
+ * less the 1.5 s by which the dispatcher stops earlier.
  */
-const useAfterStart: Milliseconds = 4300;
+const useAfterStart: Milliseconds = 3300;
 
 /** Hears of changes that others act on. */
 export type BeliefListener = {
