--- a/packages/host/src/belief-watch.ts
+++ b/packages/host/src/belief-watch.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {
 	type Disposable, type Logger, type Milliseconds, type RandomSource, describeError,
 } from '@lacewingpoint/shared';
@@ -147,9 +148,3 @@
 		this.#failures = 0;
 	}
 }
-
-async function pause(time: Milliseconds): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, time);
-	});
-}
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -1,6 +1,6 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {
-	Configuration, PromptPart, Route, ServerEntry,
+	Configuration, PromptPart, ServerEntry,
 } from '@lacewingpoint/routing';
 import type {
 	Bytes, LayerError, Milliseconds, Tokens,
@@ -216,6 +216,3 @@
 	readonly receivedAt: Milliseconds;
 	readonly reply: ClientReply;
 };
-
-/** A route together with the services that may run its requests. */
-export type RoutedRequest = ReceivedRequest & {readonly route: Route};
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights-controller.ts
@@ -1,3 +1,4 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {type RolloutRow, type ServerEntry, WeightsRollout} from '@lacewingpoint/routing';
 import {
 	type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, describeError, messageOf,
@@ -462,9 +463,3 @@
 	const checked = v.safeParse(v.object({term: v.number(), holder: v.string(), quiet: v.optional(v.number(), 0)}), JSON.parse(text));
 	return checked.success ? checked.output : undefined;
 }
-
-async function pause(time: Milliseconds): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, time);
-	});
-}
