--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -52,7 +52,7 @@
 	dispose(): void {
 		this.#server.close();
 		for (const socket of this.#sockets) {
-			socket.resetAndDestroy();
+			resetConnection(socket);
 		}
 	}
 
@@ -125,6 +125,20 @@
 	}
 }
 
+/**
+ * Resets a connection, as a crash does. Node.js 20 never closes a socket that is reset while its own end is being sent, and then
+ * spins when the process exits; such a socket is destroyed instead.
+ *
+ * @param socket - The connection.
+ */
+export function resetConnection(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
 /**
  * Writes the head of an answer that vouches for itself.
  *
@@ -166,7 +180,9 @@
 			if (id > breakAfter) {
 				const half = event.slice(0, 8);
 				socket.write(`${half.length.toString(16)}\r\n${half}\r\n`, () => {
-					setImmediate(() => socket.resetAndDestroy());
+					setImmediate(() => {
+						resetConnection(socket);
+					});
 				});
 				return;
 			}
@@ -188,7 +204,9 @@
 	return (request, socket, server) => {
 		server.ran.push(request);
 		socket.write(bytes(request), () => {
-			setTimeout(() => socket.resetAndDestroy(), 5);
+			setTimeout(() => {
+				resetConnection(socket);
+			}, 5);
 		});
 	};
 }
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -188,6 +188,11 @@
 		return this.#beliefs.configuration?.version ?? 0;
 	}
 
+	/** Requests that have not had their last word. */
+	get runningRequests(): number {
+		return this.#running;
+	}
+
 	get knownServers(): number {
 		return this.#beliefs.servers.all().length;
 	}
--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -11,7 +11,7 @@
 let output = '';
 let isEndedByForce = false;
 
-// A handle that a test leaves open keeps the process alive after its last line; it must not keep CI waiting.
+// A process that does not end by itself is a fault, but it must not keep CI waiting.
 const graceAfterLastLine = 15_000;
 child.stdout.on('data', chunk => {
 	const isFirst = !output.includes('Duration:');
@@ -20,7 +20,7 @@
 	if (isFirst && output.includes('Duration:')) {
 		setTimeout(() => {
 			isEndedByForce = true;
-			process.stdout.write('the test process did not end by itself: a test left a handle open\n');
+			process.stdout.write('the test process did not end by itself\n');
 			child.kill('SIGKILL');
 		}, graceAfterLastLine).unref();
 	}
@@ -39,7 +39,7 @@
 }
 
 // A file that crashed is no test that failed, so uvu's own code counts as well.
-const hasEndedWell = child.exitCode === 0 || failed.length > 0 || (isEndedByForce && passed === total);
+const hasEndedWell = !isEndedByForce && (child.exitCode === 0 || failed.length > 0);
 const isGreen = total > 0 && unexpected.length === 0 && hasEndedWell;
 process.stdout.write(`${passed} passed, ${total - passed} failed\n`);
 process.exitCode = isGreen ? 0 : 1;
