Count the retry budget over a sliding window, and grant its slack over the first window after a start

A host that knew no peer by then took the whole slack of the fleet, and nine hosts killed together began with full buckets while the retries of the processes before were still in the window. Now each host counts requests and retries of the last window, has an equal part of the slack by the peers known at that moment, and earns it over the first window after its start.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -88,10 +88,12 @@
 	#lastSnapshotAt = 0;
 	#seedTurn = 0;
 	#behindSince: Milliseconds | undefined;
+	readonly #startedAt: Milliseconds;
 
 	constructor(parts: HostParts) {
 		const {settings, adapter, log, random, now, wallClock} = parts;
 		this.#parts = parts;
+		this.#startedAt = now();
 		this.#beliefs = new Beliefs(log, now, settings.weightsWithin, {
 			onServersChanged: () => {
 				this.#dispatcher.offer();
@@ -276,6 +278,7 @@
 			metrics: this.#metrics,
 			now,
 			retryBudget: service => this.#retryBudget(service),
+			hostCount: () => this.#beliefs.hosts.peers(now()).length + 1,
 			onPlaced: (chosen, run) => {
 				const {engine, entry} = chosen;
 				if (engine !== undefined && run.request.generation !== undefined) {
@@ -369,8 +372,7 @@
 			return known;
 		}
 
-		const hosts = this.#beliefs.hosts.peers(this.#parts.now()).length + 1;
-		const budget = new RetryBudget({share: settings.retryRatio, burst: Math.max(settings.retrySlack / hosts, 1)});
+		const budget = new RetryBudget({share: settings.retryRatio, slack: settings.retrySlack, window: settings.retryWindow}, this.#startedAt);
 		this.#budgets.set(service, budget);
 		return budget;
 	}
--- a/packages/host/src/pipeline-context.ts
+++ b/packages/host/src/pipeline-context.ts
@@ -18,8 +18,10 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
-	/** The retry budget of a service on this host. */
+	/** The retry budget of a service. */
 	retryBudget(service: string): RetryBudget;
+	/** @returns The hosts that share quotas and budgets, this one included. */
+	hostCount(): number;
 	/** Tells the peers at once what was placed. */
 	onPlaced(chosen: ChosenServer, run: ReceivedRequest): void;
 	/** Tells the peers that a prompt has been read, or that it will not be. */
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -113,7 +113,7 @@
 		}
 
 		this.#service = drawService(admission.route, this.#context.random.next()) ?? '';
-		this.#context.retryBudget(this.#service).noteRequest();
+		this.#context.retryBudget(this.#service).noteRequest(now());
 		reply.onGone(() => {
 			this.#clientGone();
 		});
@@ -426,13 +426,18 @@
 
 		this.#closeAttempt(attempt, `not run (${attempt.status})`);
 		attempt.exchange?.abort();
-		if (this.#sends < this.#route!.maxServers + sendsBeyondRuns && this.#context.retryBudget(this.#service).take()) {
+		if (this.#sends < this.#route!.maxServers + sendsBeyondRuns && this.#takeRetry()) {
 			this.#placeOrWait();
 		} else {
 			this.#fail('servers refused the request', Math.min(unknownPause, this.#timeLeft() * honouredShare));
 		}
 	}
 
+	#takeRetry(): boolean {
+		const {retryBudget, hostCount, now} = this.#context;
+		return retryBudget(this.#service).take(hostCount(), now());
+	}
+
 	#mayTryAgain(): boolean {
 		// Of an answer that has begun, only a stream can go on at another server.
 		return this.#mayRunAgain
@@ -440,7 +445,7 @@
 			&& this.#runs < this.#route!.maxServers
 			&& this.#sends < this.#route!.maxServers + sendsBeyondRuns
 			&& this.#timeLeft() > leastTime
-			&& this.#context.retryBudget(this.#service).take();
+			&& this.#takeRetry();
 	}
 
 	#attemptFailed(failure: ExchangeFailure, isSilence = false): void {
--- a/packages/router/src/completion-run.ts
+++ b/packages/router/src/completion-run.ts
@@ -93,7 +93,7 @@
 	 * @returns How it ended; a stream's own ending has not been sent yet when it is refused.
 	 */
 	async run(stream: CallerStream): Promise<CompletionEnd> {
-		this.#context.tables.retries.noteRequest();
+		this.#context.tables.retries.noteRequest(this.#context.clock.now());
 		for (let attempt = 1; ; attempt++) {
 			const end = await this.#attempt(stream);
 			if (end.type !== 'failed') {
@@ -102,7 +102,7 @@
 
 			this.#context.metrics.count('attempts_failed', {code: end.error.code});
 			this.#mayHaveRun ||= !certainlyDidNotRun(end.error);
-			if (attempt >= longestAttempts || !this.#context.tables.retries.take()) {
+			if (attempt >= longestAttempts || !this.#context.tables.retries.take(1, this.#context.clock.now())) {
 				return this.#giveUp(end.error);
 			}
 		}
@@ -315,7 +315,7 @@
 				return;
 			}
 
-			if (isWaiting() && tables.retries.take()) {
+			if (isWaiting() && tables.retries.take(1, this.#context.clock.now())) {
 				tables.servers.noteFailure(placement.server, clock.now());
 				this.#context.metrics.count('slow_starts', {server: placement.server});
 				abort.abort();
--- a/packages/router/src/service-call.ts
+++ b/packages/router/src/service-call.ts
@@ -85,7 +85,7 @@
 	}
 
 	async #runRepeatable(): Promise<Result<ServiceResult, Refusal>> {
-		this.#context.tables.retries.noteRequest();
+		this.#context.tables.retries.noteRequest(this.#context.clock.now());
 		let isSent = false;
 		for (let attempt = 1; ; attempt++) {
 			const answer = await this.#send(undefined);
@@ -98,7 +98,7 @@
 			}
 
 			isSent ||= !certainlyDidNotRun(answer.error);
-			if (attempt >= longestAttempts || !this.#context.tables.retries.take()) {
+			if (attempt >= longestAttempts || !this.#context.tables.retries.take(1, this.#context.clock.now())) {
 				return Result.err(isSent ? failed(answer.error) : untouched(answer.error));
 			}
 		}
--- a/packages/router/src/tables.ts
+++ b/packages/router/src/tables.ts
@@ -52,6 +52,6 @@
 		prefixes,
 		admission: new Admission(servers, placement, {backlog: engines.backlogMilliseconds, longestWait: limits.queueMilliseconds}),
 		quarantine: new Quarantine({convictingDeaths: 2, domainWindow: 2000, lifetime: 600_000}),
-		retries: new RetryBudget({share: 0.1, burst: 20}),
+		retries: new RetryBudget({share: 0.1, slack: 20, window: 10_000}, now),
 	};
 }
--- /dev/null
+++ b/packages/routing/__tests__/retry-budget.test.ts
@@ -0,0 +1,94 @@
+import fc from 'fast-check';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {RetryBudget} from '../src/index.js';
+
+const test = suite('retry budget');
+
+const options = {share: 0.2, slack: 58, window: 10_000};
+
+test('retries that come at once are granted up to the share of the requests and the host\'s part of the slack', () => {
+	const budget = new RetryBudget(options, 0);
+	for (let request = 0; request < 50; request++) {
+		budget.noteRequest(10_000);
+	}
+
+	let granted = 0;
+	while (budget.take(9, 10_000)) {
+		granted++;
+	}
+
+	// 0.2 x 50 and 0.85 x 58 / 9.
+	assert.is(granted, 15);
+});
+
+test('a host that starts gets the slack as retries of the process before leave the window', () => {
+	const budget = new RetryBudget(options, 0);
+	assert.not.ok(budget.take(1, 100));
+	assert.ok(budget.take(1, 1000));
+	const takeAll = (now: number) => {
+		let granted = 0;
+		while (budget.take(1, now)) {
+			granted++;
+		}
+
+		return granted;
+	};
+
+	assert.is(takeAll(5000), 23);
+	assert.is(takeAll(10_000), 25);
+});
+
+test('unspent budget is not kept beyond the window', () => {
+	const budget = new RetryBudget(options, 0);
+	for (let request = 0; request < 1000; request++) {
+		budget.noteRequest(0);
+	}
+
+	let granted = 0;
+	while (budget.take(9, 30_000)) {
+		granted++;
+	}
+
+	assert.is(granted, 5);
+});
+
+type Step = {readonly host: number; readonly pause: number; readonly requests: number; readonly tries: number; readonly isRestart: boolean};
+
+// What is judged: retries of all hosts in any window, against the requests of the window, the one before or the one half a window before.
+test('over all hosts, restarts included, no window has more retries than the share and the slack allow', () => {
+	const step: fc.Arbitrary<Step> = fc.record({
+		host: fc.nat({max: 3}), pause: fc.nat({max: 2500}), requests: fc.nat({max: 40}), tries: fc.nat({max: 60}), isRestart: fc.boolean(),
+	});
+	fc.assert(fc.property(fc.array(step, {maxLength: 60}), steps => {
+		const hosts = Array.from({length: 4}, () => new RetryBudget(options, -options.window));
+		const requestTimes: number[] = [];
+		const retryTimes: number[] = [];
+		let now = 0;
+		for (const {host, pause, requests, tries, isRestart} of steps) {
+			now += pause;
+			if (isRestart && requests % 5 === 0) {
+				hosts[host] = new RetryBudget(options, now);
+			}
+
+			for (let request = 0; request < requests; request++) {
+				hosts[host]!.noteRequest(now);
+				requestTimes.push(now);
+			}
+
+			for (let turn = 0; turn < tries; turn++) {
+				if (hosts[host]!.take(hosts.length, now)) {
+					retryTimes.push(now);
+				}
+			}
+		}
+
+		const within = (times: readonly number[], from: number) => times.filter(time => time >= from && time < from + options.window).length;
+		return [...retryTimes, ...retryTimes.map(time => time - options.window + 1)].every(from => {
+			const requests = Math.max(within(requestTimes, from), within(requestTimes, from - options.window), within(requestTimes, from - (options.window / 2)));
+			return within(retryTimes, from) <= (requests * options.share) + options.slack;
+		});
+	}), {seed: 4714, numRuns: 500});
+});
+
+test.run();
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -1,32 +1,89 @@
+import type {Milliseconds} from '@lacewingpoint/shared';
+
 export type RetryBudgetOptions = {
-	/** Retries allowed for each request, on average. */
+	/** Retries allowed for each request that this host has taken. */
 	readonly share: number;
-	/** Retries that may come at once. */
-	readonly burst: number;
+	/** Retries that all hosts together may make within a window beyond that share. */
+	readonly slack: number;
+	/** The time over which requests and retries are counted. */
+	readonly window: Milliseconds;
 };
 
-/** Keeps retries a small share of requests, so that they cannot multiply an overload. */
+/** Requests and retries are counted in steps of this share of the window. */
+const stepShare = 0.05;
+
+/** The part of the slack that is used: hosts may differ for a while about how many they are. */
+const usedSlack = 0.85;
+
+type Step = {readonly beginsAt: Milliseconds; requests: number; retries: number};
+
+/**
+ * Keeps the retries of all hosts to a share of the requests, so that they cannot multiply an overload.
+ * Load pattern: servers that die or refuse under many requests at once; all that were under way come back in the same moment.
+ * Each host counts its own requests and has an equal part of the slack. After a start the slack is granted as fast as retries of
+ * the process before, which nobody remembers, leave the window.
+ */
 export class RetryBudget {
 	readonly #options: RetryBudgetOptions;
-	#available: number;
+	readonly #startedAt: Milliseconds;
+	#steps: Step[] = [];
 
-	constructor(options: RetryBudgetOptions) {
+	/**
+	 * @param options - The limits.
+	 * @param now - The present moment.
+	 */
+	constructor(options: RetryBudgetOptions, now: Milliseconds) {
 		this.#options = options;
-		this.#available = options.burst;
+		this.#startedAt = now;
 	}
 
-	/** Counts a first attempt. */
-	noteRequest(): void {
-		this.#available = Math.min(this.#available + this.#options.share, this.#options.burst);
+	/**
+	 * Counts a first attempt.
+	 *
+	 * @param now - The present moment.
+	 */
+	noteRequest(now: Milliseconds): void {
+		this.#stepAt(now).requests++;
 	}
 
-	/** @returns True when a retry may be made; it is counted. */
-	take(): boolean {
-		if (this.#available < 1) {
+	/**
+	 * Takes a retry from the budget.
+	 *
+	 * @param hosts - The hosts that share the slack, this one included.
+	 * @param now - The present moment.
+	 * @returns Whether the retry may be made; it is counted.
+	 */
+	take(hosts: number, now: Milliseconds): boolean {
+		const {share, slack, window} = this.#options;
+		const step = this.#stepAt(now);
+		let requests = 0;
+		let retries = 0;
+		for (const counted of this.#steps) {
+			requests += counted.requests;
+			retries += counted.retries;
+		}
+
+		const granted = slack * usedSlack * Math.min((now - this.#startedAt) / window, 1) / Math.max(hosts, 1);
+		if (retries + 1 > (requests * share) + granted) {
 			return false;
 		}
 
-		this.#available--;
+		step.retries++;
 		return true;
 	}
+
+	#stepAt(now: Milliseconds): Step {
+		const {window} = this.#options;
+		const length = window * stepShare;
+		// The last retry of a step may come a whole length after its beginning.
+		this.#steps = this.#steps.filter(step => now - step.beginsAt < window + length);
+		const last = this.#steps.at(-1);
+		if (last !== undefined && now - last.beginsAt < length) {
+			return last;
+		}
+
+		const step: Step = {beginsAt: now, requests: 0, retries: 0};
+		this.#steps.push(step);
+		return step;
+	}
 }
