Leave one router: remove what the platform made needless, and put the product around the pipeline in its place

Removed: the first milestone's router, controller, peers over trpc with epochs, tickets, claims, rate shares by loans, etcd adapter, engine and plain-service clients, cells, prefix index over text, and their stand-ins, pages and tests; nothing of it was deployed. Tests of what stays in another form were replaced by as strict ones: at most once, whole and resumed streams, restarts, stops and outages as processes (packages-private/local-cluster), keys and bad input (packages/completions), rates (QuotaLedger, as before), golden session (platform/__tests__/golden-session.test.ts). Claims by Idempotency-Key are gone with their promise: the header is handed on, and the platform's own attempts are told apart by their ids.

--- a/packages-private/local-cluster/src/child-process.ts
+++ b/packages-private/local-cluster/src/child-process.ts
@@ -12,9 +12,17 @@
 	#output = '';
 	#errors = '';
 
-	constructor(name: string, program: string, parameters: readonly string[]) {
+	/**
+	 * @param name - For messages.
+	 * @param program - A program of the build.
+	 * @param parameters - Its arguments.
+	 * @param environment - Variables beside those of this process.
+	 */
+	constructor(name: string, program: string, parameters: readonly string[], environment: Readonly<Record<string, string>> = {}) {
 		this.name = name;
-		this.#child = spawn(process.execPath, [`${distribution}${program}.mjs`, ...parameters], {stdio: ['ignore', 'pipe', 'pipe']});
+		this.#child = spawn(process.execPath, [`${distribution}${program}.mjs`, ...parameters], {
+			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...environment},
+		});
 		this.#child.stdout!.on('data', chunk => {
 			this.#output = `${this.#output}${String(chunk)}`.slice(-longestOutput);
 		});
--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -1,200 +1,177 @@
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import type {Deployment, DeploymentHost} from '@lacewingpoint/settings';
-import {type Disposable, DisposableStore} from '@lacewingpoint/shared';
+import {
+	PlatformServerStandIn, PlatformStoreStandIn, type ServerBehaviour, createConfiguration,
+} from '@lacewingpoint/stand-ins';
 import {request} from 'undici';
 import {LocalProcess} from './child-process.js';
-import {freePorts} from './free-ports.js';
 import {waitFor} from './wait-for.js';
 
-export type LocalClusterOptions = {
+/** Ports of every host, each at an IP number of its own on loopback. */
+const ports = {
+	client: 0, readiness: 1, directory: 2, completions: 3, metrics: 4, peers: 5,
+} as const;
+
+const portsPerHost = 8;
+
+/** One host: its process may be replaced. */
+export type LocalHost = {
 	readonly name: string;
-	readonly hosts: number;
-	readonly controllers: number;
-	readonly engines: number;
-	readonly services: number;
-	/** Further parameters of every engine stand-in. */
-	readonly engineParameters?: readonly string[];
-	/** Replaces parts of the settings. */
-	readonly settings?: Partial<Record<keyof Deployment, unknown>>;
+	readonly ip: string;
+	readonly completionsAddress: string;
+	readonly readinessAddress: string;
+	readonly directoryAddress: string;
+	readonly metricsAddress: string;
+	process: LocalProcess;
 };
 
-const failureDomains = ['domain-a', 'domain-b', 'domain-c'];
-
-/** A stand-in with its address. */
-export type Backend = {readonly name: string; readonly address: string; readonly port: number; readonly failureDomain: string};
+export type LocalClusterOptions = {
+	readonly hosts: number;
+	readonly plain: readonly ServerBehaviour[];
+	readonly models: readonly ServerBehaviour[];
+	/** Fields of the configuration that differ. */
+	readonly configuration?: Readonly<Record<string, unknown>>;
+};
 
-/** The whole system as processes on loopback: platform, backend servers, routers, controllers. */
-export class LocalCluster implements Disposable {
-	readonly processes = new Map<string, LocalProcess>();
-	readonly engines: Backend[] = [];
-	readonly services: Backend[] = [];
-	readonly hosts: DeploymentHost[] = [];
-	settingsPath = '';
-	platformAddress = '';
+/** A whole system on loopback. */
+export class LocalCluster {
+	readonly store = new PlatformStoreStandIn();
+	readonly servers: PlatformServerStandIn[] = [];
+	readonly hosts: LocalHost[] = [];
 	readonly #options: LocalClusterOptions;
-	readonly #disposables = new DisposableStore();
+	#folder = '';
+	#firstPort = 0;
 
 	constructor(options: LocalClusterOptions) {
 		this.#options = options;
 	}
 
-	/** Starts the platform and the backend servers and writes the settings; routers come with {@link startHosts}. */
-	async startBackends(): Promise<void> {
-		const ports = await freePorts(1 + (this.#options.hosts * 3) + this.#options.engines + this.#options.services);
-		const nextAddress = () => `127.0.0.1:${ports.pop()!}`;
-		this.platformAddress = nextAddress();
-		this.start('platform', 'stand-in', ['platform', '--port', portOf(this.platformAddress)]);
-		for (let index = 0; index < this.#options.engines; index++) {
-			this.startEngine(this.#newBackend(`engine-${index + 1}`, this.engines, index, nextAddress()));
-		}
-
-		for (let index = 0; index < this.#options.services; index++) {
-			this.startService(this.#newBackend(`service-${index + 1}`, this.services, index, nextAddress()));
-		}
-
+	/** Starts everything and waits until all hosts serve. */
+	async start(): Promise<void> {
+		this.#folder = await mkdtemp(join(tmpdir(), 'lacewingpoint-'));
+		this.#firstPort = await freePort();
+		await this.store.start();
+		this.store.put('op/config', createConfiguration(1, this.#options.configuration));
+		await this.#startServers('plain', this.#options.plain);
+		await this.#startServers('models', this.#options.models);
 		for (let index = 0; index < this.#options.hosts; index++) {
-			this.hosts.push({
-				id: `host-${index + 1}`, failureDomain: domainOf(index), callersAddress: nextAddress(), peerAddress: nextAddress(), operatorsAddress: nextAddress(),
-			});
+			this.hosts.push(await this.#prepareHost(index));
 		}
 
-		await this.#writeSettings();
-		await this.waitFor('the stand-ins', async () => this.#areBackendsUp());
-	}
-
-	/** Starts the routers and controllers, and waits until every router has contact. */
-	async startHosts(): Promise<void> {
-		for (const host of this.hosts) {
-			this.startRouter(host.id);
-		}
-
-		for (const host of this.hosts.slice(0, this.#options.controllers)) {
-			this.start(`controller ${host.id}`, 'lacewingpoint-controller', ['--settings', this.settingsPath, '--host', host.id]);
-		}
-
-		await this.waitForReady(this.hosts.map(host => host.id));
-	}
-
-	start(name: string, program: string, parameters: readonly string[]): LocalProcess {
-		const child = new LocalProcess(name, program, parameters);
-		this.processes.set(name, child);
-		this.#disposables.defer(async () => child.kill());
-		return child;
-	}
-
-	startRouter(hostId: string): LocalProcess {
-		return this.start(hostId, 'lacewingpoint-router', ['--settings', this.settingsPath, '--host', hostId]);
-	}
-
-	startEngine(engine: Backend): LocalProcess {
-		return this.start(engine.name, 'stand-in', ['engine', '--port', String(engine.port), ...(this.#options.engineParameters ?? [])]);
+		await this.waitUntilServing();
 	}
 
-	startService(service: Backend): LocalProcess {
-		return this.start(service.name, 'stand-in', ['service', '--port', String(service.port)]);
+	/** Waits until every running host says that it is ready and knows all others. */
+	async waitUntilServing(): Promise<void> {
+		const running = () => this.hosts.filter(host => host.process.isRunning);
+		await waitFor('hosts to serve', async () => {
+			const counts = await Promise.all(running().map(async host => this.#addressesOf(host)));
+			return counts.every(count => count === running().length);
+		}, () => this.hosts.map(host => `${host.name}: ${host.process.output.slice(-2000)}${host.process.errors}`).join('\n'));
 	}
 
 	/**
-	 * Runs lacewingpointctl to its end.
+	 * Starts a host's process again, as the platform does after its end.
 	 *
-	 * @param words - The command.
-	 * @returns Its exit code and output.
+	 * @param host - The host.
 	 */
-	async control(...words: readonly string[]): Promise<{readonly code: number | undefined; readonly output: string; readonly errors: string}> {
-		const child = new LocalProcess('lacewingpointctl', 'lacewingpointctl', ['--settings', this.settingsPath, ...words]);
-		const code = await child.ended();
-		return {code, output: child.output, errors: child.errors};
+	restart(host: LocalHost): void {
+		host.process = this.#startProcess(host);
 	}
 
 	/**
-	 * Submits a ticket through lacewingpointctl.
+	 * Asks a host which addresses a client should use.
 	 *
-	 * @param ticket - The ticket.
-	 * @returns The command's exit code and output.
+	 * @param host - The host that is asked.
+	 * @returns The IP numbers of the hosts that it names, none when it does not answer.
 	 */
-	async submit(ticket: unknown) {
-		const path = `${this.settingsPath}.${Math.trunc(performance.now() * 1000)}.ticket`;
-		await writeFile(path, JSON.stringify(ticket));
-		return this.control('ticket', 'submit', path, '--json');
+	async lookup(host: LocalHost): Promise<string[]> {
+		try {
+			const answer = await request(`http://${host.directoryAddress}/lookup?name=h.example&region=r&zone=a`, {signal: AbortSignal.timeout(1000)});
+			const body = await answer.body.json() as {readonly addresses?: readonly string[]};
+			return (body.addresses ?? []).map(address => address.split(':')[0]!);
+		} catch {
+			// A host that is gone names nobody; callers ask the next one.
+			return [];
+		}
 	}
 
-	/**
-	 * Switches faults of a stand-in.
-	 *
-	 * @param address - The stand-in's address.
-	 * @param faults - Its faults.
-	 */
-	async setFaults(address: string, faults: unknown): Promise<void> {
-		await request(`http://${address}/faults`, {method: 'POST', body: JSON.stringify(faults)});
-	}
+	/** Ends all processes and stand-ins. */
+	async dispose(): Promise<void> {
+		await Promise.all(this.hosts.map(async host => host.process.kill()));
+		for (const server of this.servers) {
+			server.dispose();
+		}
 
-	/**
-	 * Waits until routers may take new work.
-	 *
-	 * @param hostIds - The routers.
-	 */
-	async waitForReady(hostIds: readonly string[]): Promise<void> {
-		const hosts = this.hosts.filter(host => hostIds.includes(host.id));
-		await this.waitFor('routers', async () => {
-			const answers = await Promise.all(hosts.map(async host => isOk(`http://${host.operatorsAddress}/readyz`)));
-			const callers = await Promise.all(hosts.map(async host => isOk(`http://${host.callersAddress}/v1/entry-hosts`)));
-			return [...answers, ...callers].every(Boolean);
-		});
+		this.store.dispose();
+		await rm(this.#folder, {recursive: true, force: true});
 	}
 
-	/**
-	 * Waits until a condition holds.
-	 *
-	 * @param what - Named in the error when it never does.
-	 * @param condition - The condition.
-	 */
-	async waitFor(what: string, condition: () => Promise<boolean>): Promise<void> {
-		await waitFor(what, condition, () => [...this.processes.values()].map(child => `${child.name}: ${child.errors.slice(-400)}`).join('\n'));
+	async #addressesOf(host: LocalHost): Promise<number> {
+		const named = await this.lookup(host);
+		return named.length;
 	}
 
-	async dispose(): Promise<void> {
-		await this.#disposables.dispose();
+	async #startServers(service: string, behaviours: readonly ServerBehaviour[]): Promise<void> {
+		for (const [index, behaviour] of behaviours.entries()) {
+			const server = new PlatformServerStandIn(`${service}-${index}`, behaviour);
+			await server.start();
+			this.servers.push(server);
+			this.store.put(`servers/${server.id}`, server.entry(service, service === 'models' ? {models: [{name: 'm', version: server.weights}]} : {}));
+		}
 	}
 
-	#newBackend(name: string, list: Backend[], index: number, address: string): Backend {
-		const backend = {
-			name, address, port: Number(portOf(address)), failureDomain: domainOf(index),
+	async #prepareHost(index: number): Promise<LocalHost> {
+		const name = `host-${index + 1}`;
+		const ip = `127.0.1.${index + 1}`;
+		const address = (port: keyof typeof ports) => `${ip}:${this.#firstPort + ports[port]}`;
+		const firstPeerPort = this.#firstPort + ports.peers;
+		await writeFile(join(this.#folder, `${name}.toml`), `
+nodeName = "${name}"
+ip = "${ip}"
+zone = "a"
+region = "r"
+portRange = [${firstPeerPort}, ${firstPeerPort + 2}]
+seeds = []
+[listen]
+front = "${address('client')}"
+ready = "${address('readiness')}"
+directory = "${address('directory')}"
+[limits]
+memoryMb = 200
+[bounds]
+leaseMs = 1000
+ttl_max_s = 1
+[platform]
+address = "${this.store.address}"
+`);
+		await writeFile(join(this.#folder, `${name}.jsonc`), JSON.stringify({
+			completions: {port: this.#firstPort + ports.completions}, metricsPort: this.#firstPort + ports.metrics,
+		}));
+		const host = {
+			name, ip, completionsAddress: address('completions'), readinessAddress: address('readiness'), directoryAddress: address('directory'), metricsAddress: address('metrics'),
 		};
-		list.push(backend);
-		return backend;
-	}
-
-	async #areBackendsUp(): Promise<boolean> {
-		const urls = [`http://${this.platformAddress}/v1/hosts`, ...this.engines.map(engine => `http://${engine.address}/v1/state`), ...this.services.map(service => `http://${service.address}/ran`)];
-		const answers = await Promise.all(urls.map(async url => isOk(url)));
-		return answers.every(Boolean);
+		return {...host, process: this.#startProcess(host)};
 	}
 
-	async #writeSettings(): Promise<void> {
-		const folder = await mkdtemp(join(tmpdir(), 'lacewingpoint-'));
-		this.#disposables.defer(async () => rm(folder, {recursive: true}));
-		this.settingsPath = join(folder, 'deployment.jsonc');
-		await writeFile(this.settingsPath, JSON.stringify({
-			name: this.#options.name,
-			hosts: this.hosts,
-			platform: {keyValueService: `http://${this.platformAddress}`, hostList: `http://${this.platformAddress}`, weightStore: `http://${this.platformAddress}`},
-			...this.#options.settings,
-		}));
+	#startProcess({name}: {readonly name: string}): LocalProcess {
+		return new LocalProcess(name, 'lacewingpoint-host', ['--settings', join(this.#folder, `${name}.jsonc`)], {
+			LACEWINGPOINT_NODE_FILE: join(this.#folder, `${name}.toml`),
+		});
 	}
 }
 
-const domainOf = (index: number) => failureDomains[index % failureDomains.length]!;
-
-const portOf = (address: string) => address.split(':')[1]!;
-
-async function isOk(url: string): Promise<boolean> {
-	try {
-		const response = await request(url, {signal: AbortSignal.timeout(1000)});
-		await response.body.dump();
-		return response.statusCode === 200;
-	} catch {
-		return false;
-	}
+// A port is looked for on one address and used on several; the ports behind it are most likely free as well.
+async function freePort(): Promise<number> {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.1.1', resolve);
+	});
+	const {port} = server.address() as {readonly port: number};
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	return Math.min(port, 65_535 - portsPerHost);
 }
--- a/packages-private/measure/src/index.ts
+++ b/packages-private/measure/src/index.ts
@@ -1,10 +1,11 @@
-export {EventQueue} from './event-queue.js';
-export {type PolicyName, policyNames} from './policies.js';
-export type {RunResult} from './run-record.js';
 export {
-	type Disturbance, type RunOptions, Simulation, disturbances,
-} from './simulation.js';
-export {type WorkloadShape, courseGuides, datasheets} from './workload.js';
-export {measureCoreSlopes, placementTime} from './core-slopes.js';
+	type ExperimentOptions, type ExperimentResult, type LoadPattern, loadPatterns, runExperiment,
+} from './experiment.js';
+export {type EngineFigures, type EngineWork, ModelEngine} from './model-engine.js';
+export {EventQueue} from './event-queue.js';
+export {type PolicyName, policyNames} from './placement-host.js';
+export {measureSlopes} from './slopes.js';
 export {type Point, type Slope, fitSlope} from './slope-fit.js';
-export {type StalenessResult, measureStaleness} from './staleness.js';
+export {
+	type Site, type WorkKind, instituto, tanaRidge,
+} from './workload.js';
--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -1,6 +1,7 @@
 import {
 	type AddressInfo, type Server, type Socket, createServer,
 } from 'node:net';
+import {hashText} from '@lacewingpoint/shared';
 
 /** A request as a backend server has read it. */
 export type PlatformRequest = {
@@ -194,6 +195,48 @@
 	};
 }
 
+/**
+ * Composes one piece of a completion; a resumed stream gets the same pieces.
+ *
+ * @param body - The request's body.
+ * @param index - The piece's place in the answer.
+ * @returns The piece.
+ */
+export function completionPiece(body: string, index: number): string {
+	return `${hashText(body, index).toString(36)} `;
+}
+
+/**
+ * Streams a completion in the usual shape.
+ *
+ * @param pieces - How many pieces make the whole answer.
+ * @param pause - Milliseconds between them.
+ * @returns The behaviour.
+ */
+export function answerCompletion(pieces: number, pause = 0): ServerBehaviour {
+	return (request, socket, server) => {
+		server.ran.push(request);
+		socket.write(stampedHead(request, ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']));
+		let id = Number(request.headers.get('last-event-id') ?? 0) + 1;
+		const writeNext = () => {
+			if (socket.destroyed) {
+				return;
+			}
+
+			const data = id > pieces ? '[DONE]' : JSON.stringify({choices: [{index: 0, delta: {content: completionPiece(request.body, id)}}]});
+			const event = `id: ${id}\ndata: ${data}\n\n`;
+			socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+			if (id++ > pieces) {
+				socket.write('0\r\n\r\n');
+			} else {
+				setTimeout(writeNext, pause);
+			}
+		};
+
+		writeNext();
+	};
+}
+
 /**
  * Runs the request, sends bytes and resets the connection.
  *
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,10 +1,5 @@
-export {
-	type Acceptance, type AskHost, type HoldAnswer, checkAcceptance,
-} from './acceptance.js';
-export {type AuditRecord, appendAudit, readAudit} from './audit-trail.js';
-export {type CommandContext, runCommand} from './commands.js';
-export {type ExitCode, exitCodes} from './exit-codes.js';
-export {
-	type SubmissionContext, type SubmissionReport, readTicket, submitTicket,
-} from './submission.js';
-export {type StoreOutcome, readTickets, storeTicket} from './ticket-store.js';
+export {type AuditEntry, auditTrail} from './audit-trail.js';
+export {type CommandContext, exitCodes, runCommand} from './commands.js';
+export {type Explanation, type ExplanationEntry, explainRequest} from './explanation.js';
+export {type HostStatus, readHostStatus} from './host-status.js';
+export {type LogRecord, readLogRecords} from './log-records.js';
--- a/packages/host/src/client-server.ts
+++ b/packages/host/src/client-server.ts
@@ -42,11 +42,11 @@
 };
 
 class HttpReply implements ClientReply {
+	/** Known once the request's head has been read. */
+	request: ClientRequest | undefined;
 	readonly #response: ServerResponse;
 	readonly #options: ClientServerOptions;
 	readonly #goneListeners: Array<() => void> = [];
-	/** Known once the request's head has been read. */
-	request: ClientRequest | undefined;
 	#isGone = false;
 
 	constructor(response: ServerResponse, options: ClientServerOptions) {
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,3 @@
 export {
-	type Deployment, type DeploymentHost, type HostSettings, deploymentSchema, findHost, readDeployment, readHostSettings,
-} from './deployment.js';
+	type ProductSettings, defaultSettings, productSettingsSchema, readProductSettings,
+} from './product-settings.js';
--- a/packages/shared/src/random-source.ts
+++ b/packages/shared/src/random-source.ts
@@ -1,3 +1,6 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
 /** A source of random draws that callers pass into decision code. */
 export type RandomSource = {
 	/** @returns A number from 0 inclusive to 1 exclusive. */
@@ -5,19 +8,14 @@
 };
 
 /**
- * Makes a repeatable random source (mulberry32).
+ * Makes a repeatable random source.
  *
  * @param seed - Any integer; equal seeds give equal draws.
  * @returns The source.
  */
 export function createSeededRandom(seed: number): RandomSource {
-	let state = Math.trunc(seed);
+	const generator = xoroshiro128plus(seed);
 	return {
-		next() {
-			state = Math.trunc(state + 0x6D_2B_79_F5);
-			let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-			mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-			return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
-		},
+		next: () => uniformFloat64(generator),
 	};
 }
--- a/scripts/build.js
+++ b/scripts/build.js
@@ -2,10 +2,7 @@
 
 const programs = {
 	'lacewingpoint-host': 'platform/src/main.ts',
-	'lacewingpoint-router': 'packages/router/src/main.ts',
-	'lacewingpoint-controller': 'packages/controller/src/main.ts',
 	lacewingpointctl: 'packages/command-line/src/main.ts',
-	'stand-in': 'packages-private/stand-ins/src/main.ts',
 };
 
 await build({
