Orders to servers: a lease of its own module, a shorter hand-over, nothing ordered after a suspension

And from reading: the steady clock leaves out a suspension, so that a holder that was suspended would have ordered on by a renewal from before it. Servers that load are asked every 100 ms instead of 200.

Ruled out: the leftover wait for what an order takes on its way (400 ms) cannot be dropped: a partition may hold bytes up.

--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -14,8 +14,13 @@
 /** Answers one request by writing bytes, so that answers can be wrong in any way. */
 export type ServerBehaviour = (request: PlatformRequest, socket: Socket, server: PlatformServerStandIn) => void;
 
+/** What an order to load weights says. */
+export type ReceivedOrder = {readonly version: number; readonly holder: string; readonly fence: number; readonly expected: number};
+
 /** A backend server of the users' platform in small: it reads requests and answers as a test tells it. */
 export class PlatformServerStandIn {
+	/** The orders, in the order in which they came. */
+	readonly received: ReceivedOrder[] = [];
 	readonly id: string;
 	/** Requests that it has begun to run. */
 	readonly ran: PlatformRequest[] = [];
@@ -111,8 +116,10 @@
 		}
 
 		if (request.target === '/order') {
-			this.weights = (JSON.parse(request.body) as {readonly version: number}).version;
+			const order = JSON.parse(request.body) as ReceivedOrder;
+			this.weights = order.version;
 			this.orders++;
+			this.received.push(order);
 			socket.write('HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n');
 			return;
 		}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,3 +1,6 @@
+export {
+	type Moment, type TurnBounds, HolderTurn, createTurnBounds, waitForTurn,
+} from './holder-turn.js';
 export {
 	type HostDescription, type HostDirectoryOptions, type HostState, HostDirectory,
 } from './host-directory.js';
--- a/packages/host/src/host-links.ts
+++ b/packages/host/src/host-links.ts
@@ -130,6 +130,10 @@
 
 	/** Tells the peers all there is to tell. */
 	tell(): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		const {beliefs, now} = this.#options;
 		this.#hasNews = false;
 		this.#lastTold = now();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,7 +1,7 @@
 import {
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
-import type {HostDescription, HostState} from '@lacewingpoint/coordination';
+import {type HostDescription, type HostState, createTurnBounds} from '@lacewingpoint/coordination';
 import {
 	Quarantine, RetryBudget, type SuspectDeath, nearHosts,
 } from '@lacewingpoint/routing';
@@ -20,7 +20,9 @@
 import type {PipelineContext} from './pipeline-context.js';
 import {RequestRun} from './request-run.js';
 import {fetchSnapshot, serveSnapshots} from './snapshot-link.js';
+import {ServerCalls, callTimeout} from './server-calls.js';
 import {WeightsController} from './weights-controller.js';
+import {WeightsLease} from './weights-lease.js';
 
 /** How long clients are told to keep an address: some keep it three times as long, and a stop has to outlast them. */
 const addressKeep: Milliseconds = 1000;
@@ -76,6 +78,7 @@
 	readonly #links: HostLinks;
 	readonly #watch: BeliefWatch;
 	readonly #registration: HostRegistration;
+	readonly #lease: WeightsLease;
 	readonly #weights: WeightsController;
 	readonly #quarantine = new Quarantine({convictingDeaths: 3, domainWindow: 0, lifetime: 60_000});
 	readonly #budgets = new Map<string, RetryBudget>();
@@ -105,7 +108,7 @@
 				this.#connections.drop(id);
 			},
 			onHolder: holder => {
-				this.#weights.noteHolder(holder);
+				this.#lease.noteHolder(holder);
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: settings.weightsWithin, now});
@@ -136,8 +139,15 @@
 			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact() {/* The log tells. */},
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
+		const {name} = settings.description;
+		this.#lease = new WeightsLease({
+			name, bounds: createTurnBounds(settings.weightsLease, settings.shortestLease, callTimeout), store: adapter.store, log, random, now, wallClock,
+		});
+		const calls = new ServerCalls({
+			connections: this.#connections, backend: adapter.backend, log, metrics: this.#metrics,
+		});
 		this.#weights = new WeightsController({
-			name: settings.description.name, leaseTime: settings.weightsLease, store: adapter.store, beliefs: this.#beliefs, links: this.#links, connections: this.#connections, backend: adapter.backend, log, metrics: this.#metrics, random, now,
+			name, lease: this.#lease, calls, beliefs: this.#beliefs, links: this.#links, log, now,
 		});
 	}
 
@@ -227,7 +237,7 @@
 		this.#isStopping = true;
 		log.info('stop', {requests: this.#running, connections: this.#openConnections()});
 		this.#links.tell();
-		this.#weights.stopElecting();
+		this.#lease.stopElecting();
 		await this.#registration.release();
 		const lastAnswer = startedAt + settings.stopGrace - stopMargin;
 		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, settings.longestKeep) + 400;
@@ -246,6 +256,7 @@
 	/** Ends at once, as a loss of power does. */
 	async dispose(): Promise<void> {
 		this.#watch.dispose();
+		this.#lease.stopElecting();
 		this.#weights.dispose();
 		await this.#registration.dispose();
 		this.#links.dispose();
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -194,7 +194,10 @@
 	/** Snapshot addresses of some hosts, perhaps stale. */
 	readonly seeds: readonly string[];
 	readonly memory: Bytes;
+	/** The least time between orders of two hosts to servers. */
 	readonly weightsLease: Milliseconds;
+	/** The shortest lease that the store grants. */
+	readonly shortestLease: Milliseconds;
 	/** How old a named version of the weights may be when a request still begins on an older one. */
 	readonly weightsWithin: Milliseconds;
 	readonly stopGrace: Milliseconds;
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights-controller.ts
@@ -1,37 +1,13 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {type RolloutRow, type ServerEntry, WeightsRollout} from '@lacewingpoint/routing';
-import {
-	type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, describeError, messageOf,
-} from '@lacewingpoint/shared';
-import * as v from 'valibot';
-import type {BackendConnections} from './backend-connections.js';
+import type {Disposable, Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {Beliefs} from './beliefs.js';
 import type {HostLinks} from './host-links.js';
-import type {
-	BackendProtocol, ControlStore, HeaderList, WeightsReport,
-} from './ports.js';
-
-export const holderKey = 'lacewingpoint/weights/holder';
-export const termKey = 'lacewingpoint/weights/term';
+import type {ServerCalls} from './server-calls.js';
+import type {WeightsLease} from './weights-lease.js';
 
 const tickInterval: Milliseconds = 100;
 
-/** The lease is renewed this many times within its length. */
-const renewalsPerLease = 3;
-
-/** Orders stop this long before the lease could end, for what an order takes on its way. */
-const leaseMargin: Milliseconds = 500;
-
-/** What a new holder adds to the pause after the last order of the one before. */
-const turnMargin: Milliseconds = 150;
-
-/** Hosts that see the lease free wait up to this long, so that they do not all write at once. */
-const electionSpread: Milliseconds = 150;
-
-/** Hosts that have run longer leave the lease to others by up to this: in a restart of all in turn they are the next to go. */
-const seniorityPause: Milliseconds = 250;
-const seniorAfter: Milliseconds = 30_000;
-
 /** An order without effect is given again after this long: unanswered ones may act for some ten seconds. */
 const orderExpiry: Milliseconds = 8000;
 
@@ -39,25 +15,14 @@
 const noticeTime: Milliseconds = 30;
 
 /** How often a server that loads weights is asked whether it has them. */
-const pollInterval: Milliseconds = 200;
+const pollInterval: Milliseconds = 100;
 
-const callTimeout: Milliseconds = 400;
+/** A server that has not begun to load after this long has not taken the order; its reports lag by some hundred milliseconds. */
+const idleTime: Milliseconds = 1200;
 
 /** A server that did not answer a call of the roll-out is left alone this long. */
 const failurePause: Milliseconds = 500;
 
-type Tenure = {
-	readonly lease: number;
-	readonly term: number;
-	/** The store's revision of the term's record. */
-	readonly termRevision: number;
-	/** Orders may be given from here on: the holder before has stopped by then. */
-	readonly ordersFrom: Milliseconds;
-	/** When the renewal was sent that succeeded last. */
-	renewedAt: Milliseconds;
-	renewalSentAt: Milliseconds;
-};
-
 /** A server and the weights that it is to load, now or next. */
 type RolloutStep = {
 	readonly entry: ServerEntry;
@@ -67,19 +32,13 @@
 	readonly isDue: boolean;
 };
 
-type CallAnswer = {readonly status: number; readonly body: string};
-
 export type WeightsControllerOptions = {
 	readonly name: string;
-	readonly leaseTime: Milliseconds;
-	readonly store: ControlStore;
+	readonly lease: WeightsLease;
+	readonly calls: ServerCalls;
 	readonly beliefs: Beliefs;
 	readonly links: HostLinks;
-	readonly connections: BackendConnections;
-	readonly backend: BackendProtocol;
 	readonly log: Logger;
-	readonly metrics: Metrics;
-	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
 };
 
@@ -90,69 +49,33 @@
 	readonly #underway = new Set<string>();
 	readonly #loading = new Set<string>();
 	readonly #pausedUntil = new Map<string, Milliseconds>();
-	readonly #startedAt: Milliseconds;
-	#lastOrderAt = Number.NEGATIVE_INFINITY;
-	#tenure: Tenure | undefined;
-	#holder: string | undefined;
-	#isElecting = false;
-	#isRenewing = false;
 	#isStopped = false;
-	#isLeaving = false;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: WeightsControllerOptions) {
 		this.#options = options;
-		this.#startedAt = options.now();
 	}
 
 	/** Whether this host has servers still to bring to the named weights. */
 	get hasWork(): boolean {
-		return this.#tenure !== undefined && (this.#underway.size > 0 || this.#loading.size > 0 || this.#steps().some(step => step.isDue));
+		return this.#options.lease.term !== undefined && (this.#underway.size > 0 || this.#loading.size > 0 || this.#steps().some(step => step.isDue));
 	}
 
 	/** Starts the rounds. */
 	start(): void {
+		const {lease} = this.#options;
 		this.#timer = setInterval(() => {
-			this.#tick();
+			lease.tick();
+			if (lease.mayAct) {
+				this.#orderDue();
+			}
 		}, tickInterval);
 	}
 
-	/**
-	 * Takes over who holds the lease, as the store tells.
-	 *
-	 * @param holder - The host's name; nothing when the lease is free.
-	 */
-	noteHolder(holder: string | undefined): void {
-		if (holder !== this.#holder) {
-			this.#options.log.info('weights-holder', {holder, before: this.#holder});
-		}
-
-		this.#holder = holder;
-		// Its own name without a tenure is that of this host before its restart.
-		if (holder === undefined || holder === this.#options.name) {
-			void this.#elect();
-		}
-	}
-
-	/** Leaves the lease to others if it becomes free: this host is about to stop. */
-	stopElecting(): void {
-		this.#isLeaving = true;
-	}
-
-	/** Gives the lease back and tells how long ago the last order was given, so that the next holder waits no longer than it must. */
+	/** Stops, and gives the lease back. */
 	async release(): Promise<void> {
-		this.#isStopped = true;
-		clearInterval(this.#timer);
-		const tenure = this.#tenure;
-		this.#tenure = undefined;
-		if (tenure === undefined) {
-			return;
-		}
-
-		const {store, name, now} = this.#options;
-		const quiet = Math.min(now() - this.#lastOrderAt, this.#options.leaseTime);
-		await store.write([{key: termKey, value: JSON.stringify({term: tenure.term, holder: name, quiet}), expected: tenure.termRevision}]);
-		await store.endLease(tenure.lease);
+		this.dispose();
+		await this.#options.lease.release();
 	}
 
 	dispose(): void {
@@ -160,115 +83,10 @@
 		clearInterval(this.#timer);
 	}
 
-	#tick(): void {
-		const tenure = this.#tenure;
-		if (tenure === undefined) {
-			return;
-		}
-
-		const {leaseTime, now, log} = this.#options;
-		if (now() > tenure.renewedAt + leaseTime) {
-			this.#tenure = undefined;
-			log.warn('weights-lease-lost', {term: tenure.term});
-			return;
-		}
-
-		if (!this.#isRenewing && now() - tenure.renewalSentAt >= leaseTime / renewalsPerLease) {
-			void this.#renew(tenure);
-		}
-
-		if (this.#mayOrder(tenure)) {
-			this.#orderDue(tenure);
-		}
-	}
-
-	#mayOrder(tenure: Tenure): boolean {
-		const {leaseTime, now} = this.#options;
-		return this.#tenure === tenure && !this.#isStopped && now() >= tenure.ordersFrom && now() < tenure.renewedAt + leaseTime - leaseMargin;
-	}
-
-	async #renew(tenure: Tenure): Promise<void> {
-		const {store, now, log} = this.#options;
-		this.#isRenewing = true;
-		const sentAt = now();
-		tenure.renewalSentAt = sentAt;
-		const renewed = await store.renewLease(tenure.lease);
-		this.#isRenewing = false;
-		if (renewed.isOk) {
-			tenure.renewedAt = sentAt;
-		} else if (renewed.error.code === 'lease-ended' && this.#tenure === tenure) {
-			this.#tenure = undefined;
-			log.warn('weights-lease-lost', {term: tenure.term, reason: describeError(renewed.error)});
-		}
-	}
-
-	async #elect(): Promise<void> {
-		if (this.#isElecting || this.#tenure !== undefined) {
-			return;
-		}
-
-		const {random, now, name} = this.#options;
-		this.#isElecting = true;
-		const seniority = Math.min((now() - this.#startedAt) / seniorAfter, 1) * seniorityPause;
-		await pause(seniority + (random.next() * electionSpread));
-		while ((this.#holder === undefined || this.#holder === name) && this.#tenure === undefined && !this.#isStopped && !this.#isLeaving) {
-			if (!await this.#tryToHold()) {
-				await pause(electionSpread * (1 + random.next()));
-			}
-		}
-
-		this.#isElecting = false;
-	}
-
-	/** @returns Whether the lease has a holder now, this host or another. */
-	async #tryToHold(): Promise<boolean> {
-		const {store, name, leaseTime, log, now} = this.#options;
-		const last = await store.read(termKey);
-		const held = await store.read(holderKey);
-		if (last.isErr || held.isErr) {
-			return false;
-		}
-
-		if (held.value !== undefined && held.value.value !== name) {
-			this.#holder = held.value.value;
-			return true;
-		}
-
-		const before = last.value === undefined ? undefined : readTerm(last.value.value);
-		const sentAt = now();
-		const lease = await store.grantLease(leaseTime);
-		if (lease.isErr) {
-			return false;
-		}
-
-		const term = (before?.term ?? 0) + 1;
-		const written = await store.write([
-			{
-				key: holderKey, value: name, expected: held.value?.revision ?? 0, lease: lease.value,
-			},
-			{key: termKey, value: JSON.stringify({term, holder: name, quiet: 0}), expected: last.value?.revision ?? 0},
-		]);
-		if (written.isErr || written.value === undefined) {
-			await store.endLease(lease.value);
-			return false;
-		}
-
-		// The holder before may have given an order just before it lost the lease.
-		const ordersIn = before === undefined || before.holder === name ? 0 : Math.max(leaseTime - before.quiet, 0) + turnMargin;
-		this.#holder = name;
-		this.#tenure = {
-			lease: lease.value, term, termRevision: written.value, ordersFrom: now() + ordersIn, renewedAt: sentAt, renewalSentAt: sentAt,
-		};
-		log.info('weights-lease-held', {
-			term, before: before?.holder, quiet: before?.quiet, ordersIn,
-		});
-		return true;
-	}
-
-	#orderDue(tenure: Tenure): void {
+	#orderDue(): void {
 		for (const step of this.#steps()) {
 			if (step.isDue) {
-				void this.#order(tenure, step);
+				void this.#order(step);
 			} else {
 				this.#options.beliefs.weights.noteEmptying(step.entry.id, this.#options.now());
 				this.#options.links.noteEmptying(step.entry.id);
@@ -302,20 +120,24 @@
 		};
 	}
 
-	async #order(tenure: Tenure, step: RolloutStep): Promise<void> {
+	async #order(step: RolloutStep): Promise<void> {
 		const {entry, row, model, version} = step;
-		const {beliefs, links, backend, name, log, metrics, now} = this.#options;
+		const {beliefs, links, lease, calls, name, log, now} = this.#options;
 		this.#underway.add(entry.id);
 		this.#rollout.noteOrder(row, version, now());
 		beliefs.weights.noteLoading(entry.id, now() + orderExpiry, now());
 		links.noteLoading(entry.id, orderExpiry);
 		await pause(noticeTime);
-		const report = await this.#report(entry);
-		if (report === undefined || !this.#mayOrder(tenure)) {
+		const report = await calls.report(entry);
+		const term = lease.term;
+		if (report === undefined || term === undefined || !lease.mayAct || this.#isStopped) {
 			// Others take its turn: a silent server must not hold up the roll-out.
 			this.#rollout.noteRefusal(entry.id);
-			beliefs.health.noteUnreachable(entry.id, now());
-			this.#orderFailed(entry, 'no report');
+			if (report === undefined) {
+				beliefs.health.noteUnreachable(entry.id, now());
+			}
+
+			this.#orderFailed(entry, report === undefined ? 'no report' : 'the lease is not held for certain');
 			return;
 		}
 
@@ -331,18 +153,17 @@
 			return;
 		}
 
-		metrics.count('orders', {model});
-		this.#lastOrderAt = now();
-		const answer = await this.#call(entry, 'POST', backend.orderPath, backend.orderBody({
-			model, version, holder: name, fencingToken: tenure.term, expectedOrders: report.orders,
-		}));
+		lease.noteAct();
+		const status = await calls.order(entry, {
+			model, version, holder: name, fencingToken: term, expectedOrders: report.orders,
+		});
 		this.#underway.delete(entry.id);
 		log.info('order', {
-			server: entry.id, model, version, term: tenure.term, expected: report.orders, status: answer?.status ?? 'none', requests: row.requests, age: Math.round(beliefs.weights.outdatedFor(model, version - 1, now())),
+			server: entry.id, model, version, term, expected: report.orders, status: status ?? 'none', requests: row.requests, age: Math.round(beliefs.weights.outdatedFor(model, version - 1, now())),
 		});
-		if (answer !== undefined && answer.status !== 202 && answer.status !== 200) {
+		if (status !== undefined && status !== 202 && status !== 200) {
 			this.#rollout.noteRefusal(entry.id);
-			this.#orderFailed(entry, `status ${answer.status}`);
+			this.#orderFailed(entry, `status ${status}`);
 			return;
 		}
 
@@ -363,13 +184,13 @@
 			return;
 		}
 
-		const {beliefs, now} = this.#options;
+		const {beliefs, calls, now} = this.#options;
 		const until = now() + orderExpiry;
 		this.#loading.add(entry.id);
-		let idlePolls = 0;
+		let idleSince: Milliseconds | undefined;
 		while (now() < until && !this.#isStopped && beliefs.servers.entryOf(entry.id)?.incarnation === entry.incarnation) {
 			await pause(pollInterval);
-			const report = await this.#report(entry);
+			const report = await calls.report(entry);
 			const seen = report?.weights[model] ?? 0;
 			if (seen >= version) {
 				this.#loading.delete(entry.id);
@@ -377,9 +198,8 @@
 				return;
 			}
 
-			// Reports lag by some hundred milliseconds; a server idle for longer has not taken the order.
-			idlePolls = report !== undefined && !report.isLoading ? idlePolls + 1 : 0;
-			if (idlePolls > 5) {
+			idleSince = report === undefined || report.isLoading ? undefined : idleSince ?? now();
+			if (idleSince !== undefined && now() - idleSince > idleTime) {
 				break;
 			}
 		}
@@ -399,67 +219,4 @@
 		this.#options.links.noteWeights(entry.id, model, version);
 		this.#options.links.noteLoading(entry.id, 0);
 	}
-
-	async #report(entry: ServerEntry): Promise<WeightsReport | undefined> {
-		const {backend, log, metrics} = this.#options;
-		metrics.count('reports');
-		const answer = await this.#call(entry, 'GET', backend.reportPath, undefined);
-		if (answer?.status !== 200) {
-			return undefined;
-		}
-
-		let body: unknown;
-		try {
-			body = JSON.parse(answer.body);
-		} catch (error) {
-			log.warn('report-unreadable', {server: entry.id, reason: messageOf(error)});
-			return undefined;
-		}
-
-		const report = backend.readReport(body);
-		if (report.isErr) {
-			log.warn('report-unreadable', {server: entry.id, reason: describeError(report.error)});
-			return undefined;
-		}
-
-		return report.value;
-	}
-
-	async #call(entry: ServerEntry, method: string, target: string, body: string | undefined): Promise<CallAnswer | undefined> {
-		const {connections, backend} = this.#options;
-		const headers: HeaderList = backend.callHeaders(entry.id);
-		return new Promise(resolve => {
-			let status = 0;
-			const chunks: Uint8Array[] = [];
-			const exchange = connections.send(entry, {
-				method, target, headers: body === undefined ? headers : [...headers, 'Content-Type', 'application/json'], body: body === undefined ? undefined : Buffer.from(body),
-			}, {
-				onHead(headStatus) {
-					status = headStatus;
-				},
-				onData(chunk) {
-					chunks.push(chunk);
-				},
-				onEnd() {
-					clearTimeout(timer);
-					resolve({status, body: Buffer.concat(chunks).toString('utf8')});
-				},
-				onFailure() {
-					clearTimeout(timer);
-					resolve(undefined);
-				},
-			});
-			const timer = setTimeout(() => {
-				exchange.abort();
-				resolve(undefined);
-			}, callTimeout);
-		});
-	}
-}
-
-type TermRecord = {readonly term: number; readonly holder: string; readonly quiet: Milliseconds};
-
-function readTerm(text: string): TermRecord | undefined {
-	const checked = v.safeParse(v.object({term: v.number(), holder: v.string(), quiet: v.optional(v.number(), 0)}), JSON.parse(text));
-	return checked.success ? checked.output : undefined;
 }
