Datagrams between hosts tell what has changed, and everything once a second or to a peer that is new

Cause, from docs/CAPACITY.md: 14 KB a second a host without news, seven times the aim at the size to come. Description, charges and loads went into every datagram; now changes do, prompt parts as pairs, one note for all places of a placement, nothing empty. Ledger and loads take partial words; the first word of an unknown peer has to be whole.

--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -37,6 +37,9 @@
 
 function messageOf(workspaces: number, servers: number): HostMessage {
 	return {
+		name: 'host-1',
+		incarnation: '0123456789ab',
+		isWhole: true,
 		host: {
 			name: 'host-1', incarnation: '0123456789ab', failureDomain: 'domain', region: 'region', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601',
 		},
--- a/packages/coordination/__tests__/quota-ledger.test.ts
+++ b/packages/coordination/__tests__/quota-ledger.test.ts
@@ -107,4 +107,38 @@
 	), {seed, numRuns: 15});
 });
 
+test('a peer that tells only what has changed keeps the rest of what it told', () => {
+	const ledger = new QuotaLedger({...options, startShare: 1});
+	ledger.setLimits(new Map([['blue', limit], ['red', limit]]), 0);
+	ledger.setPeers(['b'], 0);
+	ledger.hear('b', '1', new Map([['blue', 100], ['red', 100]]), 0);
+	ledger.hear('b', '1', new Map([['blue', 9100]]), 0, false);
+	assert.is(ledger.charge('red', 10_000, 0), 0, 'red is as it was');
+	assert.ok(ledger.charge('blue', 2000, 0) > 0);
+	ledger.hear('b', '1', new Map([['red', 100], ['blue', 9100]]), 0, true);
+	assert.is(ledger.charge('blue', 1000, 0), 0, 'nothing is deducted twice');
+});
+
+test('the first word of an unknown peer counts only when it is whole', () => {
+	const ledger = new QuotaLedger({...options, startShare: 1});
+	ledger.setLimits(new Map([['blue', limit]]), 0);
+	ledger.setPeers(['b'], 0);
+	ledger.hear('b', '1', new Map([['blue', 500_000]]), 0, false);
+	ledger.hear('b', '1', new Map([['blue', 500_000]]), 0, true);
+	ledger.hear('b', '1', new Map([['blue', 504_000]]), 0, false);
+	assert.is(ledger.charge('blue', 6000, 0), 0);
+	assert.ok(ledger.charge('blue', 1, 0) > 0);
+});
+
+test('what was counted for a silent peer is given back by its word that nothing has changed', () => {
+	const ledger = new QuotaLedger({...options, startShare: 1});
+	ledger.setLimits(new Map([['blue', {unitsPerSecond: 1000, burstUnits: 100_000}]]), 0);
+	ledger.setPeers(['b'], 0);
+	ledger.hear('b', '1', new Map([['blue', 0]]), 0);
+	// The silence counts 0.5 x 1000 / 2 units a second.
+	assert.is(ledger.charge('blue', 1, 10_000), 0);
+	ledger.hear('b', '1', new Map(), 10_000, false);
+	assert.is(ledger.charge('blue', 10_999, 10_000), 0);
+});
+
 test.run();
--- a/packages/coordination/src/host-directory.ts
+++ b/packages/coordination/src/host-directory.ts
@@ -90,6 +90,18 @@
 		return isNews;
 	}
 
+	/**
+	 * Finds a host by the start that it tells of.
+	 *
+	 * @param name - The host.
+	 * @param incarnation - Its start.
+	 * @returns What it said of itself; nothing when only an earlier start is known.
+	 */
+	descriptionOf(name: string, incarnation: string): HostDescription | undefined {
+		const description = this.#rows.get(name)?.description;
+		return description?.incarnation === incarnation ? description : undefined;
+	}
+
 	/**
 	 * Lists the peers to talk to; those that nobody lists and that have fallen silent are forgotten.
 	 *
--- a/packages/coordination/src/quota-ledger.ts
+++ b/packages/coordination/src/quota-ledger.ts
@@ -142,16 +142,17 @@
 	}
 
 	/**
-	 * Takes in a peer's totals.
+	 * Takes in a peer's totals. The first word from an unknown peer has to be whole: what it charged before is not deducted.
 	 *
 	 * @param name - The peer.
 	 * @param incarnation - Its start; totals of a new one begin at 0.
 	 * @param totals - What it has charged since then.
 	 * @param now - The present moment.
+	 * @param isWhole - Whether workspaces that are left out have no charges; otherwise theirs have not changed.
 	 */
-	hear(name: string, incarnation: string, totals: QuotaTotals, now: Milliseconds): void {
+	hear(name: string, incarnation: string, totals: QuotaTotals, now: Milliseconds, isWhole = true): void {
 		const peer = this.#peers.get(name);
-		if (peer === undefined) {
+		if (peer === undefined || (peer.incarnation === '' && !isWhole)) {
 			return;
 		}
 
@@ -169,8 +170,16 @@
 			account.level = Math.min(account.level - used + (peer.assumed.get(workspace) ?? 0), account.limit.burstUnits);
 		}
 
+		// Whatever was assumed for a silent peer is settled by its word, also where that says that nothing has changed.
+		for (const [workspace, assumed] of isWhole ? [] : peer.assumed) {
+			const account = this.#accounts.get(workspace);
+			if (account !== undefined && !totals.has(workspace)) {
+				account.level = Math.min(account.level + assumed, account.limit.burstUnits);
+			}
+		}
+
+		peer.totals = isWhole ? new Map(totals) : new Map([...previous, ...totals]);
 		peer.incarnation = incarnation;
-		peer.totals = new Map(totals);
 		peer.assumed.clear();
 		peer.heardAt = now;
 		peer.assumedUntil = now;
--- /dev/null
+++ b/packages/host/__tests__/host-messages.test.ts
@@ -0,0 +1,44 @@
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {type HostMessage, decodeHostMessage, encodeHostMessage} from '../src/index.js';
+
+const test = suite('datagrams between hosts');
+
+const message: HostMessage = {
+	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [],
+};
+
+test('what is encoded is decoded again', () => {
+	const full: HostMessage = {
+		...message,
+		isWhole: true,
+		host: {
+			name: 'edge-nbo-a-1', incarnation: '0123456789ab', failureDomain: 'nbo-a', region: 'nbo', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601',
+		},
+		charged: {red: 1_234_567},
+		loads: {'i-1': [3, 9000, 12_000]},
+		placements: [{salt: 'm 2', parts: [['5c1e07a2', 800]], places: [['i-1', 120], ['172.20.0.2:8080', null]]}],
+		weights: [{server: 'i-1', model: 'm', version: 2}],
+		loading: [{server: 'i-1', time: 8000}],
+		unreachable: ['i-2'],
+		emptying: ['i-3'],
+		deaths: [{
+			fingerprint: 7, server: 'i-2', incarnation: '1', failureDomain: 'a', age: 12,
+		}],
+	};
+	assert.equal(decodeHostMessage(encodeHostMessage(full)), full);
+	assert.equal(decodeHostMessage(encodeHostMessage(message)), message);
+});
+
+test('bytes that are no message are told as such', () => {
+	assert.is(decodeHostMessage(Buffer.from('hello')), undefined);
+	assert.is(decodeHostMessage(new Uint8Array([0xC1])), undefined);
+	assert.is(decodeHostMessage(encodeHostMessage({...message, state: 'dancing' as 'serving'})), undefined);
+});
+
+// At the size to come a host may spend 2 KB a second on control; a heartbeat every 200 ms is its fixed part.
+test('a heartbeat without news is small', () => {
+	assert.ok(encodeHostMessage(message).length <= 100, `${encodeHostMessage(message).length} bytes`);
+});
+
+test.run();
--- a/packages/host/src/host-links.ts
+++ b/packages/host/src/host-links.ts
@@ -1,6 +1,6 @@
 import {type Socket, createSocket} from 'node:dgram';
 import type {HostDescription, HostState} from '@lacewingpoint/coordination';
-import type {Quarantine} from '@lacewingpoint/routing';
+import {type HostLoad, type Quarantine, noLoad} from '@lacewingpoint/routing';
 import type {
 	Disposable, Logger, Metrics, Milliseconds,
 } from '@lacewingpoint/shared';
@@ -15,6 +15,9 @@
 /** A host without news tells that it lives at this pace. */
 const heartbeatInterval: Milliseconds = 200;
 
+/** What has changed is told at once; everything is told at this pace, since datagrams get lost and peers start anew. */
+const wholeInterval: Milliseconds = 1000;
+
 /** What a datagram may carry, so that it is not split on the way. */
 const notesPerMessage = 12;
 
@@ -40,9 +43,15 @@
 	#loading: HostMessage['loading'] = [];
 	readonly #emptying = new Set<string>();
 	readonly #unreachable = new Set<string>();
+	/** What the peers were told last, so that only changes are told. */
+	#toldCharges: ReadonlyMap<string, number> = new Map();
+	#toldLoads: ReadonlyMap<string, HostLoad> = new Map();
+	/** The peers and their starts that have been told everything. */
+	#met = '';
 	#isClosed = false;
 	#hasNews = false;
-	#lastTold = 0;
+	#lastTold = Number.NEGATIVE_INFINITY;
+	#lastWhole = Number.NEGATIVE_INFINITY;
 	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: HostLinksOptions) {
@@ -138,6 +147,7 @@
 		this.#hasNews = false;
 		this.#lastTold = now();
 		const peers = beliefs.hosts.peers(now());
+		this.#meet(peers);
 		do {
 			const message = this.#message(this.#notes.splice(0, notesPerMessage));
 			const bytes = encodeHostMessage(message);
@@ -165,20 +175,34 @@
 		}
 	}
 
+	// A peer that is new or has started anew knows nothing that could have changed.
+	#meet(peers: readonly HostDescription[]): void {
+		const met = peers.map(peer => `${peer.name} ${peer.incarnation}`).toSorted().join(',');
+		if (met !== this.#met) {
+			this.#met = met;
+			this.#lastWhole = Number.NEGATIVE_INFINITY;
+		}
+	}
+
 	#message(placements: PlacementNote[]): HostMessage {
 		const {beliefs, description, quarantine, now} = this.#options;
-		const loads: HostMessage['loads'] = {};
-		for (const [server, load] of beliefs.loads.allOwn()) {
-			loads[server] = [load.requests, load.unreadTokens, load.memoryTokens];
+		const isWhole = now() - this.#lastWhole >= wholeInterval;
+		if (isWhole) {
+			this.#lastWhole = now();
+			this.#toldCharges = new Map();
+			this.#toldLoads = new Map();
 		}
 
 		return {
-			host: description,
+			name: description.name,
+			incarnation: description.incarnation,
 			state: this.#options.state(),
 			configuration: beliefs.configuration?.version ?? 0,
 			revision: beliefs.revision,
-			charged: Object.fromEntries(beliefs.quota.totals()),
-			loads,
+			isWhole,
+			host: isWhole ? description : undefined,
+			charged: this.#changedCharges(),
+			loads: this.#changedLoads(),
 			placements,
 			weights: this.#weights,
 			loading: this.#loading,
@@ -188,6 +212,23 @@
 		};
 	}
 
+	#changedCharges(): HostMessage['charged'] {
+		const charges = this.#options.beliefs.quota.totals();
+		const changed = [...charges].filter(([workspace, charged]) => this.#toldCharges.get(workspace) !== charged);
+		this.#toldCharges = charges;
+		return Object.fromEntries(changed);
+	}
+
+	#changedLoads(): HostMessage['loads'] {
+		const loads = new Map(this.#options.beliefs.loads.allOwn());
+		// A server at which nothing is left is told once with a load of nothing.
+		const ended = [...this.#toldLoads.keys()].filter(server => !loads.has(server));
+		const changed = [...loads].filter(([server, load]) => this.#toldLoads.get(server) !== load);
+		this.#toldLoads = loads;
+		return Object.fromEntries([...ended.map(server => [server, noLoad] as const), ...changed]
+			.map(([server, load]) => [server, [load.requests, Math.round(load.unreadTokens), Math.round(load.memoryTokens)]]));
+	}
+
 	#hear(bytes: Uint8Array): void {
 		const message = decodeHostMessage(bytes);
 		const {beliefs, description, log, metrics, now, quarantine} = this.#options;
@@ -196,24 +237,33 @@
 			return;
 		}
 
-		const {host} = message;
-		if (host.name === description.name) {
+		if (message.name === description.name) {
 			return;
 		}
 
 		const moment = now();
+		const host = message.host ?? beliefs.hosts.descriptionOf(message.name, message.incarnation);
+		if (host === undefined) {
+			// A host that has just started says who it is within a second.
+			metrics.count('datagrams_unknown');
+			return;
+		}
+
 		if (beliefs.hosts.hear(host, message.state, moment)) {
 			log.info('host-heard', {host: host.name, state: message.state, incarnation: host.incarnation});
 		}
 
 		beliefs.quota.setPeers(beliefs.hosts.sharers(moment), moment);
-		beliefs.quota.hear(host.name, host.incarnation, new Map(Object.entries(message.charged)), moment);
-		beliefs.loads.hear(host.name, new Map(Object.entries(message.loads).map(([server, [requests, unreadTokens, memoryTokens]]) => [server, {requests, unreadTokens, memoryTokens}])), moment);
+		beliefs.quota.hear(host.name, host.incarnation, new Map(Object.entries(message.charged)), moment, message.isWhole);
+		beliefs.loads.hear(host.name, new Map(Object.entries(message.loads).map(([server, [requests, unreadTokens, memoryTokens]]) => [server, {requests, unreadTokens, memoryTokens}])), moment, message.isWhole);
 		for (const note of message.placements) {
-			if (note.readyIn === undefined) {
-				beliefs.prompts.forget(note.place, note.salt, note.parts);
-			} else {
-				beliefs.prompts.note(note.place, note.salt, note.parts, moment + note.readyIn);
+			const parts = note.parts.map(([id, tokens]) => ({id, tokens}));
+			for (const [place, readyIn] of note.places) {
+				if (readyIn === null) {
+					beliefs.prompts.forget(place, note.salt, parts);
+				} else {
+					beliefs.prompts.note(place, note.salt, parts, moment + readyIn);
+				}
 			}
 		}
 
--- a/packages/host/src/host-messages.ts
+++ b/packages/host/src/host-messages.ts
@@ -11,37 +11,42 @@
 	snapshotAddress: v.string(),
 });
 
-/** A prompt that was placed: the place will hold its parts. */
+/** A prompt that was placed. */
 const placementNoteSchema = v.object({
-	place: v.string(),
 	salt: v.string(),
-	parts: v.array(v.object({id: v.string(), tokens: v.number()})),
-	/** Time until the prompt will have been read; nothing when it will not be: the server did not run it. */
-	readyIn: v.optional(v.number()),
+	/** Id and tokens of each part. */
+	parts: v.array(v.tuple([v.string(), v.number()])),
+	/** Servers and stores that will hold the parts, and in how long; nothing where they will not: the server did not run it. */
+	places: v.array(v.tuple([v.string(), v.nullable(v.number())])),
 });
 
 const hostMessageSchema = v.object({
-	host: descriptionSchema,
+	name: v.string(),
+	incarnation: v.string(),
 	state: v.picklist(['starting', 'serving', 'stopping']),
 	configuration: v.number(),
 	revision: v.number(),
+	/** What the host says of itself, its charges and loads in full; otherwise what has changed since the last message. */
+	isWhole: v.optional(v.boolean(), false),
+	/** Present in whole messages. */
+	host: v.optional(descriptionSchema),
 	/** Tokens charged since the start, by workspace. */
-	charged: v.record(v.string(), v.number()),
+	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Requests, unread tokens and memory tokens under way, by server. */
-	loads: v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])),
-	placements: v.array(placementNoteSchema),
+	loads: v.optional(v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])), {}),
+	placements: v.optional(v.array(placementNoteSchema), []),
 	/** Weights seen, by server and model. */
-	weights: v.array(v.object({server: v.string(), model: v.string(), version: v.number()})),
+	weights: v.optional(v.array(v.object({server: v.string(), model: v.string(), version: v.number()})), []),
 	/** Servers about to load weights, and for how long at most. */
-	loading: v.array(v.object({server: v.string(), time: v.number()})),
+	loading: v.optional(v.array(v.object({server: v.string(), time: v.number()})), []),
 	/** Servers that could not be reached. */
-	unreachable: v.array(v.string()),
+	unreachable: v.optional(v.array(v.string()), []),
 	/** Servers to be left to run empty, before they load weights. */
-	emptying: v.array(v.string()),
+	emptying: v.optional(v.array(v.string()), []),
 	/** Requests that were in flight at the death of a server. */
-	deaths: v.array(v.object({
+	deaths: v.optional(v.array(v.object({
 		fingerprint: v.number(), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
-	})),
+	})), []),
 });
 
 /** What a host tells its peers in one datagram. */
@@ -49,13 +54,17 @@
 export type PlacementNote = v.InferOutput<typeof placementNoteSchema>;
 
 /**
- * Encodes a message.
+ * Encodes a message; what is empty is left out.
  *
  * @param message - The message.
  * @returns The datagram.
  */
 export function encodeHostMessage(message: HostMessage): Uint8Array {
-	return encode(message);
+	return encode(Object.fromEntries(Object.entries(message).filter(([, value]) => !isEmpty(value))));
+}
+
+function isEmpty(value: HostMessage[keyof HostMessage]): boolean {
+	return value === undefined || value === false || (typeof value === 'object' && Object.keys(value).length === 0);
 }
 
 /**
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -3,7 +3,7 @@
 } from 'node:http';
 import {type HostDescription, type HostState, createTurnBounds} from '@lacewingpoint/coordination';
 import {
-	Quarantine, RetryBudget, type SuspectDeath, nearHosts,
+	type PromptPart, Quarantine, RetryBudget, type SuspectDeath, nearHosts,
 } from '@lacewingpoint/routing';
 import {
 	DisposableStore, type Logger, Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, messageOf,
@@ -300,14 +300,7 @@
 			retryBudget: service => this.#retryBudget(service),
 			hostCount: () => this.#beliefs.hosts.peers(now()).length + 1,
 			onPlaced: (chosen, run) => {
-				const {engine, entry} = chosen;
-				if (engine !== undefined && run.request.generation !== undefined) {
-					this.#notePlacement(entry.id, engine.salt, run, engine.predictedFirstToken * readingMargin);
-					if (engine.saveTo !== undefined) {
-						this.#notePlacement(engine.saveTo, engine.salt, run, (engine.predictedFirstToken * readingMargin) + savingTime);
-					}
-				}
-
+				this.#notePlaced(chosen, run);
 				this.#links.noteChange();
 			},
 			onPromptRead: (chosen, run, isRead) => {
@@ -327,14 +320,32 @@
 		};
 	}
 
-	#notePlacement(place: string, salt: string, run: ReceivedRequest, readyIn: Milliseconds): void {
-		const {parts} = run.request.generation!;
-		this.#beliefs.prompts.note(place, salt, parts, this.#parts.now() + readyIn);
+	#notePlacement(salt: string, parts: readonly PromptPart[], places: ReadonlyMap<string, Milliseconds | undefined>): void {
+		const {prompts} = this.#beliefs;
+		for (const [place, readyIn] of places) {
+			if (readyIn === undefined) {
+				prompts.forget(place, salt, parts);
+			} else {
+				prompts.note(place, salt, parts, this.#parts.now() + readyIn);
+			}
+		}
+
 		this.#links.notePlacement({
-			place, salt, parts: [...parts], readyIn,
+			salt,
+			parts: parts.map(({id, tokens}) => [id, tokens]),
+			places: [...places].map(([place, readyIn]) => [place, readyIn === undefined ? null : Math.round(readyIn)]),
 		});
 	}
 
+	#notePlaced(chosen: ChosenServer, run: ReceivedRequest): void {
+		const {engine, entry} = chosen;
+		if (engine !== undefined && run.request.generation !== undefined) {
+			const readyIn = engine.predictedFirstToken * readingMargin;
+			const stored = engine.saveTo === undefined ? [] : [[engine.saveTo, readyIn + savingTime] as const];
+			this.#notePlacement(engine.salt, run.request.generation.parts, new Map([[entry.id, readyIn], ...stored]));
+		}
+	}
+
 	#notePromptRead(chosen: ChosenServer, run: ReceivedRequest, isRead: boolean): void {
 		const {engine, entry} = chosen;
 		if (engine === undefined || run.request.generation === undefined) {
@@ -345,7 +356,7 @@
 		if (isRead) {
 			// Peers need to hear it only where others may wait for shared parts.
 			if (engine.saveTo !== undefined) {
-				this.#notePlacement(entry.id, engine.salt, run, 0);
+				this.#notePlacement(engine.salt, parts, new Map([[entry.id, 0]]));
 			}
 
 			return;
@@ -357,10 +368,8 @@
 			tokens += part.tokens;
 			return tokens > engine.cachedTokens;
 		});
-		for (const place of engine.saveTo === undefined ? [entry.id] : [entry.id, engine.saveTo]) {
-			this.#beliefs.prompts.forget(place, engine.salt, unread);
-			this.#links.notePlacement({place, salt: engine.salt, parts: unread});
-		}
+		const places = engine.saveTo === undefined ? [entry.id] : [entry.id, engine.saveTo];
+		this.#notePlacement(engine.salt, unread, new Map(places.map(place => [place, undefined])));
 	}
 
 	// A reset alone may be a lost answer; a server that cannot be reached right after it has died of something it ran.
--- a/packages/host/src/weights-lease.ts
+++ b/packages/host/src/weights-lease.ts
@@ -203,7 +203,9 @@
 			return false;
 		}
 
-		this.#hold({lease: lease.value, term, termRevision: written.value, sentAt}, before);
+		this.#hold({
+			lease: lease.value, term, termRevision: written.value, sentAt,
+		}, before);
 		return true;
 	}
 
--- a/packages/routing/src/server-loads.ts
+++ b/packages/routing/src/server-loads.ts
@@ -91,14 +91,16 @@
 	}
 
 	/**
-	 * Takes in a peer's loads; they replace what it told before.
+	 * Takes in a peer's loads.
 	 *
 	 * @param peer - The peer's name.
 	 * @param loads - Its loads by server.
 	 * @param now - The present moment.
+	 * @param isWhole - Whether they replace what it told before; otherwise those of other servers have not changed.
 	 */
-	hear(peer: string, loads: ReadonlyMap<string, HostLoad>, now: Milliseconds): void {
-		this.#peers.set(peer, {heardAt: now, loads});
+	hear(peer: string, loads: ReadonlyMap<string, HostLoad>, now: Milliseconds, isWhole = true): void {
+		const before = isWhole ? [] : this.#peers.get(peer)?.loads ?? [];
+		this.#peers.set(peer, {heardAt: now, loads: new Map([...before, ...loads])});
 	}
 
 	/**
