Tell the death of a server once and again for three seconds, not in every datagram

Each request in flight at a dead server is a suspect for 60 s, and each host told every suspect it knew, its own and others', in every datagram to every peer. Now a host tells the deaths that it saw itself: at once, and again in whole messages for three seconds.

--- a/packages/host/src/host-links.ts
+++ b/packages/host/src/host-links.ts
@@ -1,6 +1,8 @@
 import {type Socket, createSocket} from 'node:dgram';
 import type {HostDescription, HostState} from '@lacewingpoint/coordination';
-import {type HostLoad, type Quarantine, noLoad} from '@lacewingpoint/routing';
+import {
+	type HostLoad, type Quarantine, type SuspectDeath, noLoad,
+} from '@lacewingpoint/routing';
 import type {
 	Disposable, Logger, Metrics, Milliseconds,
 } from '@lacewingpoint/shared';
@@ -20,6 +22,10 @@
 
 /** What a datagram may carry, so that it is not split on the way. */
 const notesPerMessage = 12;
+const deathsPerMessage = 24;
+
+/** Deaths that this host saw are told again in whole messages for this long. */
+const deathRepeat: Milliseconds = 3000;
 
 export type HostLinksOptions = {
 	readonly address: string;
@@ -48,6 +54,9 @@
 	#toldLoads: ReadonlyMap<string, HostLoad> = new Map();
 	/** The peers and their starts that have been told everything. */
 	#met = '';
+	/** Deaths that this host saw, each with when it was noted. */
+	#deaths: Array<{readonly death: SuspectDeath; readonly at: Milliseconds}> = [];
+	#untoldDeaths = 0;
 	#isClosed = false;
 	#hasNews = false;
 	#lastTold = Number.NEGATIVE_INFINITY;
@@ -137,6 +146,18 @@
 		this.tell();
 	}
 
+	/**
+	 * Tells at once that requests were in flight at the death of a server.
+	 *
+	 * @param deaths - One entry a request.
+	 */
+	noteDeaths(deaths: readonly SuspectDeath[]): void {
+		const at = this.#options.now();
+		this.#deaths.push(...deaths.map(death => ({death, at})));
+		this.#untoldDeaths += deaths.length;
+		this.tell();
+	}
+
 	/** Tells the peers all there is to tell. */
 	tell(): void {
 		if (this.#isClosed) {
@@ -151,6 +172,8 @@
 		do {
 			const message = this.#message(this.#notes.splice(0, notesPerMessage));
 			const bytes = encodeHostMessage(message);
+			this.#options.metrics.count('datagrams', {}, peers.length);
+			this.#options.metrics.count('datagram_bytes', {}, peers.length * bytes.length);
 			for (const peer of peers) {
 				const [host, port] = peer.peerAddress.split(':');
 				this.#socket.send(bytes, Number(port), host, error => {
@@ -159,7 +182,7 @@
 					}
 				});
 			}
-		} while (this.#notes.length > 0);
+		} while (this.#notes.length > 0 || this.#untoldDeaths > 0);
 
 		this.#weights = [];
 		this.#loading = [];
@@ -185,7 +208,7 @@
 	}
 
 	#message(placements: PlacementNote[]): HostMessage {
-		const {beliefs, description, quarantine, now} = this.#options;
+		const {beliefs, description, now} = this.#options;
 		const isWhole = now() - this.#lastWhole >= wholeInterval;
 		if (isWhole) {
 			this.#lastWhole = now();
@@ -208,10 +231,25 @@
 			loading: this.#loading,
 			emptying: [...this.#emptying],
 			unreachable: [...this.#unreachable],
-			deaths: quarantine.suspects(now()),
+			deaths: this.#nextDeaths(isWhole),
 		};
 	}
 
+	// Every death in every datagram would fill the links between the hosts just when servers die.
+	#nextDeaths(isWhole: boolean): SuspectDeath[] {
+		const now = this.#options.now();
+		const first = this.#deaths.length - this.#untoldDeaths;
+		const untold = this.#deaths.slice(first, first + deathsPerMessage);
+		this.#untoldDeaths -= untold.length;
+		if (!isWhole) {
+			return untold.map(({death, at}) => ({...death, age: death.age + now - at}));
+		}
+
+		this.#deaths = this.#deaths.filter(({at}, index) => now - at < deathRepeat || index >= this.#deaths.length - this.#untoldDeaths);
+		const repeated = this.#deaths.slice(0, this.#deaths.length - this.#untoldDeaths).slice(-deathsPerMessage);
+		return repeated.map(({death, at}) => ({...death, age: death.age + now - at}));
+	}
+
 	#changedCharges(): HostMessage['charged'] {
 		const charges = this.#options.beliefs.quota.totals();
 		const changed = [...charges].filter(([workspace, charged]) => this.#toldCharges.get(workspace) !== charged);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -390,6 +390,7 @@
 		this.#broken.delete(server);
 		if (suspects.length > 0) {
 			this.#quarantine.merge(suspects, now());
+			this.#links.noteDeaths(suspects);
 			log.info('server-death', {server, suspects: suspects.length});
 		}
 	}
