Apply changed bounds of the platform's settings without a restart, on a signal or when the file changes

Cause: a signal had the file read and logged, and the bounds of the start went on; a change without a signal was not seen. Bounds are a type of their own now; those of the lease wait for a restart, since all holders have to go by the same ones, and the log says so. Test: a host's file is changed, then spoilt, while it serves.

--- a/packages-private/local-cluster/__tests__/processes.test.ts
+++ b/packages-private/local-cluster/__tests__/processes.test.ts
@@ -1,3 +1,4 @@
+import {readFile, writeFile} from 'node:fs/promises';
 import {runCommand} from '@lacewingpoint/command-line';
 import {
 	answerCompletion, answerWhole, completionPiece, resetConnection,
@@ -117,6 +118,20 @@
 	});
 });
 
+test('changed bounds are applied without a restart, a bad file is refused and changes nothing', async () => {
+	await withCluster({hosts: 1}, async (cluster, client) => {
+		const [host] = cluster.hosts;
+		const text = await readFile(host!.settingsFile, 'utf8');
+		await writeFile(host!.settingsFile, text.replace('[bounds]', '[bounds]\ngraceS = 5'));
+		host!.process.signal('SIGHUP');
+		await waitFor('the new bound', () => host!.process.output.includes('"event":"reload","outcome":"applied","changed":["stopGrace"]'));
+		await writeFile(host!.settingsFile, '[bounds]');
+		await waitFor('the refusal, without a signal', () => host!.process.output.includes('"event":"reload","outcome":"refused"'));
+		const end = await client.complete(host!.completionsAddress, 'red-key', bodyOf('Still there'));
+		assert.ok(end.isComplete);
+	});
+});
+
 test('a refusal is explained from the logs of the hosts by its id', async () => {
 	await withCluster({models: [answerCompletion(pieces)]}, async (cluster, client) => {
 		const address = cluster.hosts[0]!.completionsAddress;
--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -24,6 +24,8 @@
 	readonly readinessAddress: string;
 	readonly directoryAddress: string;
 	readonly metricsAddress: string;
+	/** The platform's settings file of this host. */
+	readonly settingsFile: string;
 	process: LocalProcess;
 };
 
@@ -151,7 +153,7 @@
 			completions: {port: this.#firstPort + ports.completions}, metricsPort: this.#firstPort + ports.metrics,
 		}));
 		const host = {
-			name, ip, completionsAddress: address('completions'), readinessAddress: address('readiness'), directoryAddress: address('directory'), metricsAddress: address('metrics'),
+			name, ip, completionsAddress: address('completions'), readinessAddress: address('readiness'), directoryAddress: address('directory'), metricsAddress: address('metrics'), settingsFile: join(this.#folder, `${name}.toml`),
 		};
 		return {...host, process: this.#startProcess(host)};
 	}
--- a/packages/host/__tests__/beliefs.test.ts
+++ b/packages/host/__tests__/beliefs.test.ts
@@ -9,7 +9,7 @@
 
 function create() {
 	const clock = {now: 1000};
-	return {clock, beliefs: new Beliefs(silentLogger, () => clock.now, weightsWithin, listener)};
+	return {clock, beliefs: new Beliefs(silentLogger, () => clock.now, () => weightsWithin, listener)};
 }
 
 const named = (version: number, revision: number, age?: number): BeliefChange => ({
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -49,7 +49,7 @@
 	readonly quota = new QuotaLedger({silence: hostSilence, startShare: 0.25, silentShare: 0.5});
 	readonly weights = new WeightsTable({rememberedVersions: 16, emptyingExpiry: 500});
 	readonly #listener: BeliefListener;
-	readonly #weightsWithin: Milliseconds;
+	readonly #weightsWithin: () => Milliseconds;
 	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
 	#routes: RouteIndex | undefined;
@@ -64,7 +64,7 @@
 	 * @param weightsWithin - How long weights may be out of date when a request begins on them.
 	 * @param listener - Acts on changes.
 	 */
-	constructor(log: Logger, now: () => Milliseconds, weightsWithin: Milliseconds, listener: BeliefListener) {
+	constructor(log: Logger, now: () => Milliseconds, weightsWithin: () => Milliseconds, listener: BeliefListener) {
 		this.#weightsWithin = weightsWithin;
 		this.#listener = listener;
 		this.#log = log;
@@ -255,7 +255,7 @@
 	#applyNamedWeights(change: BeliefChange & {readonly type: 'weights'}, source: string): void {
 		const {model, version, revision} = change;
 		// What a host finds when it starts was named before; a peer knows how long.
-		const age = change.age ?? (this.#revision === 0 ? Math.max(this.#weightsWithin - useAfterStart, 0) : 0);
+		const age = change.age ?? (this.#revision === 0 ? Math.max(this.#weightsWithin() - useAfterStart, 0) : 0);
 		if (this.weights.name(model, {version, revision, knownSince: this.#now() - age})) {
 			this.#log.info('weights-named', {
 				model, version, revision, age: Math.round(age), source,
--- a/packages/host/src/dispatcher.ts
+++ b/packages/host/src/dispatcher.ts
@@ -52,9 +52,9 @@
 
 export type DispatcherOptions = {
 	readonly failureDomain: string;
-	/** How long weights may be out of date when a request begins on them. */
-	readonly weightsWithin: Milliseconds;
 	readonly now: () => Milliseconds;
+	/** How long weights may be out of date when a request begins on them. */
+	weightsWithin(): Milliseconds;
 };
 
 /** Chooses servers by what the host believes, and keeps those who wait in line. */
@@ -62,7 +62,7 @@
 	readonly #beliefs: Beliefs;
 	readonly #placer: EnginePlacer;
 	readonly #failureDomain: string;
-	readonly #weightsWithin: Milliseconds;
+	readonly #weightsWithin: () => Milliseconds;
 	readonly #now: () => Milliseconds;
 	readonly #lines = new Map<string, WaitingLine<Waiter>>();
 	#isOffering = false;
@@ -189,7 +189,7 @@
 		for (const entry of candidates) {
 			const weightsVersion = this.#beliefs.weightsAt(entry, generation.model);
 			const outdatedFor = this.#beliefs.weights.outdatedFor(generation.model, weightsVersion, now);
-			if (weightsVersion > 0 && outdatedFor < this.#weightsWithin - beginMargin) {
+			if (weightsVersion > 0 && outdatedFor < this.#weightsWithin() - beginMargin) {
 				rows.push({
 					id: entry.id,
 					address: entry.address,
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -16,7 +16,9 @@
 import {type ChosenServer, Dispatcher} from './dispatcher.js';
 import {HostLinks} from './host-links.js';
 import {HostRegistration} from './host-registration.js';
-import type {Adapter, HostSettings, ReceivedRequest} from './ports.js';
+import type {
+	Adapter, HostBounds, HostSettings, ReceivedRequest,
+} from './ports.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {RequestRun} from './request-run.js';
 import {fetchSnapshot, serveSnapshots} from './snapshot-link.js';
@@ -88,6 +90,7 @@
 	#running = 0;
 	#hasAges = false;
 	#isStopping = false;
+	#bounds: HostBounds;
 	#lastSnapshotAt = 0;
 	#seedTurn = 0;
 	#behindSince: Milliseconds | undefined;
@@ -97,7 +100,8 @@
 		const {settings, adapter, log, random, now, wallClock} = parts;
 		this.#parts = parts;
 		this.#startedAt = now();
-		this.#beliefs = new Beliefs(log, now, settings.weightsWithin, {
+		this.#bounds = settings.bounds;
+		this.#beliefs = new Beliefs(log, now, () => this.#bounds.weightsWithin, {
 			onServersChanged: () => {
 				this.#dispatcher.offer();
 				for (const clients of this.#clients) {
@@ -111,7 +115,7 @@
 				this.#lease.noteHolder(holder);
 			},
 		});
-		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: settings.weightsWithin, now});
+		this.#dispatcher = new Dispatcher(this.#beliefs, {failureDomain: settings.description.failureDomain, weightsWithin: () => this.#bounds.weightsWithin, now});
 		this.#connections = new BackendConnections({
 			connectTimeout: 200,
 			idleTimeout: 4000,
@@ -141,7 +145,7 @@
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		const {name} = settings.description;
 		this.#lease = new WeightsLease({
-			name, bounds: createTurnBounds(settings.weightsLease, settings.shortestLease, callTimeout), store: adapter.store, log, random, now, wallClock,
+			name, bounds: createTurnBounds(settings.bounds.weightsLease, settings.bounds.shortestLease, callTimeout), store: adapter.store, log, random, now, wallClock,
 		});
 		const calls = new ServerCalls({
 			connections: this.#connections, backend: adapter.backend, log, metrics: this.#metrics,
@@ -226,21 +230,39 @@
 		this.#watch.dispose();
 	}
 
+	/**
+	 * Takes over changed bounds. Those of the lease stay as they are until a restart: all holders have to go by the same ones.
+	 *
+	 * @param bounds - The bounds now in the settings.
+	 */
+	applyBounds(bounds: HostBounds): void {
+		const before = this.#bounds;
+		const names = Object.keys(bounds) as Array<keyof HostBounds>;
+		const changed = names.filter(name => bounds[name] !== before[name]);
+		const afterRestart = changed.filter(name => name === 'weightsLease' || name === 'shortestLease');
+		this.#bounds = bounds;
+		if (changed.some(name => name.startsWith('retry'))) {
+			this.#budgets.clear();
+		}
+
+		this.#parts.log.info('reload', {outcome: 'applied', changed, afterRestart});
+	}
+
 	/** Leaves without cutting off a request: clients learn other addresses first. */
 	async stop(): Promise<void> {
 		if (this.#isStopping) {
 			return;
 		}
 
-		const {settings, log, now} = this.#parts;
+		const {log, now} = this.#parts;
 		const startedAt = now();
 		this.#isStopping = true;
 		log.info('stop', {requests: this.#running, connections: this.#openConnections()});
 		this.#links.tell();
 		this.#lease.stopElecting();
 		await this.#registration.release();
-		const lastAnswer = startedAt + settings.stopGrace - stopMargin;
-		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, settings.longestKeep) + 400;
+		const lastAnswer = startedAt + this.#bounds.stopGrace - stopMargin;
+		const addressesForgotten = startedAt + Math.min(addressKeep * keepFactor, this.#bounds.longestKeep) + 400;
 		while (now() < lastAnswer && (now() < addressesForgotten || this.#running > 0 || this.#weights.hasWork)) {
 			await new Promise(resolve => {
 				setTimeout(resolve, 50);
@@ -396,13 +418,13 @@
 	}
 
 	#retryBudget(service: string): RetryBudget {
-		const {settings} = this.#parts;
 		const known = this.#budgets.get(service);
 		if (known !== undefined) {
 			return known;
 		}
 
-		const budget = new RetryBudget({share: settings.retryRatio, slack: settings.retrySlack, window: settings.retryWindow}, this.#startedAt);
+		const {retryRatio, retrySlack, retryWindow} = this.#bounds;
+		const budget = new RetryBudget({share: retryRatio, slack: retrySlack, window: retryWindow}, this.#startedAt);
 		this.#budgets.set(service, budget);
 		return budget;
 	}
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -183,17 +183,8 @@
 	lookupBody(addresses: readonly string[], keepFor: Milliseconds): string;
 };
 
-/** Settings of the host and bounds of the deployment. */
-export type HostSettings = {
-	readonly description: HostDescription;
-	readonly readinessAddress: string;
-	readonly lookupAddress: string;
-	readonly datagramAddress: string;
-	readonly snapshotAddress: string;
-	readonly metricsAddress: string;
-	/** Snapshot addresses of some hosts, perhaps stale. */
-	readonly seeds: readonly string[];
-	readonly memory: Bytes;
+/** Bounds of the deployment. */
+export type HostBounds = {
 	/** The least time between orders of two hosts to servers. */
 	readonly weightsLease: Milliseconds;
 	/** The shortest lease that the store grants. */
@@ -203,13 +194,25 @@
 	readonly stopGrace: Milliseconds;
 	/** The longest time that clients keep an address. */
 	readonly longestKeep: Milliseconds;
-	/** How soon a changed configuration must be in force. */
-	readonly applyWithin: Milliseconds;
 	readonly retryRatio: number;
 	readonly retryWindow: Milliseconds;
 	readonly retrySlack: number;
 };
 
+/** Settings of the host and bounds of the deployment. */
+export type HostSettings = {
+	readonly description: HostDescription;
+	readonly readinessAddress: string;
+	readonly lookupAddress: string;
+	readonly datagramAddress: string;
+	readonly snapshotAddress: string;
+	readonly metricsAddress: string;
+	/** Snapshot addresses of some hosts, perhaps stale. */
+	readonly seeds: readonly string[];
+	readonly memory: Bytes;
+	readonly bounds: HostBounds;
+};
+
 export type Adapter = {
 	readonly store: ControlStore;
 	readonly backend: BackendProtocol;
