Look up the sources of a prompt's parts once for all servers, not for every pair of them

Cause, from the slopes: a placement took 283 us at 13 servers and 2.6 ms at 52, since every server was compared with every other one as a source; those who wait are placed anew every 10 ms. PromptSources keeps what each server holds, the best two sources and the homes, for one version of the weights.

--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -1,7 +1,6 @@
-import {
-	type Milliseconds, type Tokens, hashText, rendezvousWeight,
-} from '@lacewingpoint/shared';
+import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
 import type {PromptCacheIndex, PromptPart} from './prompt-cache-index.js';
+import {type PromptSource, PromptSources} from './prompt-sources.js';
 import type {HostLoad} from './server-loads.js';
 
 /** A model server as placement sees it. */
@@ -128,7 +127,8 @@
 	return generation.promptTokens + (generation.outputTokens / 2);
 }
 
-type Source = {readonly place: string; readonly address: string; readonly failureDomain: string; readonly tokens: Tokens};
+/** What all servers of one version of the weights have in common for one request. */
+type VersionView = {readonly salt: string; readonly sources: PromptSources};
 
 /**
  * Places a generation where its first token and the work it causes cost least: queue, prompt parts held there, parts to be fetched,
@@ -155,12 +155,15 @@
 	choose(generation: Generation, rows: readonly EngineRow[], context: PlacementContext): EnginePlacement | undefined {
 		let best: EnginePlacement | undefined;
 		let nextBestCost: number | undefined;
+		const views = new Map<number, VersionView>();
 		for (const row of rows) {
 			if (!this.#hasRoom(generation, row)) {
 				continue;
 			}
 
-			const placement = this.#price(generation, row, rows, context);
+			const view = views.get(row.weightsVersion) ?? this.#view(generation, row.weightsVersion, rows, context);
+			views.set(row.weightsVersion, view);
+			const placement = this.#price(generation, row, view, context);
 			if (best === undefined || placement.cost < best.cost) {
 				nextBestCost = best?.cost;
 				best = placement;
@@ -186,11 +189,16 @@
 		return tokens * ((1 / tokensPerMillisecond) + stepShare) * row.slowness;
 	}
 
-	#price(generation: Generation, row: EngineRow, rows: readonly EngineRow[], context: PlacementContext): EnginePlacement {
+	#view(generation: Generation, weightsVersion: number, rows: readonly EngineRow[], context: PlacementContext): VersionView {
+		const salt = generation.saltFor(weightsVersion);
+		const peers = rows.filter(row => row.weightsVersion === weightsVersion);
+		return {salt, sources: new PromptSources(this.#index, {salt, parts: generation.parts}, peers, context.store, context.now)};
+	}
+
+	#price(generation: Generation, row: EngineRow, {salt, sources}: VersionView, context: PlacementContext): EnginePlacement {
 		const options = this.#options;
-		const salt = generation.saltFor(row.weightsVersion);
-		const own = this.#index.match(row.id, salt, generation.parts);
-		const source = this.#source(generation, row, rows, salt, context);
+		const own = sources.heldBy(row.id);
+		const source = sources.sourceFor(row.id);
 		const fetched = Math.max((source?.tokens ?? 0) - own.tokens, 0);
 		const unread = Math.max(generation.promptTokens - own.tokens - fetched, 0);
 		const factor = source === undefined || source.failureDomain === row.failureDomain ? 1 : options.fetchFactorAcross;
@@ -201,7 +209,7 @@
 		const cost = predicted
 			+ (row.load.requests * options.stepTimePerRequest * generation.outputTokens * options.batchWeight)
 			+ (fetchTime * (options.fetchWeight - 1))
-			+ this.#rereadCost(generation, row, rows, own.parts, source)
+			+ this.#rereadCost(generation, row, sources, own.parts)
 			+ (row.isOutdated ? generation.objective * options.oldWeightsShare : 0)
 			+ (row.isEmptying ? generation.objective * options.emptyingShare : 0)
 			+ (row.failureDomain === context.failureDomain ? 0 : options.acrossDomains)
@@ -227,62 +235,19 @@
 		};
 	}
 
-	// Only parts that have been read already can be fetched; the store goes first among equals, since servers are busy.
-	#source(generation: Generation, row: EngineRow, rows: readonly EngineRow[], salt: string, context: PlacementContext): Source | undefined {
-		let best: Source | undefined;
-		const consider = (place: string, address: string, failureDomain: string) => {
-			const match = this.#index.match(place, salt, generation.parts);
-			if (match.tokens > (best?.tokens ?? 0) && match.readyAt <= context.now) {
-				best = {
-					place, address, failureDomain, tokens: match.tokens,
-				};
-			}
-		};
-
-		if (context.store !== undefined) {
-			consider(context.store.address, context.store.address, context.store.failureDomain);
-		}
-
-		for (const other of rows) {
-			if (other.id !== row.id && other.weightsVersion === row.weightsVersion) {
-				consider(other.id, other.address, other.failureDomain);
-			}
-		}
-
-		return best;
-	}
-
 	// A shared part that nobody holds is read at its home; one that is being read elsewhere is waited for there.
-	#rereadCost(generation: Generation, row: EngineRow, rows: readonly EngineRow[], ownParts: number, source: Source | undefined): Milliseconds {
+	#rereadCost(generation: Generation, row: EngineRow, sources: PromptSources, ownParts: number): Milliseconds {
 		const shared = generation.parts.slice(0, -1);
-		const covered = Math.max(ownParts, this.#coveredParts(generation, source));
-		const missing = shared.slice(covered);
-		const first = missing[0];
-		if (first === undefined) {
+		const missing = shared.slice(Math.max(ownParts, this.#coveredParts(generation, sources.sourceFor(row.id))));
+		const [first] = missing;
+		if (first === undefined || sources.homeOf(first) === row.id) {
 			return 0;
 		}
 
-		const homeKey = hashText(first.id);
-		let home = row.id;
-		for (const other of rows) {
-			if (other.weightsVersion === row.weightsVersion && rendezvousWeight(homeKey, other.id) > rendezvousWeight(homeKey, home)) {
-				home = other.id;
-			}
-		}
-
-		if (home === row.id) {
-			return 0;
-		}
-
-		let tokens = 0;
-		for (const part of missing) {
-			tokens += part.tokens;
-		}
-
-		return tokens * this.#options.rereadTimePerToken;
+		return missing.reduce((sum, part) => sum + part.tokens, 0) * this.#options.rereadTimePerToken;
 	}
 
-	#coveredParts(generation: Generation, source: Source | undefined): number {
+	#coveredParts(generation: Generation, source: PromptSource | undefined): number {
 		let tokens = 0;
 		let parts = 0;
 		for (const part of generation.parts) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export {RouteIndex} from './route-index.js';
 export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
+export {type PromptSource, type SourceRow, PromptSources} from './prompt-sources.js';
 export {
 	type HostLoad, type RequestLoad, ServerLoads, noLoad,
 } from './server-loads.js';
