--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -6,7 +6,7 @@
 	type PromptPart, Quarantine, RetryBudget, type SuspectDeath, nearHosts,
 } from '@lacewingpoint/routing';
 import {
-	DisposableStore, type Logger, Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, messageOf,
+	DisposableStore, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, messageOf,
 } from '@lacewingpoint/shared';
 import createRouter from 'find-my-way';
 import {BackendConnections} from './backend-connections.js';
@@ -63,6 +63,7 @@
 	readonly settings: HostSettings;
 	readonly adapter: Adapter;
 	readonly log: Logger;
+	readonly metrics: Metrics;
 	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
 	readonly wallClock: () => Milliseconds;
@@ -73,7 +74,7 @@
 /** The daemon of one host. */
 export class Host {
 	readonly #parts: HostParts;
-	readonly #metrics = new Metrics();
+	readonly #metrics: Metrics;
 	readonly #beliefs: Beliefs;
 	readonly #dispatcher: Dispatcher;
 	readonly #connections: BackendConnections;
@@ -97,8 +98,9 @@
 	readonly #startedAt: Milliseconds;
 
 	constructor(parts: HostParts) {
-		const {settings, adapter, log, random, now, wallClock} = parts;
+		const {settings, adapter, log, metrics, random, now, wallClock} = parts;
 		this.#parts = parts;
+		this.#metrics = metrics;
 		this.#startedAt = now();
 		this.#bounds = settings.bounds;
 		this.#beliefs = new Beliefs(log, now, () => this.#bounds.weightsWithin, {
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -589,6 +589,10 @@
 		const route = this.#route?.name ?? 'none';
 		metrics.count('requests', {route, outcome, status: String(status)});
 		metrics.time('request', took, {route});
+		if (this.#placedAt !== undefined) {
+			metrics.time('wait', this.#placedAt - this.received.receivedAt, {route});
+		}
+
 		log.info('request', {
 			id: this.received.request.id,
 			route,
