Believe a peer that saw weights being named against the guess of a start; count the time of a suspension

From reading, beside it: the steady clock leaves out a suspension, so that a suspended host took weights for younger than they are. A step of the time of day ahead of the steady clock makes them older now; one that was only set costs some worth.

Tests fail without the change (the guess stood at 8.7 s of 12).

--- a/packages/host/__tests__/beliefs.test.ts
+++ b/packages/host/__tests__/beliefs.test.ts
@@ -12,8 +12,8 @@
 	return {clock, beliefs: new Beliefs(silentLogger, () => clock.now, () => weightsWithin, listener)};
 }
 
-const named = (version: number, revision: number, age?: number): BeliefChange => ({
-	type: 'weights', model: 'm', version, revision, age,
+const named = (version: number, revision: number, age?: number, isAgeAssumed?: boolean): BeliefChange => ({
+	type: 'weights', model: 'm', version, revision, age, isAgeAssumed,
 });
 
 test('weights found at the start are taken to be old: all hosts may have restarted long after they were named', () => {
@@ -37,6 +37,24 @@
 	assert.is(beliefs.weights.outdatedFor('m', 1, clock.now), 11_000);
 });
 
+// A host that replaces another one in a roll-out took weights named 4 s ago for 11.7 s old and refused for three seconds
+// (incident inc-bad5 of Tana Ridge).
+test('a peer that saw them being named is believed against the guess of a start', () => {
+	const {clock, beliefs} = create();
+	beliefs.apply({changes: [named(2, 5)], revision: 9}, true, 'store');
+	beliefs.apply({changes: [named(2, 5, 4000)], revision: 9}, true, 'peer');
+	assert.is(beliefs.weights.outdatedFor('m', 1, clock.now), 4000);
+});
+
+test('the guess of a peer is no better than the host\'s own', () => {
+	const {clock, beliefs} = create();
+	beliefs.apply({changes: [named(2, 5)], revision: 9}, true, 'store');
+	const own = beliefs.weights.outdatedFor('m', 1, clock.now);
+	beliefs.apply({changes: [named(2, 5, 4000, true)], revision: 9}, true, 'peer');
+	assert.is(beliefs.weights.outdatedFor('m', 1, clock.now), own);
+	assert.ok(beliefs.weights.hasAssumedAges);
+});
+
 test('a configuration never gives way to an older one', () => {
 	const {beliefs} = create();
 	const configuration = (version: number): BeliefChange => ({
--- a/packages/host/src/belief-watch.ts
+++ b/packages/host/src/belief-watch.ts
@@ -16,6 +16,9 @@
 
 const jumpCheckInterval: Milliseconds = 100;
 
+/** A suspension looks like a time of day that was set ahead; a longer step is taken for the latter. */
+const longestSuspension: Milliseconds = 20_000;
+
 export type BeliefWatchOptions = {
 	readonly store: ControlStore;
 	readonly beliefs: Beliefs;
@@ -25,6 +28,8 @@
 	readonly wallClock: () => Milliseconds;
 	/** Called when the store is lost or found again. */
 	onContact(isInContact: boolean): void;
+	/** Called with the time that passed on the time of day and not on the steady clock. */
+	onSuspended(time: Milliseconds): void;
 };
 
 /** Keeps the beliefs in step with the store: reads all, then watches; reads all again whenever changes may have been missed. */
@@ -58,6 +63,10 @@
 			lastWall = wallClock();
 			if (steady > jump || Math.abs(wall - steady) > jump) {
 				this.#options.log.info('clock-jump', {steady, wall});
+				if (wall > steady) {
+					this.#options.onSuspended(Math.min(wall - steady, longestSuspension));
+				}
+
 				this.readAgain();
 			}
 		}, jumpCheckInterval);
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -126,9 +126,9 @@
 		}
 
 		for (const [model, named] of this.weights.allNamed()) {
-			for (const {version, revision, knownSince} of named) {
+			for (const {version, revision, knownSince, isAssumed} of named) {
 				changes.push({
-					type: 'weights', revision, model, version, age: this.#now() - knownSince,
+					type: 'weights', revision, model, version, age: this.#now() - knownSince, isAgeAssumed: isAssumed,
 				});
 			}
 		}
@@ -255,10 +255,15 @@
 	#applyNamedWeights(change: BeliefChange & {readonly type: 'weights'}, source: string): void {
 		const {model, version, revision} = change;
 		// What a host finds when it starts was named before; a peer knows how long.
-		const age = change.age ?? (this.#revision === 0 ? Math.max(this.#weightsWithin() - useAfterStart, 0) : 0);
-		if (this.weights.name(model, {version, revision, knownSince: this.#now() - age})) {
+		const isFound = change.age === undefined && this.#revision === 0;
+		const age = change.age ?? (isFound ? Math.max(this.#weightsWithin() - useAfterStart, 0) : 0);
+		const isAssumed = change.isAgeAssumed ?? isFound;
+		const named = {
+			version, revision, knownSince: this.#now() - age, isAssumed,
+		};
+		if (this.weights.name(model, named)) {
 			this.#log.info('weights-named', {
-				model, version, revision, age: Math.round(age), source,
+				model, version, revision, age: Math.round(age), isAssumed, source,
 			});
 		}
 	}
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -89,7 +89,8 @@
 	readonly #store = new DisposableStore();
 	#clients: readonly ClientServer[] = [];
 	#running = 0;
-	#hasAges = false;
+	/** Peers that were asked since when weights have been named. */
+	readonly #askedPeers = new Set<string>();
 	#isStopping = false;
 	#bounds: HostBounds;
 	#lastSnapshotAt = 0;
@@ -142,7 +143,9 @@
 			},
 		});
 		this.#watch = new BeliefWatch({
-			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact() {/* The log tells. */},
+			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact() {/* The log tells. */}, onSuspended: time => {
+				this.#beliefs.weights.addAge(time);
+			},
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		const {name} = settings.description;
@@ -222,9 +225,9 @@
 		return this.#beliefs.hosts.serving(this.#parts.now()).length;
 	}
 
-	/** Whether a peer has told how long named weights have been known. */
+	/** Whether it is known of all named weights since when they are. */
 	get hasAges(): boolean {
-		return this.#hasAges;
+		return !this.#beliefs.weights.hasAssumedAges;
 	}
 
 	/** Stops following the store, as a host does that the store turns away. */
@@ -443,11 +446,17 @@
 	// The store tells which weights were named, not when; a peer that has run for longer knows.
 	#askAges(): void {
 		const {now, log} = this.#parts;
-		const [peer] = this.#beliefs.hosts.serving(now());
-		if (this.#hasAges || peer === undefined || now() - this.#lastSnapshotAt < snapshotInterval) {
+		if (this.hasAges || now() - this.#lastSnapshotAt < snapshotInterval) {
+			return;
+		}
+
+		const peer = this.#beliefs.hosts.serving(now()).find(({name, incarnation}) => !this.#askedPeers.has(`${name} ${incarnation}`));
+		if (peer === undefined) {
 			return;
 		}
 
+		this.#askedPeers.add(`${peer.name} ${peer.incarnation}`);
+
 		this.#lastSnapshotAt = now();
 		void this.#catchUp(peer, log);
 	}
@@ -486,14 +495,17 @@
 	}
 
 	async #catchUp(peer: {readonly name: string; readonly snapshotAddress: string}, log: Logger): Promise<void> {
+		const {now} = this.#parts;
+		const askedAt = now();
 		const snapshot = await fetchSnapshot(peer.snapshotAddress);
 		if (snapshot.isErr) {
 			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
 			return;
 		}
 
-		this.#hasAges ||= snapshot.value.changes.length > 0;
-		this.#beliefs.apply(snapshot.value, true, peer.name);
+		const onTheWay = now() - askedAt;
+		const changes = snapshot.value.changes.map(change => change.type === 'weights' && change.age !== undefined ? {...change, age: change.age + onTheWay} : change);
+		this.#beliefs.apply({...snapshot.value, changes}, true, peer.name);
 	}
 
 	async #serveEndpoints(): Promise<void> {
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -22,7 +22,7 @@
 	= | {readonly type: 'configuration'; readonly revision: number; readonly configuration: Configuration}
 		| {readonly type: 'server'; readonly revision: number; readonly entry: ServerEntry}
 		| {readonly type: 'server-gone'; readonly revision: number; readonly id: string}
-		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number; /** How long ago it was named, where a peer tells. */ readonly age?: Milliseconds | undefined}
+		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number; /** How long ago it was named, where a peer tells. */ readonly age?: Milliseconds | undefined; /** The peer does not know either: its age is a guess. */ readonly isAgeAssumed?: boolean | undefined}
 		| {readonly type: 'host'; readonly revision: number; readonly description: HostDescription}
 		| {readonly type: 'host-gone'; readonly revision: number; readonly name: string}
 		| {readonly type: 'holder'; readonly revision: number; readonly holder?: string | undefined}
--- a/packages/routing/__tests__/weights-table.test.ts
+++ b/packages/routing/__tests__/weights-table.test.ts
@@ -4,7 +4,9 @@
 
 const test = suite('WeightsTable');
 const create = () => new WeightsTable({rememberedVersions: 16, emptyingExpiry: 500});
-const named = (version: number, knownSince: number) => ({version, revision: version, knownSince});
+const named = (version: number, knownSince: number, isAssumed = false) => ({
+	version, revision: version, knownSince, isAssumed,
+});
 
 test('a version is out of date from the naming of the next newer one, not of the newest', () => {
 	const table = create();
@@ -24,6 +26,29 @@
 	assert.is(table.outdatedFor('m', 1, 10_000), 7000);
 });
 
+test('a moment that somebody saw goes before a guess, whichever was told first', () => {
+	for (const told of [[named(2, 1000, true), named(2, 5000)], [named(2, 5000), named(2, 1000, true)]]) {
+		const table = create();
+		for (const entry of told) {
+			table.name('m', entry);
+		}
+
+		assert.is(table.outdatedFor('m', 1, 10_000), 5000);
+		assert.not.ok(table.hasAssumedAges);
+	}
+
+	const table = create();
+	table.name('m', named(2, 1000, true));
+	assert.ok(table.hasAssumedAges);
+});
+
+test('time that the steady clock did not count makes all ages longer', () => {
+	const table = create();
+	table.name('m', named(2, 5000));
+	table.addAge(6000);
+	assert.is(table.outdatedFor('m', 1, 10_000), 11_000);
+});
+
 test('a load is over when the server runs the version, when it is said to be, or after its time', () => {
 	const table = create();
 	table.noteLoading('a', 8000, 0);
--- a/packages/routing/src/weights-table.ts
+++ b/packages/routing/src/weights-table.ts
@@ -8,7 +8,22 @@
 };
 
 /** A version of a model's weights that the operators named. */
-export type NamedWeights = {readonly version: number; readonly revision: number; readonly knownSince: Milliseconds};
+export type NamedWeights = {
+	readonly version: number;
+	readonly revision: number;
+	readonly knownSince: Milliseconds;
+	/** The moment is a guess: the version was found at a start, and nobody who saw it being named has told yet. */
+	readonly isAssumed: boolean;
+};
+
+// A moment that somebody saw goes before a guess; of two alike the earlier one stands.
+function moreReliable(left: NamedWeights, right: NamedWeights): NamedWeights {
+	if (left.isAssumed !== right.isAssumed) {
+		return left.isAssumed ? right : left;
+	}
+
+	return left.knownSince <= right.knownSince ? left : right;
+}
 
 /** What is known of weights: which versions were named and when, which servers were seen to run them, and which are about to. */
 export class WeightsTable {
@@ -25,7 +40,7 @@
 	}
 
 	/**
-	 * Takes over that a version was named. Told twice, the earlier moment stands.
+	 * Takes over that a version was named.
 	 *
 	 * @param model - The model.
 	 * @param named - The version.
@@ -35,11 +50,27 @@
 		const known = this.#named.get(model) ?? [];
 		const before = known.find(other => other.version === named.version);
 		const others = known.filter(other => other !== before);
-		const kept = before !== undefined && before.knownSince <= named.knownSince ? before : named;
+		const kept = before === undefined ? named : moreReliable(before, named);
 		this.#named.set(model, [...others, kept].toSorted((left, right) => left.version - right.version).slice(-this.#options.rememberedVersions));
 		return before === undefined;
 	}
 
+	/** Whether the age of some version is a guess. */
+	get hasAssumedAges(): boolean {
+		return [...this.#named.values()].some(named => named.some(({isAssumed}) => isAssumed));
+	}
+
+	/**
+	 * Makes all ages longer, by a time that the steady clock did not count.
+	 *
+	 * @param time - The time.
+	 */
+	addAge(time: Milliseconds): void {
+		for (const [model, named] of this.#named) {
+			this.#named.set(model, named.map(entry => ({...entry, knownSince: entry.knownSince - time})));
+		}
+	}
+
 	/** @returns All named versions, by model. */
 	allNamed(): ReadonlyMap<string, readonly NamedWeights[]> {
 		return this.#named;
