--- a/packages/host/src/backend-connections.ts
+++ b/packages/host/src/backend-connections.ts
@@ -45,6 +45,18 @@
 	readonly onOpened: () => void;
 };
 
+/** Limits that fit servers within a millisecond's reach. */
+export const defaultConnectionLimits = {
+	// The sheets give a handshake a millisecond; what takes this long is dead or behind a partition.
+	connectTimeout: 200,
+	// Used where a server names no time of its own.
+	idleTimeout: 4000,
+	// Nine hosts with as many stay within the 250 connections that the sheets give a model server.
+	idleConnections: 24,
+	// An answer that is out of turn arrives within the way between two failure domains, 0.9 ms at most on the sheets.
+	rest: 4,
+} as const satisfies Partial<BackendConnectionsOptions>;
+
 type Connection = {
 	readonly client: Client;
 	readonly key: string;
--- a/packages/host/src/beliefs.ts
+++ b/packages/host/src/beliefs.ts
@@ -27,6 +27,17 @@
  */
 const useAfterStart: Milliseconds = 3300;
 
+/** Servers that died are back after some seconds, and tell nobody; the bounds on pauses and silence follow from that. */
+const healthOptions = {
+	firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, silence: 700, trustOwnEars: 400, forgiveAfter: 5000,
+} as const;
+
+/** Nine hosts that start together may each use the start's share before they hear of each other. */
+const quotaOptions = {silence: hostSilence, startShare: 0.25, silentShare: 0.5} as const;
+
+/** The holder tells every 100 ms which servers are to run empty. */
+const weightsOptions = {rememberedVersions: 16, emptyingExpiry: 500} as const;
+
 /** Hears of changes that others act on. */
 export type BeliefListener = {
 	/** A server that takes work may have appeared, changed or gone. */
@@ -41,13 +52,11 @@
 	readonly servers = new ServerDirectory({lapseGrace});
 	readonly hosts = new HostDirectory({silence: hostSilence, forgetAfter: hostForgetAfter});
 	readonly loads = new ServerLoads(peerLoadExpiry);
-	readonly health = new ServerHealth({
-		firstPause: 300, longestPause: 3000, smoothing: 0.15, failingShare: 0.3, silence: 700, trustOwnEars: 400, forgiveAfter: 5000,
-	});
+	readonly health = new ServerHealth(healthOptions);
 
 	readonly prompts = new PromptCacheIndex();
-	readonly quota = new QuotaLedger({silence: hostSilence, startShare: 0.25, silentShare: 0.5});
-	readonly weights = new WeightsTable({rememberedVersions: 16, emptyingExpiry: 500});
+	readonly quota = new QuotaLedger(quotaOptions);
+	readonly weights = new WeightsTable(weightsOptions);
 	readonly #listener: BeliefListener;
 	readonly #weightsWithin: () => Milliseconds;
 	readonly #log: Logger;
--- a/packages/host/src/request-run.ts
+++ b/packages/host/src/request-run.ts
@@ -9,6 +9,7 @@
 import type {PipelineContext} from './pipeline-context.js';
 import type {AnswerHead, HeaderList, ReceivedRequest} from './ports.js';
 import {admitRequest, drawService, quotaUnits} from './request-admission.js';
+import {SilenceWatch} from './silence-watch.js';
 
 /** Sends at most, whatever becomes of them: beyond the servers that may run a request come those that did not run it. */
 const sendsBeyondRuns = 2;
@@ -30,15 +31,6 @@
 /** The pause offered when nothing tells how long a lack of servers will last. */
 const unknownPause: Milliseconds = 300;
 
-/** A stream without an event for this long has lost its server: model servers make several a second. */
-const streamSilence: Milliseconds = 1200;
-
-/** A request that may run again is tried elsewhere after this many objectives, when its server sends nothing to anybody either. */
-const silentServerFactor = 1.4;
-
-/** And after this many in any case: a server may hang with some requests and answer others. */
-const hangingRequestFactor = 3;
-
 /** A server that owes answers and has sent nothing for this long is taken for dead. */
 const deadSilence: Milliseconds = 350;
 
@@ -52,6 +44,10 @@
 	readonly #avoided = new Set<string>();
 	readonly #relay = new EventRelay();
 	readonly #trail: AttemptRecord[] = [];
+	readonly #silence = new SilenceWatch((silence, isLastWord) => {
+		this.#onSilence(silence, isLastWord);
+	});
+
 	#route: Route | undefined;
 	#workspace: Workspace | undefined;
 	#service = '';
@@ -65,7 +61,6 @@
 	#isWaiting = false;
 	#isSettled = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
-	#silenceTimer: NodeJS.Timeout | undefined;
 	#firstByteAt: Milliseconds | undefined;
 	#placedAt: Milliseconds | undefined;
 	#isPaused = false;
@@ -276,43 +271,28 @@
 	}
 
 	#watchSilence(attempt: Attempt): void {
-		clearTimeout(this.#silenceTimer);
 		if (!this.#mayRunAgain || this.#runs + 1 >= this.#route!.maxServers) {
-			return;
+			this.#silence.stop();
+		} else if (!attempt.hasFirstByte) {
+			this.#silence.awaitFirst(this.#route!.objective, attempt.chosen.engine?.predictedFirstToken ?? 0);
+		} else if (this.#isStream) {
+			this.#silence.awaitNext();
+		} else {
+			this.#silence.stop();
 		}
+	}
 
-		const objective = this.#route!.objective;
-		if (attempt.hasFirstByte) {
-			if (this.#isStream) {
-				this.#silenceTimer = setTimeout(() => {
-					this.#checkSilence(attempt, streamSilence, true);
-				}, streamSilence);
-			}
-
+	#onSilence(silence: Milliseconds, isLastWord: boolean): void {
+		const attempt = this.#attempt;
+		if (attempt === undefined || attempt.isOver || this.#isPaused || this.#timeLeft() < this.#route!.objective / 2) {
 			return;
 		}
 
-		const predicted = attempt.chosen.engine?.predictedFirstToken ?? 0;
-		const first = Math.max(objective * silentServerFactor, predicted * 2);
-		const last = Math.max(objective * hangingRequestFactor, predicted * 4);
-		this.#silenceTimer = setTimeout(() => {
-			if (!this.#checkSilence(attempt, first, false)) {
-				this.#silenceTimer = setTimeout(() => {
-					this.#checkSilence(attempt, last, true);
-				}, last - first);
-			}
-		}, first);
-	}
-
-	#checkSilence(attempt: Attempt, silence: Milliseconds, isLastCheck: boolean): boolean {
 		const {beliefs, now} = this.#context;
 		const isDead = beliefs.health.silentFor(attempt.chosen.entry.id, now()) >= deadSilence;
-		if (attempt.isOver || attempt !== this.#attempt || this.#isPaused || this.#timeLeft() < this.#route!.objective / 2 || !(isDead || isLastCheck)) {
-			return false;
+		if (isDead || isLastWord) {
+			this.#attemptFailed({wasWritten: true, reason: `silent for ${Math.round(silence)} ms`}, isDead);
 		}
-
-		this.#attemptFailed({wasWritten: true, reason: `silent for ${Math.round(silence)} ms`}, isDead);
-		return true;
 	}
 
 	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
@@ -499,7 +479,7 @@
 
 		const {beliefs, now, dispatcher} = this.#context;
 		attempt.isOver = true;
-		clearTimeout(this.#silenceTimer);
+		this.#silence.stop();
 		if (!attempt.hasFirstByte && attempt.chosen.engine !== undefined) {
 			this.#context.onPromptRead(attempt.chosen, this.received, false);
 		}
@@ -578,7 +558,7 @@
 
 		this.#isSettled = true;
 		clearTimeout(this.#deadlineTimer);
-		clearTimeout(this.#silenceTimer);
+		this.#silence.stop();
 		if (this.#isWaiting) {
 			this.#isWaiting = false;
 			this.#context.dispatcher.leave(this.#service, this);
