--- a/packages/completions/__tests__/completion-protocol.test.ts
+++ b/packages/completions/__tests__/completion-protocol.test.ts
@@ -37,7 +37,7 @@
 });
 
 test('neither the key nor what only the system may say is handed on', () => {
-	const decoded = decode('/bookings', ['Host', 'h', 'Authorization', 'Bearer secret', 'Tenant', 'other', 'Cache-Salt', 's', 'X-Request-Id', 'r-1', 'Content-Type', 'text/plain', 'Idempotency-Key', 'k']);
+	const decoded = decode('/bookings', ['Host', 'h', 'Authorization', 'Bearer secret', 'X-Workspace', 'other', 'X-Salt', 's', 'X-Request-Id', 'r-1', 'Content-Type', 'text/plain', 'Idempotency-Key', 'k']);
 	assert.ok(decoded.isOk);
 	assert.equal(decoded.value.headers, ['Content-Type', 'text/plain', 'Idempotency-Key', 'k']);
 	assert.is(decoded.value.id, 'r-1');
@@ -82,7 +82,7 @@
 test('answers keep what concerns the client and bear the request\'s id', () => {
 	const decoded = decode('/bookings', ['Host', 'h']);
 	assert.ok(decoded.isOk);
-	assert.equal(protocol.answerHeaders(decoded.value, ['Content-Type', 'text/plain', 'Response-Stamp', 's', 'Attempt-Id', 'made', 'Content-Length', '3']), ['Content-Type', 'text/plain', 'Content-Length', '3', 'X-Request-Id', 'made']);
+	assert.equal(protocol.answerHeaders(decoded.value, ['Content-Type', 'text/plain', 'X-Stamp', 's', 'X-Attempt', 'made', 'Content-Length', '3']), ['Content-Type', 'text/plain', 'Content-Length', '3', 'X-Request-Id', 'made']);
 });
 
 test.run();
--- a/packages/host/src/belief-watch.ts
+++ b/packages/host/src/belief-watch.ts
@@ -26,8 +26,6 @@
 	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
 	readonly wallClock: () => Milliseconds;
-	/** Called when the store is lost or found again. */
-	onContact(isInContact: boolean): void;
 	/** Called with the time that passed on the time of day and not on the steady clock. */
 	onSuspended(time: Milliseconds): void;
 };
@@ -139,7 +137,6 @@
 			this.#isInContact = false;
 			this.#options.beliefs.servers.storeLost();
 			this.#options.log.warn('store-lost', {reason, revision: this.#revision});
-			this.#options.onContact(false);
 		}
 	}
 
@@ -151,7 +148,6 @@
 		if (!this.#isInContact) {
 			this.#isInContact = true;
 			this.#options.log.info('store-found', {failures: this.#failures});
-			this.#options.onContact(true);
 		}
 
 		this.#failures = 0;
--- a/packages/host/src/client-server.ts
+++ b/packages/host/src/client-server.ts
@@ -36,8 +36,6 @@
 	applyLimits(): void;
 	/** @returns Open connections. */
 	connections(): number;
-	/** Closes connections that wait for no answer. */
-	closeIdle(): void;
 	dispose(): Promise<void>;
 };
 
@@ -218,9 +216,6 @@
 	return {
 		applyLimits,
 		connections: () => open.size,
-		closeIdle() {
-			server.closeIdleConnections();
-		},
 		async dispose() {
 			server.close();
 			server.closeAllConnections();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -121,7 +121,7 @@
 			},
 		});
 		this.#watch = new BeliefWatch({
-			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onContact() {/* The log tells. */}, onSuspended: time => {
+			store: adapter.store, beliefs: this.#beliefs, log, random, now, wallClock, onSuspended: time => {
 				this.#beliefs.weights.addAge(time);
 			},
 		});
