--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -34,7 +34,7 @@
 	constructor(id: string, behaviour: ServerBehaviour = answerWhole('hello')) {
 		this.id = id;
 		this.behaviour = behaviour;
-		this.#server = createServer(socket => {
+		this.#server = createServer({noDelay: true}, socket => {
 			this.connections++;
 			this.#sockets.add(socket);
 			socket.on('close', () => this.#sockets.delete(socket));
