--- a/packages/host/src/host-endpoints.ts
+++ b/packages/host/src/host-endpoints.ts
@@ -7,7 +7,7 @@
 	type Disposable, type Logger, type Milliseconds, getErrorMessage,
 } from '@lacewingpoint/shared';
 import createRouter from 'find-my-way';
-import {listen} from './client-listener.js';
+import {listen} from './requests/client-listener.js';
 import type {DirectoryProtocol, HostSettings} from './ports.js';
 
 export type HostEndpointsOptions = {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -4,26 +4,26 @@
 import {
 	DisposableStore, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
 } from '@lacewingpoint/shared';
-import {BackendConnectionPool, defaultConnectionLimits} from './backend-connection-pool.js';
-import {StoreWatch} from './store-watch.js';
-import {ClusterState} from './cluster-state.js';
-import {type ClientListener, serveClients} from './client-listener.js';
-import {Dispatcher} from './dispatcher.js';
+import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
+import {StoreWatch} from './state/store-watch.js';
+import {ClusterState} from './state/cluster-state.js';
+import {type ClientListener, serveClients} from './requests/client-listener.js';
+import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
-import {HostGossip} from './host-gossip.js';
-import {HostRegistration} from './host-registration.js';
-import {PeerSynchronizer} from './peer-synchronizer.js';
-import {PromptPlacementTracker} from './prompt-placement-tracker.js';
+import {HostGossip} from './members/host-gossip.js';
+import {HostRegistration} from './members/host-registration.js';
+import {PeerSynchronizer} from './state/peer-synchronizer.js';
+import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {
 	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest,
 } from './ports.js';
-import type {PipelineContext} from './pipeline-context.js';
-import {RequestPipeline} from './request-pipeline.js';
-import {ModelServerClient, controlCallTimeout} from './model-server-client.js';
-import {ServerCrashDetector} from './server-crash-detector.js';
-import {serveSnapshots} from './peer-snapshots.js';
-import {WeightsController} from './weights-controller.js';
-import {WeightsLease} from './weights-lease.js';
+import type {PipelineContext} from './requests/pipeline-context.js';
+import {RequestPipeline} from './requests/request-pipeline.js';
+import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
+import {ServerCrashDetector} from './state/server-crash-detector.js';
+import {serveSnapshots} from './state/peer-snapshots.js';
+import {WeightsController} from './weights/weights-controller.js';
+import {WeightsLease} from './weights/weights-lease.js';
 
 /** How long clients may cache an address. Short, because some cache it three times as long and a stop has to wait for them. */
 const addressTimeToLive: Milliseconds = 1000;
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,6 +1,6 @@
-export {type ClusterStateListener, ClusterState} from './cluster-state.js';
-export {EventRelay} from './event-relay.js';
-export {type HostMessage, decodeHostMessage, encodeHostMessage} from './host-messages.js';
+export {type ClusterStateListener, ClusterState} from './state/cluster-state.js';
+export {EventRelay} from './requests/event-relay.js';
+export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
 export {Host, type HostDependencies} from './host.js';
-export {leaseHolderKey, leaseTermKey} from './weights-lease.js';
+export {leaseHolderKey, leaseTermKey} from './weights/weights-lease.js';
 export type * from './ports.js';
--- a/packages/host/src/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -6,7 +6,7 @@
 import type {
 	Disposable, Logger, Metrics, Milliseconds,
 } from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
+import type {ClusterState} from '../state/cluster-state.js';
 import {
 	type HostMessage, type PromptPlacement, decodeHostMessage, encodeHostMessage,
 } from './host-messages.js';
--- a/packages/host/src/host-registration.ts
+++ b/packages/host/src/members/host-registration.ts
@@ -2,7 +2,7 @@
 import {
 	type Disposable, type Logger, type Milliseconds, describeError, startRepeatingTask,
 } from '@lacewingpoint/shared';
-import type {ControlStore} from './ports.js';
+import type {ControlStore} from '../ports.js';
 
 /** How long a crashed host stays listed in the store; its peers detect the missing heartbeats earlier. */
 const registrationTimeToLive: Milliseconds = 15_000;
--- a/packages/host/src/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 import {type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {Client, buildConnector} from 'undici';
-import type {HeaderList} from './ports.js';
+import type {HeaderList} from '../ports.js';
 
 /** The server to connect to. Connections are reused only for the same server, incarnation and address. */
 export type ConnectionTarget = {readonly id: string; readonly incarnation: string; readonly address: string};
--- a/packages/host/src/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -6,7 +6,7 @@
 import type {Bytes, Milliseconds} from '@lacewingpoint/shared';
 import type {
 	ClientProtocol, ClientRequest, HeaderList, ReceivedRequest, ResponseWriter,
-} from './ports.js';
+} from '../ports.js';
 
 export type ClientListenerOptions = {
 	readonly address: string;
--- a/packages/host/src/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -3,8 +3,8 @@
 	chooseLeastLoadedServer, defaultEnginePlacementOptions, estimateQueueTime,
 } from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
-import type {ClientRequest} from './ports.js';
+import type {ClusterState} from '../state/cluster-state.js';
+import type {ClientRequest} from '../ports.js';
 
 /** A request to be placed on a server, with everything that the choice depends on. */
 export type PlacementRequest = {
--- a/packages/host/src/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -3,9 +3,9 @@
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
-import type {ClusterState} from './cluster-state.js';
+import type {ClusterState} from '../state/cluster-state.js';
 import type {ChosenServer, Dispatcher} from './dispatcher.js';
-import type {BackendProtocol, ReceivedRequest} from './ports.js';
+import type {BackendProtocol, ReceivedRequest} from '../ports.js';
 
 /** The components of a host that all its requests share, and callbacks to the host. */
 export type PipelineContext = {
--- a/packages/host/src/request-admission.ts
+++ b/packages/host/src/requests/request-admission.ts
@@ -1,5 +1,5 @@
 import type {Route, RouteIndex, Workspace} from '@lacewingpoint/routing';
-import type {ClientRequest} from './ports.js';
+import type {ClientRequest} from '../ports.js';
 
 /** The route and workspace of a request, or why it is refused. */
 export type Admission
--- a/packages/host/src/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -7,7 +7,7 @@
 import type {ChosenServer, PendingRequest} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
-import type {HeaderList, ReceivedRequest, ResponseHead} from './ports.js';
+import type {HeaderList, ReceivedRequest, ResponseHead} from '../ports.js';
 import {admitRequest, quotaUnits, selectService} from './request-admission.js';
 import {StallDetector} from './stall-detector.js';
 
--- a/packages/host/src/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -3,7 +3,7 @@
 	type Configuration, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {StateChange, ChangeBatch} from './ports.js';
+import type {StateChange, ChangeBatch} from '../ports.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
 const reregistrationGrace: Milliseconds = 2000;
--- a/packages/host/src/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -4,8 +4,8 @@
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {Result} from 'true-myth';
-import {listen} from './client-listener.js';
-import type {ChangeBatch} from './ports.js';
+import {listen} from '../requests/client-listener.js';
+import type {ChangeBatch} from '../ports.js';
 
 type SnapshotContext = {readonly snapshot: () => ChangeBatch};
 
--- a/packages/host/src/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -3,7 +3,7 @@
 	type Disposable, type Logger, type Milliseconds, type RandomSource, describeError,
 } from '@lacewingpoint/shared';
 import type {ClusterState} from './cluster-state.js';
-import type {ControlStore} from './ports.js';
+import type {ControlStore} from '../ports.js';
 
 /** How long the store keeps a watch open without changes. A stalled watch is detected after this time plus the client's margin. */
 const watchTimeout: Milliseconds = 2000;
--- a/packages/host/src/model-server-client.ts
+++ b/packages/host/src/weights/model-server-client.ts
@@ -2,10 +2,10 @@
 import {
 	type Logger, type Metrics, type Milliseconds, describeError, getErrorMessage,
 } from '@lacewingpoint/shared';
-import type {BackendConnectionPool} from './backend-connection-pool.js';
+import type {BackendConnectionPool} from '../requests/backend-connection-pool.js';
 import type {
 	BackendProtocol, HeaderList, WeightsOrder, WeightsReport,
-} from './ports.js';
+} from '../ports.js';
 
 /** Timeout of a control call. Servers respond within milliseconds. */
 export const controlCallTimeout: Milliseconds = 400;
--- a/packages/host/src/weights-controller.ts
+++ b/packages/host/src/weights/weights-controller.ts
@@ -1,8 +1,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {type RolloutServer, type ServerEntry, WeightsRollout} from '@lacewingpoint/routing';
 import type {Disposable, Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
-import type {HostGossip} from './host-gossip.js';
+import type {ClusterState} from '../state/cluster-state.js';
+import type {HostGossip} from '../members/host-gossip.js';
 import type {ModelServerClient} from './model-server-client.js';
 import type {WeightsLease} from './weights-lease.js';
 
--- a/packages/host/src/weights-lease.ts
+++ b/packages/host/src/weights/weights-lease.ts
@@ -6,7 +6,7 @@
 	type Logger, type Milliseconds, type RandomSource, describeError,
 } from '@lacewingpoint/shared';
 import * as v from 'valibot';
-import type {ControlStore, StoreItem} from './ports.js';
+import type {ControlStore, StoreItem} from '../ports.js';
 
 /** Store key of the current holder's name, bound to its lease. */
 export const leaseHolderKey = 'lacewingpoint/weights/holder';
