--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -41,9 +41,12 @@
 		incarnation: '0123456789ab',
 		isWhole: true,
 		host: {
-			name: 'host-1', incarnation: '0123456789ab', failureDomain: 'domain', region: 'region', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601',
+			name: 'host-1', incarnation: '0123456789ab', failureDomain: 'domain', region: 'region', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601', capacity: 1,
 		},
 		state: 'serving',
+		role: 'relay',
+		hostCount: 1,
+		hasStoreContact: true,
 		configuration: 17,
 		revision: 120_000,
 		charged: Object.fromEntries(createNames(workspaces, 'workspace').map(name => [name, 1_234_567])),
@@ -54,13 +57,16 @@
 		unreachable: [],
 		emptying: [],
 		deaths: [],
+		hosts: [],
+		departed: [],
+		updates: [],
 	};
 }
 
 function createRateLimiter(workspaces: number): DistributedRateLimiter {
 	const rateLimiter = new DistributedRateLimiter({heartbeatTimeout: 750, startupShare: 0.25, unresponsivePeerShare: 0.5});
 	rateLimiter.setLimits(new Map(createNames(workspaces, 'workspace').map(name => [name, {unitsPerSecond: 1000, burstUnits: 1000}])), 0);
-	rateLimiter.setPeers(['peer'], 0);
+	rateLimiter.setPeers([{name: 'peer', hostCount: 1, isMember: false}], 0);
 	return rateLimiter;
 }
 
--- a/packages/coordination/__tests__/rate-limiter.test.ts
+++ b/packages/coordination/__tests__/rate-limiter.test.ts
@@ -1,13 +1,15 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {DistributedRateLimiter} from '../src/index.js';
+import {type RateLimitPeer, DistributedRateLimiter} from '../src/index.js';
 
 const test = suite('DistributedRateLimiter');
 const seed = 4721;
 const options = {heartbeatTimeout: 750, startupShare: 0.25, unresponsivePeerShare: 0.5};
 const limit = {unitsPerSecond: 10_000, burstUnits: 10_000};
 
+const relays = (names: readonly string[]): RateLimitPeer[] => names.map(name => ({name, hostCount: 1, isMember: false}));
+
 type Cluster = {readonly names: readonly string[]; readonly limiters: ReadonlyMap<string, DistributedRateLimiter>};
 
 function createCluster(size: number, now = 0): Cluster {
@@ -15,7 +17,7 @@
 	const limiters = new Map(names.map(name => {
 		const limiter = new DistributedRateLimiter(options);
 		limiter.setLimits(new Map([['blue', limit]]), now);
-		limiter.setPeers(names.filter(other => other !== name), now);
+		limiter.setPeers(relays(names.filter(other => other !== name)), now);
 		return [name, limiter] as const;
 	}));
 	return {names, limiters};
@@ -110,7 +112,7 @@
 test('a partial message of a peer leaves its other totals unchanged', () => {
 	const limiter = new DistributedRateLimiter({...options, startupShare: 1});
 	limiter.setLimits(new Map([['blue', limit], ['red', limit]]), 0);
-	limiter.setPeers(['b'], 0);
+	limiter.setPeers(relays(['b']), 0);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 100], ['red', 100]]), 0);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 9100]]), 0, false);
 	assert.is(limiter.charge('red', 10_000, 0), 0, 'red is unchanged');
@@ -122,7 +124,7 @@
 test('the first message of a peer counts only when it holds the full state', () => {
 	const limiter = new DistributedRateLimiter({...options, startupShare: 1});
 	limiter.setLimits(new Map([['blue', limit]]), 0);
-	limiter.setPeers(['b'], 0);
+	limiter.setPeers(relays(['b']), 0);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 500_000]]), 0, false);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 500_000]]), 0, true);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 504_000]]), 0, false);
@@ -133,7 +135,7 @@
 test('the assumed use of an unresponsive peer is refunded by its message that nothing has changed', () => {
 	const limiter = new DistributedRateLimiter({...options, startupShare: 1});
 	limiter.setLimits(new Map([['blue', {unitsPerSecond: 1000, burstUnits: 100_000}]]), 0);
-	limiter.setPeers(['b'], 0);
+	limiter.setPeers(relays(['b']), 0);
 	limiter.mergePeerTotals('b', '1', new Map([['blue', 0]]), 0);
 	// While the peer is unresponsive, 0.5 x 1000 / 2 units a second are assumed for it.
 	assert.is(limiter.charge('blue', 1, 10_000), 0);
--- a/packages/coordination/src/host-directory.ts
+++ b/packages/coordination/src/host-directory.ts
@@ -13,26 +13,46 @@
 	readonly peerAddress: string;
 	/** The address at which peers request a snapshot of the host's cluster state. */
 	readonly snapshotAddress: string;
+	/** Processor capacity in cores; hosts with more of it are preferred as relays. */
+	readonly capacity: number;
 };
 
 /** The lifecycle state of a host; it accepts clients while it is `serving`. */
 export type HostState = 'starting' | 'serving' | 'stopping';
 
+/**
+ * The part of a host in the exchange of state: a relay exchanges it with all other relays and with its members, a member with one relay;
+ * a joining host does not know a relay yet.
+ */
+export type HostRole = 'joining' | 'member' | 'relay';
+
+/** A host as a peer reports it. */
+export type HostReport = {readonly description: HostDescription; readonly state: HostState; readonly role: HostRole};
+
+type TimedReport = {readonly report: HostReport; readonly at: Milliseconds};
+
 type HostRecord = {
-	description: HostDescription;
-	state: HostState;
-	heartbeatAt: Milliseconds | undefined;
-	isListed: boolean;
+	/** The host as its own last message described it. */
+	direct: TimedReport | undefined;
+	/** The host as peers report it, by peer. */
+	readonly reports: Map<string, TimedReport>;
+	/** The host as the store or a snapshot lists it. */
+	listed: HostReport | undefined;
 };
 
 export type HostDirectoryOptions = {
 	/** A host without a heartbeat for this long is not offered to clients. */
 	readonly heartbeatTimeout: Milliseconds;
+	/** Hosts reported by a peer count as alive for this long after the peer's last heartbeat, so that they can be reported by another. */
+	readonly reportTimeout: Milliseconds;
 	/** A host that the store no longer lists is removed this long after its last heartbeat. */
 	readonly removalDelay: Milliseconds;
 };
 
-/** The other hosts that this host knows: the store lists them, heartbeats show which of them are alive. */
+/**
+ * The other hosts that this host knows. Some send heartbeats to this host; others are reported by a peer that receives theirs. The store
+ * lists only relays.
+ */
 export class HostDirectory {
 	readonly #options: HostDirectoryOptions;
 	readonly #records = new Map<string, HostRecord>();
@@ -41,24 +61,18 @@
 		this.#options = options;
 	}
 
+	/** The number of known hosts, unresponsive ones included. */
+	get size(): number {
+		return this.#records.size;
+	}
+
 	/**
-	 * Adds a host that the store or a peer's snapshot lists.
+	 * Adds a relay that the store or a peer's snapshot lists.
 	 *
-	 * @param description - The host's description; one that a heartbeat carried takes precedence.
+	 * @param description - The host's description; one that a heartbeat or report carried takes precedence.
 	 */
 	addListed(description: HostDescription): void {
-		const record = this.#records.get(description.name);
-		if (record === undefined) {
-			this.#records.set(description.name, {
-				description, state: 'starting', heartbeatAt: undefined, isListed: true,
-			});
-			return;
-		}
-
-		record.isListed = true;
-		if (record.heartbeatAt === undefined) {
-			record.description = description;
-		}
+		this.#getRecord(description.name).listed = {description, state: 'starting', role: 'relay'};
 	}
 
 	/**
@@ -69,27 +83,61 @@
 	markUnlisted(name: string): void {
 		const record = this.#records.get(name);
 		if (record !== undefined) {
-			record.isListed = false;
+			record.listed = undefined;
 		}
 	}
 
 	/**
 	 * Records a heartbeat of a host.
 	 *
-	 * @param description - The host's description.
-	 * @param state - The host's state.
+	 * @param report - The host as its message describes it.
 	 * @param now - Current monotonic time.
 	 * @returns Whether the host was unknown, was unresponsive until now or has restarted.
 	 */
-	recordHeartbeat(description: HostDescription, state: HostState, now: Milliseconds): boolean {
-		const record = this.#records.get(description.name);
-		const isNewlyAlive = record?.heartbeatAt === undefined || now - record.heartbeatAt > this.#options.heartbeatTimeout || record.description.incarnation !== description.incarnation;
-		this.#records.set(description.name, {
-			description, state, heartbeatAt: now, isListed: record?.isListed ?? false,
-		});
+	recordHeartbeat(report: HostReport, now: Milliseconds): boolean {
+		const record = this.#getRecord(report.description.name);
+		const isRestarted = record.direct !== undefined && record.direct.report.description.incarnation !== report.description.incarnation;
+		const isNewlyAlive = isRestarted || !this.#hasHeartbeat(record, now);
+		if (isRestarted) {
+			this.removeReports(report.description.name);
+		}
+
+		record.direct = {report, at: now};
 		return isNewlyAlive;
 	}
 
+	/**
+	 * Records that a peer reports a host.
+	 *
+	 * @param report - The reported host.
+	 * @param reporter - The peer's name.
+	 * @param now - Current monotonic time.
+	 */
+	recordReport(report: HostReport, reporter: string, now: Milliseconds): void {
+		this.#getRecord(report.description.name).reports.set(reporter, {report, at: now});
+	}
+
+	/**
+	 * Records that a peer no longer reports a host.
+	 *
+	 * @param name - The host's name.
+	 * @param reporter - The peer's name.
+	 */
+	recordDeparture(name: string, reporter: string): void {
+		this.#records.get(name)?.reports.delete(reporter);
+	}
+
+	/**
+	 * Discards all reports of a peer.
+	 *
+	 * @param reporter - The peer's name.
+	 */
+	removeReports(reporter: string): void {
+		for (const record of this.#records.values()) {
+			record.reports.delete(reporter);
+		}
+	}
+
 	/**
 	 * Finds the description of an incarnation of a host.
 	 *
@@ -98,45 +146,85 @@
 	 * @returns The description, `undefined` when the host is unknown or known only with another incarnation.
 	 */
 	findDescription(name: string, incarnation: string): HostDescription | undefined {
-		const description = this.#records.get(name)?.description;
-		return description?.incarnation === incarnation ? description : undefined;
+		const record = this.#records.get(name);
+		const reports = record === undefined ? [] : [record.direct?.report, ...[...record.reports.values()].map(({report}) => report), record.listed];
+		return reports.find(report => report?.description.incarnation === incarnation)?.description;
+	}
+
+	/**
+	 * Finds a host that is alive.
+	 *
+	 * @param name - The host's name.
+	 * @param now - Current monotonic time.
+	 * @returns The host, `undefined` when it is unknown or unresponsive.
+	 */
+	findAlive(name: string, now: Milliseconds): HostReport | undefined {
+		const record = this.#records.get(name);
+		return record === undefined ? undefined : this.#findCurrent(record, now);
 	}
 
 	/**
-	 * Lists the peers to which messages are sent. Removes unlisted hosts whose last heartbeat is too old.
+	 * Checks whether a host sends heartbeats to this host.
 	 *
+	 * @param name - The host's name.
 	 * @param now - Current monotonic time.
-	 * @returns The descriptions of the peers.
+	 * @returns Whether the last one is recent.
 	 */
-	listPeers(now: Milliseconds): HostDescription[] {
+	hasHeartbeat(name: string, now: Milliseconds): boolean {
+		const record = this.#records.get(name);
+		return record !== undefined && this.#hasHeartbeat(record, now);
+	}
+
+	/**
+	 * Lists the relays to which messages are sent: unresponsive ones included, because they may still serve and use rate limits, but not
+	 * those that announced their stop and have ended. Removes unlisted hosts whose last sign of life is too old.
+	 *
+	 * @param now - Current monotonic time.
+	 * @returns The descriptions of the relays.
+	 */
+	listRelays(now: Milliseconds): HostDescription[] {
+		const relays: HostDescription[] = [];
 		for (const [name, record] of this.#records) {
-			if (!record.isListed && (record.heartbeatAt === undefined || now - record.heartbeatAt > this.#options.removalDelay)) {
+			const current = this.#findCurrent(record, now);
+			const latest = current ?? this.#findLatest(record, now);
+			if (latest === undefined) {
 				this.#records.delete(name);
+			} else if (latest.role === 'relay' && (latest.state !== 'stopping' || current !== undefined)) {
+				relays.push(latest.description);
 			}
 		}
 
-		return [...this.#records.values()].map(record => record.description);
+		return relays;
 	}
 
 	/**
-	 * Lists the peers that can be offered to clients.
+	 * Lists the members that send heartbeats to this host.
 	 *
 	 * @param now - Current monotonic time.
-	 * @returns The descriptions of the serving peers with a recent heartbeat.
+	 * @returns The members.
 	 */
-	listServing(now: Milliseconds): HostDescription[] {
-		return [...this.#records.values()].filter(record => record.state === 'serving' && this.#isAlive(record, now)).map(record => record.description);
+	listMembers(now: Milliseconds): HostReport[] {
+		return [...this.#records.values()].flatMap(record => this.#hasHeartbeat(record, now) && record.direct!.report.role === 'member' ? [record.direct!.report] : []);
 	}
 
 	/**
-	 * Lists the peers whose use of rate limits has to be counted: all except those that announced their stop and have stopped sending
-	 * heartbeats.
+	 * Lists the hosts that are alive.
 	 *
 	 * @param now - Current monotonic time.
-	 * @returns The names of the peers.
+	 * @returns The hosts whose heartbeats arrive here or at a peer that reports them.
 	 */
-	listRateLimitPeers(now: Milliseconds): string[] {
-		return [...this.#records.values()].filter(record => record.state !== 'stopping' || this.#isAlive(record, now)).map(record => record.description.name);
+	listAlive(now: Milliseconds): HostReport[] {
+		return [...this.#records.values()].flatMap(record => this.#findCurrent(record, now) ?? []);
+	}
+
+	/**
+	 * Lists the hosts that can be offered to clients.
+	 *
+	 * @param now - Current monotonic time.
+	 * @returns The descriptions of the serving hosts that are alive.
+	 */
+	listServing(now: Milliseconds): HostDescription[] {
+		return this.listAlive(now).filter(host => host.state === 'serving').map(host => host.description);
 	}
 
 	/**
@@ -146,10 +234,46 @@
 	 * @returns The names of the hosts.
 	 */
 	listUnresponsive(now: Milliseconds): string[] {
-		return [...this.#records.values()].filter(record => record.heartbeatAt !== undefined && !this.#isAlive(record, now)).map(record => record.description.name);
+		return [...this.#records].filter(([, record]) => record.direct !== undefined && this.#findCurrent(record, now) === undefined).map(([name]) => name);
+	}
+
+	#getRecord(name: string): HostRecord {
+		const known = this.#records.get(name);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const record: HostRecord = {direct: undefined, reports: new Map(), listed: undefined};
+		this.#records.set(name, record);
+		return record;
+	}
+
+	#hasHeartbeat(record: HostRecord, now: Milliseconds): boolean {
+		return record.direct !== undefined && now - record.direct.at <= this.#options.heartbeatTimeout;
+	}
+
+	/** Finds the latest information on a host that is alive. */
+	#findCurrent(record: HostRecord, now: Milliseconds): HostReport | undefined {
+		if (this.#hasHeartbeat(record, now)) {
+			return record.direct!.report;
+		}
+
+		let latest: TimedReport | undefined;
+		for (const [reporter, report] of record.reports) {
+			const reporterHeardAt = this.#records.get(reporter)?.direct?.at ?? Number.NEGATIVE_INFINITY;
+			const isCurrent = now - Math.max(report.at, reporterHeardAt) <= this.#options.reportTimeout;
+			if (isCurrent && (latest === undefined || report.at >= latest.at)) {
+				latest = report;
+			}
+		}
+
+		return latest?.report;
 	}
 
-	#isAlive(record: HostRecord, now: Milliseconds): boolean {
-		return record.heartbeatAt !== undefined && now - record.heartbeatAt <= this.#options.heartbeatTimeout;
+	/** Finds the latest information on an unresponsive host, unless it is too old. */
+	#findLatest(record: HostRecord, now: Milliseconds): HostReport | undefined {
+		const timed = [...record.reports.values(), ...(record.direct === undefined ? [] : [record.direct])];
+		const latest = timed.toSorted((left, right) => right.at - left.at).find(({at}) => now - at <= this.#options.removalDelay);
+		return latest?.report ?? record.listed;
 	}
 }
--- a/packages/coordination/src/rate-limiter.ts
+++ b/packages/coordination/src/rate-limiter.ts
@@ -7,7 +7,7 @@
 	/** After this time without a message from a peer, an assumed use is charged for it until its next message. */
 	readonly heartbeatTimeout: Milliseconds;
 	/**
-	 * The assumed use of an unresponsive peer, as a share of its equal part of the rate. Most such peers have crashed and use nothing; only
+	 * The assumed use of an unresponsive peer, as a share of the equal part of the rate of the hosts behind it. Most such peers have crashed and use nothing; only
 	 * a partitioned one still does.
 	 */
 	readonly unresponsivePeerShare: number;
@@ -18,6 +18,15 @@
 /** The units that one host has charged since its start, by workspace. */
 export type UsageTotals = ReadonlyMap<string, number>;
 
+/** A peer that shares the limits: it reports the use of the hosts behind it together with its own. */
+export type RateLimitPeer = {
+	readonly name: string;
+	/** The number of hosts whose use the peer reports. */
+	readonly hostCount: number;
+	/** Whether the peer's use is reported to other relays by this host, because the peer exchanges state with this host only. */
+	readonly isMember: boolean;
+};
+
 /** A workspace's token bucket. */
 type TokenBucket = {
 	limit: RateLimit;
@@ -29,6 +38,8 @@
 };
 
 type PeerUsage = {
+	hostCount: number;
+	isMember: boolean;
 	/** Empty until the first message that is merged. */
 	incarnation: string;
 	receivedAt: Milliseconds;
@@ -40,13 +51,18 @@
 
 /**
  * A distributed rate limiter with one token bucket per workspace. Every host keeps a copy of each bucket; the hosts exchange their
- * running totals and subtract each other's use. Holds the limit when a workspace sends several times its rate through all hosts at once
- * while some of them are partitioned.
+ * running totals and subtract each other's use. A relay reports its members' use with its own, and reports to each member the use of all
+ * others. Holds the limit when a workspace sends several times its rate through all hosts at once while some of them are partitioned.
  */
 export class DistributedRateLimiter {
 	readonly #options: RateLimiterOptions;
 	readonly #buckets = new Map<string, TokenBucket>();
 	readonly #peers = new Map<string, PeerUsage>();
+	/** Use that peers have reported since this host started, also of those that are no longer peers: reported totals never fall. */
+	readonly #membersUsage = new Map<string, number>();
+	readonly #relaysUsage = new Map<string, number>();
+	/** The part of the reported use that came from each member. */
+	readonly #usageByMember = new Map<string, {readonly incarnation: string; readonly usage: Map<string, number>}>();
 
 	constructor(options: RateLimiterOptions) {
 		this.#options = options;
@@ -84,21 +100,28 @@
 	/**
 	 * Sets the peers that share the limits.
 	 *
-	 * @param peers - The names of the other hosts.
+	 * @param peers - The peers with which this host exchanges totals.
 	 * @param now - Current monotonic time.
 	 */
-	setPeers(peers: readonly string[], now: Milliseconds): void {
-		for (const name of peers) {
-			if (!this.#peers.has(name)) {
+	setPeers(peers: readonly RateLimitPeer[], now: Milliseconds): void {
+		for (const {name, hostCount, isMember} of peers) {
+			const known = this.#peers.get(name);
+			if (known === undefined) {
 				this.#peers.set(name, {
-					incarnation: '', receivedAt: now, totals: new Map(), assumed: new Map(), assumedUntil: now,
+					hostCount, isMember, incarnation: '', receivedAt: now, totals: new Map(), assumed: new Map(), assumedUntil: now,
 				});
+			} else {
+				known.hostCount = hostCount;
+				known.isMember = isMember;
 			}
 		}
 
-		for (const name of this.#peers.keys()) {
-			if (!peers.includes(name)) {
-				this.#peers.delete(name);
+		if (this.#peers.size > peers.length) {
+			const names = new Set(peers.map(peer => peer.name));
+			for (const name of this.#peers.keys()) {
+				if (!names.has(name)) {
+					this.#peers.delete(name);
+				}
 			}
 		}
 	}
@@ -149,6 +172,25 @@
 		return new Map([...this.#buckets].map(([workspace, bucket]) => [workspace, bucket.charged]));
 	}
 
+	/** @returns The units charged by this host and reported by its members since its start, by workspace: what it reports to other relays. */
+	groupTotals(): UsageTotals {
+		return new Map([...this.#buckets].map(([workspace, bucket]) => [workspace, bucket.charged + (this.#membersUsage.get(workspace) ?? 0)]));
+	}
+
+	/**
+	 * Sums up the use of all hosts except one member: what this host reports to that member.
+	 *
+	 * @param name - The member's name.
+	 * @param incarnation - The member's incarnation.
+	 * @returns The units charged or reported since this host's start, by workspace.
+	 */
+	totalsWithoutMember(name: string, incarnation: string): UsageTotals {
+		const member = this.#usageByMember.get(name);
+		const own = member?.incarnation === incarnation ? member.usage : undefined;
+		return new Map([...this.#buckets].map(([workspace, bucket]) =>
+			[workspace, bucket.charged + (this.#membersUsage.get(workspace) ?? 0) + (this.#relaysUsage.get(workspace) ?? 0) - (own?.get(workspace) ?? 0)]));
+	}
+
 	/**
 	 * Merges the totals of a peer. Messages of a peer are ignored until one holds its full state; this one sets the baseline, and the
 	 * charges in it are not deducted.
@@ -158,13 +200,16 @@
 	 * @param totals - The units that the peer has charged since its start, by workspace.
 	 * @param now - Current monotonic time.
 	 * @param isFullState - Whether workspaces that `totals` leaves out have no charges; otherwise their totals are unchanged.
+	 * @returns Whether the peer has reported use that was not known before.
 	 */
-	mergePeerTotals(name: string, incarnation: string, totals: UsageTotals, now: Milliseconds, isFullState = true): void {
+	mergePeerTotals(name: string, incarnation: string, totals: UsageTotals, now: Milliseconds, isFullState = true): boolean {
 		const peer = this.#peers.get(name);
 		if (peer === undefined || (peer.incarnation === '' && !isFullState)) {
-			return;
+			return false;
 		}
 
+		let hasNewUsage = false;
+
 		this.#chargeUnresponsivePeers(now);
 		const isFirstMessage = peer.incarnation === '';
 		const previous = peer.incarnation === incarnation ? peer.totals : new Map<string, number>();
@@ -176,6 +221,8 @@
 
 			this.#refill(bucket, now);
 			const used = isFirstMessage ? 0 : total - (previous.get(workspace) ?? 0);
+			hasNewUsage ||= used !== 0;
+			this.#recordReportedUsage(name, incarnation, peer.isMember, {workspace, units: used});
 			bucket.level = Math.min(bucket.level - used + (peer.assumed.get(workspace) ?? 0), bucket.limit.burstUnits);
 		}
 
@@ -192,6 +239,18 @@
 		peer.assumed.clear();
 		peer.receivedAt = now;
 		peer.assumedUntil = now;
+		return hasNewUsage;
+	}
+
+	#recordReportedUsage(name: string, incarnation: string, isMember: boolean, {workspace, units}: {readonly workspace: string; readonly units: number}): void {
+		const total = isMember ? this.#membersUsage : this.#relaysUsage;
+		total.set(workspace, (total.get(workspace) ?? 0) + units);
+		if (isMember) {
+			const known = this.#usageByMember.get(name);
+			const member = known?.incarnation === incarnation ? known : {incarnation, usage: new Map<string, number>()};
+			member.usage.set(workspace, (member.usage.get(workspace) ?? 0) + units);
+			this.#usageByMember.set(name, member);
+		}
 	}
 
 	#refill(bucket: TokenBucket, now: Milliseconds): void {
@@ -201,7 +260,11 @@
 	}
 
 	#chargeUnresponsivePeers(now: Milliseconds): void {
-		const hosts = this.#peers.size + 1;
+		let hosts = 1;
+		for (const peer of this.#peers.values()) {
+			hosts += peer.hostCount;
+		}
+
 		for (const peer of this.#peers.values()) {
 			if (now - peer.receivedAt <= this.#options.heartbeatTimeout || now <= peer.assumedUntil) {
 				continue;
@@ -210,7 +273,7 @@
 			const seconds = (now - peer.assumedUntil) / millisecondsPerSecond;
 			peer.assumedUntil = now;
 			for (const [workspace, bucket] of this.#buckets) {
-				const units = bucket.limit.unitsPerSecond * seconds * this.#options.unresponsivePeerShare / hosts;
+				const units = bucket.limit.unitsPerSecond * seconds * this.#options.unresponsivePeerShare * peer.hostCount / hosts;
 				peer.assumed.set(workspace, (peer.assumed.get(workspace) ?? 0) + units);
 				bucket.level -= units;
 			}
--- a/packages/host/__tests__/cluster-state.test.ts
+++ b/packages/host/__tests__/cluster-state.test.ts
@@ -4,7 +4,9 @@
 import {type StateChange, ClusterState} from '../src/index.js';
 
 const test = suite('ClusterState');
-const listener = {onServersChanged() {/* Not tested here. */}, onServerRemoved() {/* Not tested here. */}, onLeaseHolderRead() {/* Not tested here. */}};
+const listener = {
+	onServersChanged() {/* Not tested here. */}, onServerRemoved() {/* Not tested here. */}, onLeaseHolderRead() {/* Not tested here. */}, onStateChanged() {/* Not tested here. */},
+};
 const maxWeightsStaleness = 12_000;
 
 function create() {
--- a/packages/host/__tests__/host-messages.test.ts
+++ b/packages/host/__tests__/host-messages.test.ts
@@ -5,7 +5,7 @@
 const test = suite('host messages');
 
 const message: HostMessage = {
-	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [],
+	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
 };
 
 test('decodes what was encoded', () => {
@@ -13,8 +13,11 @@
 		...message,
 		isWhole: true,
 		host: {
-			name: 'edge-nbo-a-1', incarnation: '0123456789ab', failureDomain: 'nbo-a', region: 'nbo', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601',
+			name: 'edge-nbo-a-1', incarnation: '0123456789ab', failureDomain: 'nbo-a', region: 'nbo', clientAddress: '10.1.0.24:8606', peerAddress: '10.1.0.24:7600', snapshotAddress: '10.1.0.24:7601', capacity: 1.35,
 		},
+		digest: 4_000_000_000,
+		hostCount: 12,
+		stateVersion: 9,
 		charged: {red: 1_234_567},
 		loads: {'i-1': [3, 9000, 12_000]},
 		placements: [{salt: 'm 2', parts: [['5c1e07a2', 800]], places: [['i-1', 120], ['172.20.0.2:8080', null]]}],
@@ -25,6 +28,8 @@
 		deaths: [{
 			fingerprint: 7, server: 'i-2', incarnation: '1', failureDomain: 'a', age: 12,
 		}],
+		departed: ['edge-nbo-a-2'],
+		updates: [{version: 9, change: {type: 'server-gone', revision: 119_999, id: 'i-9'}}],
 	};
 	assert.equal(decodeHostMessage(encodeHostMessage(full)), full);
 	assert.equal(decodeHostMessage(encodeHostMessage(message)), message);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -10,12 +10,16 @@
 import {type ClientListener, serveClients} from './requests/client-listener.js';
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
+import {FleetMembership} from './members/fleet-membership.js';
+import {GossipReceiver} from './members/gossip-receiver.js';
 import {HostGossip} from './members/host-gossip.js';
+import type {HostMessage, StateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
 import {PeerSynchronizer} from './state/peer-synchronizer.js';
+import {RelayFollower} from './state/relay-follower.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {
-	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest,
+	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest, StateChange,
 } from './ports.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
@@ -34,7 +38,7 @@
 /** Part of the grace period of a stop that is reserved for ending the process. */
 const shutdownReserve: Milliseconds = 700;
 
-/** Time between removals of expired state and requests for missing state. */
+/** Time between reviews of the links to other hosts, removals of expired state and requests for missing state. */
 const maintenanceInterval: Milliseconds = 100;
 
 /** Share of the memory that request bodies may use. */
@@ -65,6 +69,9 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #connectionPool: BackendConnectionPool;
 	readonly #hostGossip: HostGossip;
+	readonly #membership: FleetMembership;
+	readonly #gossipReceiver: GossipReceiver;
+	readonly #relayFollower: RelayFollower;
 	readonly #storeWatch: StoreWatch;
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
@@ -97,6 +104,9 @@
 			onServerRemoved: id => {
 				this.#connectionPool.closeIdle(id);
 			},
+			onStateChanged: change => {
+				this.#hostGossip.announceStateChange(toStateUpdate(change));
+			},
 			onLeaseHolderRead: holder => {
 				this.#weightsLease.updateHolder(holder);
 			},
@@ -113,22 +123,51 @@
 			address: settings.datagramAddress,
 			description: settings.description,
 			clusterState: this.#clusterState,
-			quarantine: this.#quarantine,
 			log,
 			metrics: this.#metrics,
 			now,
 			hostState: () => this.#hostState(),
-			onNewerPeer: (peer, message) => {
-				this.#peerSynchronizer.handleNewerPeer(peer, message.configuration);
+			hostRole: () => this.#membership.role,
+			hasStoreContact: () => this.#storeWatch.isConnected,
+			reportDigest: kind => this.#membership.reportDigest(kind),
+			onMessage: message => {
+				this.#onPeerMessage(message);
 			},
 		});
+		this.#membership = new FleetMembership({
+			description: settings.description,
+			seedAddresses: settings.seedDatagramAddresses.filter(address => address !== settings.datagramAddress),
+			clusterState: this.#clusterState,
+			gossip: this.#hostGossip,
+			log,
+			metrics: this.#metrics,
+			now,
+			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#membership.role === 'relay'),
+			onReaderChanged: isReader => {
+				if (isReader) {
+					this.#storeWatch.start();
+				} else {
+					this.#storeWatch.pause();
+				}
+			},
+			onRoleChanged: role => {
+				if (role === 'relay') {
+					this.#registration.start();
+				} else {
+					void this.#registration.release();
+				}
+			},
+		});
+		this.#gossipReceiver = new GossipReceiver(this.#clusterState, this.#hostGossip, this.#quarantine, now);
+		this.#relayFollower = new RelayFollower(this.#clusterState, log, now);
 		this.#storeWatch = new StoreWatch({
 			store: adapter.store, clusterState: this.#clusterState, log, random, now, wallClock, onSuspended: time => {
 				this.#clusterState.weightsTracker.addSuspendedTime(time);
+				this.#relayFollower.requestFullState();
 			},
 		});
 		this.#peerSynchronizer = new PeerSynchronizer({
-			clusterState: this.#clusterState, storeWatch: this.#storeWatch, seedAddresses: settings.seeds.filter(seed => seed !== settings.snapshotAddress), log, now,
+			clusterState: this.#clusterState, storeWatch: this.#storeWatch, seedAddresses: settings.seeds.filter(seed => seed !== settings.snapshotAddress), log, now, isFollowing: () => this.#membership.findStateSource() !== undefined, peers: () => this.#clusterState.hosts.listRelays(now()).filter(host => this.#clusterState.hosts.hasHeartbeat(host.name, now())),
 		});
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, this.#hostGossip, now);
 		this.#crashDetector = new ServerCrashDetector({
@@ -151,6 +190,7 @@
 	async start(): Promise<void> {
 		const {settings, adapter, log, now} = this.#dependencies;
 		await this.#hostGossip.start();
+		this.#membership.review();
 		this.#clientListeners = await Promise.all(adapter.interfaces.map(async ({address, protocol}) => serveClients({
 			address,
 			protocol,
@@ -168,7 +208,11 @@
 				});
 			},
 		})));
-		const snapshotServer = await serveSnapshots(settings.snapshotAddress, () => this.#clusterState.snapshot());
+		const snapshotServer = await serveSnapshots(settings.snapshotAddress, {
+			snapshot: () => this.#clusterState.snapshot(),
+			changesSince: known => this.#clusterState.changesSince(known),
+			hosts: kind => this.#membership.listReported(kind),
+		});
 		this.#disposables.defer(() => {
 			closeServer(snapshotServer);
 		});
@@ -181,10 +225,7 @@
 			servingHosts: () => this.#clusterState.hosts.listServing(now()),
 			formatMetrics: () => this.#formatMetrics(),
 		}));
-		this.#storeWatch.start();
-		this.#registration.start();
 		this.#weightsController.start();
-		this.#disposables.defer(this.#dispatcher.start());
 		const maintenanceTimer = setInterval(() => {
 			this.#runMaintenance();
 		}, maintenanceInterval);
@@ -287,6 +328,7 @@
 		await this.#registration.dispose();
 		this.#hostGossip.dispose();
 		this.#connectionPool.dispose();
+		this.#dispatcher.dispose();
 		for (const listener of this.#clientListeners) {
 			await listener.dispose();
 		}
@@ -324,7 +366,7 @@
 			metrics: this.#metrics,
 			now,
 			retryBudget: service => this.#getRetryBudget(service),
-			hostCount: () => this.#clusterState.hosts.listPeers(now()).length + 1,
+			hostCount: () => this.#hostGossip.hostCount,
 			onRequestPlaced: (chosen, received) => {
 				this.#placementTracker.recordPlacement(chosen, received);
 				this.#hostGossip.announceLoadChange();
@@ -358,11 +400,28 @@
 	}
 
 	#runMaintenance(): void {
-		const {now} = this.#dependencies;
+		this.#storeWatch.checkClocks();
+		this.#membership.review();
 		this.#clusterState.removeExpiredServers();
-		this.#peerSynchronizer.requestMissingState();
-		this.#quarantine.removeExpired(now());
-		this.#clusterState.rateLimiter.setPeers(this.#clusterState.hosts.listRateLimitPeers(now()), now());
+		if (this.#membership.role === 'relay') {
+			this.#peerSynchronizer.requestMissingState();
+		}
+
+		this.#quarantine.removeExpired(this.#dependencies.now());
+	}
+
+	#onPeerMessage(message: HostMessage): void {
+		const link = this.#membership.handleMessage(message);
+		if (link === undefined) {
+			return;
+		}
+
+		this.#gossipReceiver.merge(link.sender, link.kind, message);
+		if (link.sender.name === this.#membership.findStateSource()) {
+			this.#relayFollower.handleMessage(link.sender, message);
+		} else if (message.configuration > this.configurationVersion || message.revision > this.#clusterState.revision) {
+			this.#peerSynchronizer.handleNewerPeer(link.sender, message);
+		}
 	}
 
 	#formatMetrics(): string {
@@ -383,6 +442,14 @@
 	}
 }
 
+function toStateUpdate(change: StateChange | undefined): StateUpdate | undefined {
+	if (change?.type === 'weights') {
+		return {...change, age: change.age ?? 0, isAgeAssumed: change.isAgeAssumed ?? false};
+	}
+
+	return change?.type === 'server' || change?.type === 'server-gone' ? change : undefined;
+}
+
 function closeServer(server: Server): void {
 	server.close();
 	server.closeAllConnections();
--- /dev/null
+++ b/packages/host/src/members/gossip-events.ts
@@ -0,0 +1,109 @@
+import type {HostReportChanges} from '@lacewingpoint/coordination';
+import type {SuspectCrash} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {HostMessage, PromptPlacement} from './host-messages.js';
+
+/** Limits on the content of a datagram that keep it from being fragmented. */
+const limits = {
+	placements: 12, crashes: 24, hosts: 5, departed: 40, updates: 4,
+} as const;
+
+/** A crash with the time at which this host learned of it. */
+export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
+
+/** The events of a message; unlike charges and loads, each is sent once. */
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'emptying' | 'deaths' | 'hosts' | 'departed' | 'updates'>;
+
+/** Events that wait to be sent to one peer. */
+export class GossipEventQueue {
+	readonly #placements: PromptPlacement[] = [];
+	readonly #crashes: RecordedCrash[] = [];
+	#hosts: HostMessage['hosts'] = [];
+	#departed: string[] = [];
+	readonly #updates: HostMessage['updates'] = [];
+	#weights: HostMessage['weights'] = [];
+	#loading: HostMessage['loading'] = [];
+	readonly #draining = new Set<string>();
+	readonly #unreachable = new Set<string>();
+
+	get isEmpty(): boolean {
+		return this.#weights.length === 0 && this.#loading.length === 0 && this.#draining.size === 0 && this.#unreachable.size === 0 && !this.#hasList;
+	}
+
+	/**
+	 * Adds events of a message from another peer.
+	 *
+	 * @param events - The events to forward.
+	 */
+	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'emptying'>): void {
+		this.#placements.push(...events.placements);
+		this.#weights.push(...events.weights);
+		this.#loading.push(...events.loading);
+		for (const server of events.unreachable) {
+			this.#unreachable.add(server);
+		}
+
+		for (const server of events.emptying) {
+			this.#draining.add(server);
+		}
+	}
+
+	/**
+	 * Adds crashes of servers.
+	 *
+	 * @param crashes - The crashes, with the time at which this host learned of them.
+	 */
+	addCrashes(crashes: readonly RecordedCrash[]): void {
+		this.#crashes.push(...crashes);
+	}
+
+	/**
+	 * Adds changes of the hosts that this host reports.
+	 *
+	 * @param changes - The changes.
+	 */
+	addHostChanges(changes: HostReportChanges): void {
+		const names = new Set([...changes.departed, ...changes.reported.map(host => host.description.name)]);
+		this.#hosts = [...this.#hosts.filter(host => !names.has(host.description.name)), ...changes.reported];
+		this.#departed = [...this.#departed.filter(name => !names.has(name)), ...changes.departed];
+	}
+
+	/**
+	 * Adds a change of the cluster state.
+	 *
+	 * @param update - The change and the state version to which it leads.
+	 */
+	addUpdate(update: HostMessage['updates'][number]): void {
+		this.#updates.push(update);
+	}
+
+	/**
+	 * Takes the events of the next message.
+	 *
+	 * @param now - Current monotonic time.
+	 * @returns The events, and whether more remain.
+	 */
+	take(now: Milliseconds): {readonly events: GossipEvents; readonly hasMore: boolean} {
+		const events: GossipEvents = {
+			placements: this.#placements.splice(0, limits.placements),
+			weights: this.#weights,
+			loading: this.#loading,
+			unreachable: [...this.#unreachable],
+			emptying: [...this.#draining],
+			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
+			departed: this.#departed.splice(0, limits.departed),
+			hosts: this.#hosts.splice(0, limits.hosts),
+			updates: this.#updates.splice(0, limits.updates),
+		};
+		this.#weights = [];
+		this.#loading = [];
+		this.#draining.clear();
+		this.#unreachable.clear();
+		return {events, hasMore: this.#hasList};
+	}
+
+	/** Whether events remain of the kinds that are split over several messages. */
+	get #hasList(): boolean {
+		return [this.#placements, this.#crashes, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+	}
+}
--- /dev/null
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -0,0 +1,87 @@
+import type {FleetLink, HostDescription} from '@lacewingpoint/coordination';
+import type {Quarantine} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ClusterState} from '../state/cluster-state.js';
+import type {HostGossip, LinkSelection} from './host-gossip.js';
+import type {HostMessage} from './host-messages.js';
+
+/**
+ * Merges the messages of linked peers into the cluster state and forwards their events: those of a member to all other peers, those of
+ * a relay to the members.
+ */
+export class GossipReceiver {
+	readonly #clusterState: ClusterState;
+	readonly #gossip: HostGossip;
+	readonly #quarantine: Quarantine;
+	readonly #now: () => Milliseconds;
+
+	constructor(clusterState: ClusterState, gossip: HostGossip, quarantine: Quarantine, now: () => Milliseconds) {
+		this.#clusterState = clusterState;
+		this.#gossip = gossip;
+		this.#quarantine = quarantine;
+		this.#now = now;
+	}
+
+	/**
+	 * Merges a message.
+	 *
+	 * @param sender - The peer that sent it.
+	 * @param kind - The kind of the peer's link.
+	 * @param message - The message.
+	 */
+	merge(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
+		this.#mergeTotals(sender, kind, message);
+		this.#applyPlacements(message);
+		const {weightsTracker, health} = this.#clusterState;
+		const now = this.#now();
+		for (const {server, model, version} of message.weights) {
+			this.#clusterState.recordObservedVersion(server, model, version);
+		}
+
+		for (const {server, time} of message.loading) {
+			weightsTracker.recordLoading(server, now + time, now);
+		}
+
+		for (const server of message.unreachable) {
+			health.applyUnreachableReport(server, now);
+		}
+
+		for (const server of message.emptying) {
+			weightsTracker.recordRolloutDraining(server, now);
+		}
+
+		const recipients: LinkSelection = kind === 'member' ? 'all' : 'member';
+		this.#gossip.forwardEvents(message, sender.name, recipients);
+		if (message.deaths.length > 0) {
+			this.#quarantine.mergeSuspects(message.deaths, now);
+			this.#gossip.announceCrashes(message.deaths, sender.name, recipients);
+		}
+	}
+
+	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
+		const {rateLimiter, loads} = this.#clusterState;
+		const now = this.#now();
+		this.#gossip.recordHostCount(sender.name, message.hostCount);
+		const hasNewCharges = rateLimiter.mergePeerTotals(sender.name, sender.incarnation, new Map(Object.entries(message.charged)), now, message.isWhole);
+		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
+		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
+		if (hasNewCharges || hasNewLoads) {
+			this.#gossip.recordTotalsChanged(kind === 'member' ? 'all' : 'member', sender.name);
+		}
+	}
+
+	#applyPlacements(message: HostMessage): void {
+		const {promptCache} = this.#clusterState;
+		const now = this.#now();
+		for (const placement of message.placements) {
+			const parts = placement.parts.map(([id, tokens]) => ({id, tokens}));
+			for (const [location, availableAfter] of placement.places) {
+				if (availableAfter === null) {
+					promptCache.removeParts(location, placement.salt, parts);
+				} else {
+					promptCache.recordParts(location, placement.salt, parts, now + availableAfter);
+				}
+			}
+		}
+	}
+}
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -1,91 +1,145 @@
-import {type Socket, createSocket} from 'node:dgram';
-import type {HostDescription, HostState} from '@lacewingpoint/coordination';
-import {
-	type ServerLoad, type Quarantine, type SuspectCrash, noLoad,
-} from '@lacewingpoint/routing';
+import type {
+	FleetLink, HostDescription, HostReportChanges, HostRole, HostState,
+} from '@lacewingpoint/coordination';
+import type {SuspectCrash} from '@lacewingpoint/routing';
 import type {
 	Disposable, Logger, Metrics, Milliseconds,
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
-import {
-	type HostMessage, type PromptPlacement, decodeHostMessage, encodeHostMessage,
-} from './host-messages.js';
+import {CrashLog} from './crash-log.js';
+import type {GossipEvents} from './gossip-events.js';
+import {GossipSocket} from './gossip-socket.js';
+import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
+import {PeerLink} from './peer-link.js';
+import {ReportedTotals} from './reported-totals.js';
+
+/** Shortest interval at which pending updates are sent: nine hosts rarely place the same prompt twice within it. */
+const minimumSendInterval: Milliseconds = 25;
 
-/** Interval at which pending updates are sent, so short that nine hosts rarely place the same prompt twice within it. */
-const sendInterval: Milliseconds = 25;
+/** The send interval of a host with many links is this long for each of them, which bounds the messages that it sends. */
+const sendIntervalPerLink: Milliseconds = 3;
 
 /** Time between heartbeats of a host without updates. */
 const heartbeatInterval: Milliseconds = 200;
 
-/** Datagrams carry only changes, but the full state is sent at this interval, because datagrams get lost and peers restart. */
-const fullStateInterval: Milliseconds = 1000;
-
-/** Limits on the content of a datagram that keep it from being fragmented. */
-const placementsPerMessage = 12;
-const crashesPerMessage = 24;
-
-/** Crashes that this host detected are repeated in full messages for this long. */
-const crashRepeatTime: Milliseconds = 3000;
+/** Links of one kind, or all. */
+export type LinkSelection = FleetLink['kind'] | 'all';
 
 export type HostGossipOptions = {
 	readonly address: string;
 	readonly description: HostDescription;
 	readonly clusterState: ClusterState;
-	readonly quarantine: Quarantine;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
 	hostState(): HostState;
-	/** Called when a peer has a newer configuration or store revision than this host. */
-	onNewerPeer(peer: HostDescription, message: {readonly configuration: number; readonly revision: number}): void;
+	hostRole(): HostRole;
+	/** @returns Whether this host reads the store and has contact to it. */
+	hasStoreContact(): boolean;
+	/** @returns Digest of the hosts that this host reports to peers of a kind. */
+	reportDigest(kind: FleetLink['kind']): number;
+	/** Called with each message of another host. */
+	onMessage(message: HostMessage): void;
 };
 
-/** Exchanges datagrams with the peers: heartbeats, versions of the state, rate limit charges, server loads, prompt placements and observations of servers. */
+/** The content of a message without events. */
+const noEvents: GossipEvents = {
+	placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
+};
+
+/**
+ * Sends datagrams to the linked peers: heartbeats, versions of the state, rate limit charges, server loads and events. A relay sums up
+ * the charges and loads of its members for other relays, and those of all other hosts for each member.
+ */
 export class HostGossip implements Disposable {
 	readonly #options: HostGossipOptions;
-	readonly #socket: Socket;
-	readonly #pendingPlacements: PromptPlacement[] = [];
-	#pendingVersions: HostMessage['weights'] = [];
-	#pendingLoading: HostMessage['loading'] = [];
-	readonly #pendingDraining = new Set<string>();
-	readonly #pendingUnreachable = new Set<string>();
-	/** The charges and loads sent last, so that only changes are sent. */
-	#sentCharges: ReadonlyMap<string, number> = new Map();
-	#sentLoads: ReadonlyMap<string, ServerLoad> = new Map();
-	/** The peers that the full state was sent to, by name and incarnation. */
-	#informedPeers = '';
-	/** Crashes that this host detected, oldest first; those not yet sent are at the end. */
-	#suspectCrashes: Array<{readonly crash: SuspectCrash; readonly recordedAt: Milliseconds}> = [];
-	#unsentCrashCount = 0;
+	readonly #socket: GossipSocket;
+	#links = new Map<string, PeerLink>();
+	readonly #hostCounts = new Map<string, number>();
+	readonly #crashLog = new CrashLog();
 	#isClosed = false;
-	#hasPendingUpdates = false;
-	#lastSentAt = Number.NEGATIVE_INFINITY;
-	#lastFullStateAt = Number.NEGATIVE_INFINITY;
 	#timer: NodeJS.Timeout | undefined;
+	#timerDueAt = Number.POSITIVE_INFINITY;
 
 	constructor(options: HostGossipOptions) {
 		this.#options = options;
-		this.#socket = createSocket('udp4');
+		this.#socket = new GossipSocket({
+			address: options.address,
+			log: options.log,
+			metrics: options.metrics,
+			onMessage(message) {
+				if (message.name !== options.description.name) {
+					options.onMessage(message);
+				}
+			},
+		});
 	}
 
-	/** Binds the socket and starts to send heartbeats and updates. */
+	/** The number of hosts in the fleet, as far as the linked peers report them, this one included. */
+	get hostCount(): number {
+		let count = 1;
+		for (const {target} of this.#links.values()) {
+			count += this.linkHostCount(target);
+		}
+
+		return count;
+	}
+
+	/** Starts to receive messages, and to send them to peers once there are some. */
 	async start(): Promise<void> {
-		const [host, port] = this.#options.address.split(':');
-		this.#socket.on('message', bytes => {
-			this.#receive(bytes);
-		});
-		this.#socket.on('error', error => {
-			this.#options.metrics.incrementCounter('datagram_errors');
-			this.#options.log.warn('datagram-error', {reason: error.message});
-		});
-		await new Promise<void>(resolve => {
-			this.#socket.bind(Number(port), host, resolve);
-		});
-		this.#timer = setInterval(() => {
-			if (this.#hasPendingUpdates || this.#options.now() - this.#lastSentAt >= heartbeatInterval) {
-				this.broadcastState();
+		await this.#socket.start();
+	}
+
+	/**
+	 * Sets the peers to which messages are sent.
+	 *
+	 * @param links - The links that this host has from now on.
+	 */
+	setLinks(links: readonly FleetLink[]): void {
+		const previous = this.#links;
+		this.#links = new Map(links.map(target => {
+			const known = previous.get(target.host.name);
+			const isSame = known?.target.kind === target.kind && known.target.host.incarnation === target.host.incarnation && known.target.host.peerAddress === target.host.peerAddress;
+			return [target.host.name, isSame ? known : new PeerLink(target, this.#options.clusterState.stateVersion)];
+		}));
+		for (const name of previous.keys()) {
+			if (!this.#links.has(name)) {
+				this.#hostCounts.delete(name);
+				this.#options.clusterState.loads.removePeer(name);
 			}
-		}, sendInterval);
+		}
+
+		this.#schedule();
+	}
+
+	/**
+	 * Finds the kind of a peer.
+	 *
+	 * @param name - The peer's name.
+	 * @returns The kind of the link, `undefined` when there is none.
+	 */
+	linkKind(name: string): FleetLink['kind'] | undefined {
+		return this.#links.get(name)?.target.kind;
+	}
+
+	/**
+	 * Returns the number of hosts behind a link.
+	 *
+	 * @param target - The link.
+	 * @returns The number that the peer reported last; 1 before its first message.
+	 */
+	linkHostCount(target: FleetLink): number {
+		return target.kind === 'member' ? 1 : this.#hostCounts.get(target.host.name) ?? 1;
+	}
+
+	/**
+	 * Records the number of hosts whose state a peer reports.
+	 *
+	 * @param name - The peer's name.
+	 * @param count - The number in its latest message.
+	 */
+	recordHostCount(name: string, count: number): void {
+		this.#hostCounts.set(name, count);
 	}
 
 	/**
@@ -94,13 +148,12 @@
 	 * @param placement - The parts of a prompt and the locations where they are or will be cached.
 	 */
 	announcePlacement(placement: PromptPlacement): void {
-		this.#pendingPlacements.push(placement);
-		this.#hasPendingUpdates = true;
+		this.#announce({placements: [placement]});
 	}
 
 	/** Announces changed loads and charges with the next datagram. */
 	announceLoadChange(): void {
-		this.#hasPendingUpdates = true;
+		this.recordTotalsChanged('all');
 	}
 
 	/**
@@ -111,8 +164,7 @@
 	 * @param version - The observed version.
 	 */
 	announceObservedVersion(server: string, model: string, version: number): void {
-		this.#pendingVersions.push({server, model, version});
-		this.#hasPendingUpdates = true;
+		this.#announce({weights: [{server, model, version}]});
 	}
 
 	/**
@@ -122,8 +174,7 @@
 	 * @param time - Maximum time of the load; 0 once it has ended or the order has failed.
 	 */
 	announceLoading(server: string, time: Milliseconds): void {
-		this.#pendingLoading.push({server, time});
-		this.broadcastState();
+		this.#announce({loading: [{server, time}]});
 	}
 
 	/**
@@ -132,8 +183,7 @@
 	 * @param server - The server's id.
 	 */
 	announceRolloutDraining(server: string): void {
-		this.#pendingDraining.add(server);
-		this.#hasPendingUpdates = true;
+		this.#announce({emptying: [server]});
 	}
 
 	/**
@@ -142,190 +192,236 @@
 	 * @param server - The server's id.
 	 */
 	announceUnreachable(server: string): void {
-		this.#pendingUnreachable.add(server);
-		this.broadcastState();
+		this.#announce({unreachable: [server]});
 	}
 
 	/**
 	 * Announces at once that requests were in flight when a server crashed.
 	 *
 	 * @param crashes - One entry for each request.
+	 * @param source - The peer that reported them; this host by default.
+	 * @param selection - The peers to inform.
 	 */
-	announceCrashes(crashes: readonly SuspectCrash[]): void {
-		const recordedAt = this.#options.now();
-		this.#suspectCrashes.push(...crashes.map(crash => ({crash, recordedAt})));
-		this.#unsentCrashCount += crashes.length;
-		this.broadcastState();
+	announceCrashes(crashes: readonly SuspectCrash[], source = this.#options.description.name, selection: LinkSelection = 'all'): void {
+		const added = this.#crashLog.add(crashes, source, this.#options.now());
+		if (added.length === 0) {
+			return;
+		}
+
+		for (const link of this.#selectLinks(selection, source)) {
+			link.events.addCrashes(added);
+		}
+
+		this.sendNow();
 	}
 
-	/** Sends all pending updates to the peers; if there are none, the datagram serves as a heartbeat. */
-	broadcastState(): void {
-		if (this.#isClosed) {
+	/**
+	 * Forwards events of a peer's message to other peers.
+	 *
+	 * @param events - The events.
+	 * @param source - The peer that sent them; it does not get them back.
+	 * @param selection - The peers that get them.
+	 */
+	forwardEvents(events: GossipEvents, source: string, selection: LinkSelection): void {
+		const hasEvents = events.placements.length + events.weights.length + events.loading.length + events.unreachable.length + events.emptying.length > 0;
+		if (!hasEvents) {
 			return;
 		}
 
-		const {clusterState, now} = this.#options;
-		this.#hasPendingUpdates = false;
-		this.#lastSentAt = now();
-		const peers = clusterState.hosts.listPeers(now());
-		this.#checkForNewPeers(peers);
-		do {
-			const message = this.#createMessage(this.#pendingPlacements.splice(0, placementsPerMessage));
-			const bytes = encodeHostMessage(message);
-			this.#options.metrics.incrementCounter('datagrams', {}, peers.length);
-			this.#options.metrics.incrementCounter('datagram_bytes', {}, peers.length * bytes.length);
-			for (const peer of peers) {
-				const [host, port] = peer.peerAddress.split(':');
-				this.#socket.send(bytes, Number(port), host, error => {
-					if (error !== null) {
-						this.#options.metrics.incrementCounter('datagrams_unsent');
-					}
-				});
-			}
-		} while (this.#pendingPlacements.length > 0 || this.#unsentCrashCount > 0);
+		for (const link of this.#selectLinks(selection, source)) {
+			link.events.forward(events);
+		}
 
-		this.#pendingVersions = [];
-		this.#pendingLoading = [];
-		this.#pendingDraining.clear();
-		this.#pendingUnreachable.clear();
+		if (events.loading.length + events.unreachable.length > 0) {
+			this.sendNow();
+		} else {
+			this.#schedule();
+		}
 	}
 
-	dispose(): void {
-		clearInterval(this.#timer);
-		if (!this.#isClosed) {
-			this.#isClosed = true;
-			this.#socket.close();
+	/**
+	 * Announces at once changes of the hosts that this host reports.
+	 *
+	 * @param changes - The changes.
+	 * @param selection - The peers to which they are reported.
+	 */
+	announceHostChanges(changes: HostReportChanges, selection: LinkSelection): void {
+		for (const link of this.#selectLinks(selection)) {
+			link.events.addHostChanges(changes);
 		}
+
+		this.sendNow();
 	}
 
-	// New and restarted peers lack the state that the changes are relative to.
-	#checkForNewPeers(peers: readonly HostDescription[]): void {
-		const currentPeers = peers.map(peer => `${peer.name} ${peer.incarnation}`).toSorted().join(',');
-		if (currentPeers !== this.#informedPeers) {
-			this.#informedPeers = currentPeers;
-			this.#lastFullStateAt = Number.NEGATIVE_INFINITY;
+	/**
+	 * Announces to the peers that follow this host that the cluster state has changed.
+	 *
+	 * @param change - The change; `undefined` if it is too large for a datagram, so that the peers have to request it.
+	 */
+	announceStateChange(change: StateUpdate | undefined): void {
+		for (const link of this.#selectLinks('all').filter(({target}) => this.#isFollower(target))) {
+			link.hasNewTotals = true;
+			if (change !== undefined) {
+				link.events.addUpdate({version: this.#options.clusterState.stateVersion, change});
+			}
 		}
+
+		this.#schedule();
 	}
 
-	#createMessage(placements: PromptPlacement[]): HostMessage {
-		const {clusterState, description, now} = this.#options;
-		const isWhole = now() - this.#lastFullStateAt >= fullStateInterval;
-		if (isWhole) {
-			this.#lastFullStateAt = now();
-			this.#sentCharges = new Map();
-			this.#sentLoads = new Map();
+	/**
+	 * Records that charges or loads of this host or of a peer have changed, so that they are sent with the next datagram.
+	 *
+	 * @param selection - The peers to which they are reported.
+	 * @param source - The peer whose message changed them.
+	 */
+	recordTotalsChanged(selection: LinkSelection, source?: string): void {
+		for (const link of this.#selectLinks(selection, source)) {
+			link.hasNewTotals = true;
 		}
 
-		return {
-			name: description.name,
-			incarnation: description.incarnation,
-			state: this.#options.hostState(),
-			configuration: clusterState.configuration?.version ?? 0,
-			revision: clusterState.revision,
-			isWhole,
-			host: isWhole ? description : undefined,
-			charged: this.#changedCharges(),
-			loads: this.#changedLoads(),
-			placements,
-			weights: this.#pendingVersions,
-			loading: this.#pendingLoading,
-			emptying: [...this.#pendingDraining],
-			unreachable: [...this.#pendingUnreachable],
-			deaths: this.#takeNextCrashes(isWhole),
-		};
+		this.#schedule();
 	}
 
-	// New crashes are sent once and repeated in full messages only: repeated in every datagram, they would load the network just when servers crash.
-	#takeNextCrashes(isWhole: boolean): SuspectCrash[] {
-		const now = this.#options.now();
-		const firstUnsent = this.#suspectCrashes.length - this.#unsentCrashCount;
-		const unsent = this.#suspectCrashes.slice(firstUnsent, firstUnsent + crashesPerMessage);
-		this.#unsentCrashCount -= unsent.length;
-		if (!isWhole) {
-			return unsent.map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt}));
+	/**
+	 * Sends a message outside of links, to join other hosts or to respond to a joining one.
+	 *
+	 * @param introduction - Whether the message asks for hosts to link to, or responds.
+	 * @param addresses - Datagram addresses.
+	 * @param hosts - Hosts to which the recipient can link.
+	 */
+	sendIntroduction(introduction: 'request' | 'response', addresses: readonly string[], hosts: HostMessage['hosts']): void {
+		this.#socket.send({
+			...this.#createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, hosts,
+		}, addresses);
+	}
+
+	/** Sends a message to every peer at once; without updates, it serves as a heartbeat. */
+	broadcastState(): void {
+		for (const link of this.#links.values()) {
+			link.hasNewTotals = true;
 		}
 
-		this.#suspectCrashes = this.#suspectCrashes.filter(({recordedAt}, index) => now - recordedAt < crashRepeatTime || index >= this.#suspectCrashes.length - this.#unsentCrashCount);
-		const repeated = this.#suspectCrashes.slice(0, this.#suspectCrashes.length - this.#unsentCrashCount).slice(-crashesPerMessage);
-		return repeated.map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt}));
+		this.sendNow();
+	}
+
+	/** Sends all pending updates without waiting for the send interval. */
+	sendNow(): void {
+		this.#send(0);
+	}
+
+	dispose(): void {
+		clearTimeout(this.#timer);
+		this.#isClosed = true;
+		this.#socket.dispose();
+	}
+
+	#announce(events: Partial<GossipEvents>): void {
+		this.forwardEvents({...noEvents, ...events}, this.#options.description.name, 'all');
+	}
+
+	#selectLinks(selection: LinkSelection, source?: string): PeerLink[] {
+		return [...this.#links.values()].filter(({target}) => target.host.name !== source && (selection === 'all' || target.kind === selection));
 	}
 
-	#changedCharges(): HostMessage['charged'] {
-		const charges = this.#options.clusterState.rateLimiter.localTotals();
-		const changed = [...charges].filter(([workspace, charged]) => this.#sentCharges.get(workspace) !== charged);
-		this.#sentCharges = charges;
-		return Object.fromEntries(changed);
+	// State changes cross failure domains only through the store.
+	#isFollower({kind, host}: FleetLink): boolean {
+		return this.#options.hostRole() === 'relay' && (kind === 'member' || host.failureDomain === this.#options.description.failureDomain);
 	}
 
-	#changedLoads(): HostMessage['loads'] {
-		const loads = new Map(this.#options.clusterState.loads.localLoads());
-		// A server without remaining requests is sent once with an empty load.
-		const ended = [...this.#sentLoads.keys()].filter(server => !loads.has(server));
-		const changed = [...loads].filter(([server, load]) => this.#sentLoads.get(server) !== load);
-		this.#sentLoads = loads;
-		return Object.fromEntries([...ended.map(server => [server, noLoad] as const), ...changed]
-			.map(([server, load]) => [server, [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]]));
+	get #sendInterval(): Milliseconds {
+		return Math.max(minimumSendInterval, sendIntervalPerLink * this.#links.size);
 	}
 
-	#receive(bytes: Uint8Array): void {
-		const message = decodeHostMessage(bytes);
-		const {clusterState, description, log, metrics, now, quarantine} = this.#options;
-		if (message === undefined) {
-			metrics.incrementCounter('datagrams_unreadable');
+	// Sets the timer for the link that is due first.
+	#schedule(): void {
+		if (this.#isClosed) {
 			return;
 		}
 
-		if (message.name === description.name) {
-			return;
+		let dueAt = Number.POSITIVE_INFINITY;
+		for (const link of this.#links.values()) {
+			dueAt = Math.min(dueAt, link.lastSentAt + (link.hasPendingUpdates ? this.#sendInterval : heartbeatInterval));
 		}
 
-		const receivedAt = now();
-		const host = message.host ?? clusterState.hosts.findDescription(message.name, message.incarnation);
-		if (host === undefined) {
-			// A host that has just started sends its description within a second.
-			metrics.incrementCounter('datagrams_unknown');
+		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#timer !== undefined)) {
 			return;
 		}
 
-		if (clusterState.hosts.recordHeartbeat(host, message.state, receivedAt)) {
-			log.info('host-heard', {host: host.name, state: message.state, incarnation: host.incarnation});
+		clearTimeout(this.#timer);
+		this.#timerDueAt = dueAt;
+		this.#timer = setTimeout(() => {
+			this.#timer = undefined;
+			this.#send(this.#sendInterval);
+		}, Math.max(dueAt - this.#options.now(), 0));
+	}
+
+	#send(interval: Milliseconds): void {
+		if (this.#isClosed) {
+			return;
 		}
 
-		clusterState.rateLimiter.setPeers(clusterState.hosts.listRateLimitPeers(receivedAt), receivedAt);
-		clusterState.rateLimiter.mergePeerTotals(host.name, host.incarnation, new Map(Object.entries(message.charged)), receivedAt, message.isWhole);
-		clusterState.loads.mergePeerLoads(host.name, new Map(Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {
-			requests, prefillTokens, memoryTokens,
-		}])), receivedAt, message.isWhole);
-		for (const placement of message.placements) {
-			const parts = placement.parts.map(([id, tokens]) => ({id, tokens}));
-			for (const [location, availableAfter] of placement.places) {
-				if (availableAfter === null) {
-					clusterState.promptCache.removeParts(location, placement.salt, parts);
-				} else {
-					clusterState.promptCache.recordParts(location, placement.salt, parts, receivedAt + availableAfter);
-				}
+		const now = this.#options.now();
+		const totals = new ReportedTotals(this.#options.clusterState, peer => this.linkKind(peer) === 'member', now);
+		for (const link of this.#links.values()) {
+			// Links that are due within the resolution of the timer are sent together.
+			const elapsed = now - link.lastSentAt + 1;
+			if (elapsed >= heartbeatInterval || (link.hasPendingUpdates && elapsed >= interval)) {
+				this.#sendTo(link, totals, now);
 			}
 		}
 
-		for (const {server, model, version} of message.weights) {
-			clusterState.recordObservedVersion(server, model, version);
-		}
+		this.#schedule();
+	}
 
-		for (const {server, time} of message.loading) {
-			clusterState.weightsTracker.recordLoading(server, receivedAt + time, receivedAt);
-		}
+	#sendTo(link: PeerLink, totals: ReportedTotals, now: Milliseconds): void {
+		const {clusterState} = this.#options;
+		let hasMore: boolean;
+		do {
+			const isWhole = link.beginMessage(now);
+			const taken = link.events.take(now);
+			hasMore = taken.hasMore;
+			const {host, kind} = link.target;
+			link.sentStateVersion = hasMore ? taken.events.updates.at(-1)?.version ?? link.sentStateVersion : clusterState.stateVersion;
+			this.#socket.send({
+				...this.#createHeader(),
+				...taken.events,
+				hostCount: this.#hostCountFor(link),
+				stateVersion: this.#isFollower(link.target) ? link.sentStateVersion : undefined,
+				isWhole,
+				host: isWhole ? this.#options.description : undefined,
+				digest: isWhole ? this.#options.reportDigest(kind) : undefined,
+				charged: link.takeChangedCharges(totals.chargesFor(link)),
+				loads: link.takeChangedLoads(totals.loadsFor(link)),
+				deaths: isWhole ? [...taken.events.deaths, ...this.#listRepeatedCrashes(link)] : taken.events.deaths,
+			}, [host.peerAddress]);
+		} while (hasMore);
+	}
 
-		for (const server of message.unreachable) {
-			clusterState.health.applyUnreachableReport(server, receivedAt);
-		}
+	#createHeader(): Pick<HostMessage, 'name' | 'incarnation' | 'state' | 'role' | 'hostCount' | 'hasStoreContact' | 'configuration' | 'revision'> {
+		const {description, clusterState} = this.#options;
+		return {
+			name: description.name,
+			incarnation: description.incarnation,
+			state: this.#options.hostState(),
+			role: this.#options.hostRole(),
+			hostCount: 1,
+			hasStoreContact: this.#options.hasStoreContact(),
+			configuration: clusterState.configuration?.version ?? 0,
+			revision: clusterState.revision,
+		};
+	}
 
-		for (const server of message.emptying) {
-			clusterState.weightsTracker.recordRolloutDraining(server, receivedAt);
+	#hostCountFor(link: PeerLink): number {
+		if (link.target.kind === 'member') {
+			return this.hostCount - 1;
 		}
 
-		quarantine.mergeSuspects(message.deaths, receivedAt);
-		if (message.configuration > (clusterState.configuration?.version ?? 0) || message.revision > clusterState.revision) {
-			this.#options.onNewerPeer(host, message);
-		}
+		return 1 + this.#selectLinks('member').length;
+	}
+
+	// Each relay informs the others itself.
+	#listRepeatedCrashes({target}: PeerLink): SuspectCrash[] {
+		return this.#crashLog.listRepeated(source => source !== target.host.name && !(target.kind === 'relay' && this.linkKind(source) === 'relay'), this.#options.now());
 	}
 }
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -1,6 +1,9 @@
 import {decode, encode} from '@msgpack/msgpack';
 import * as v from 'valibot';
 
+const hostStateSchema = v.picklist(['starting', 'serving', 'stopping']);
+const hostRoleSchema = v.picklist(['joining', 'member', 'relay']);
+
 const hostDescriptionSchema = v.object({
 	name: v.string(),
 	incarnation: v.string(),
@@ -9,6 +12,7 @@
 	clientAddress: v.string(),
 	peerAddress: v.string(),
 	snapshotAddress: v.string(),
+	capacity: v.optional(v.number(), 1),
 });
 
 const promptPlacementSchema = v.object({
@@ -19,16 +23,47 @@
 	places: v.array(v.tuple([v.string(), v.nullable(v.number())])),
 });
 
+const serverEntrySchema = v.object({
+	id: v.string(),
+	incarnation: v.string(),
+	service: v.string(),
+	address: v.string(),
+	failureDomain: v.string(),
+	slots: v.number(),
+	isDraining: v.boolean(),
+	weights: v.record(v.string(), v.number()),
+});
+
+/** A change of the cluster state that is small enough for a datagram. */
+const stateUpdateSchema = v.variant('type', [
+	v.object({type: v.literal('server'), revision: v.number(), entry: serverEntrySchema}),
+	v.object({type: v.literal('server-gone'), revision: v.number(), id: v.string()}),
+	v.object({
+		type: v.literal('weights'), revision: v.number(), model: v.string(), version: v.number(), age: v.number(), isAgeAssumed: v.boolean(),
+	}),
+]);
+
 const hostMessageSchema = v.object({
 	name: v.string(),
 	incarnation: v.string(),
-	state: v.picklist(['starting', 'serving', 'stopping']),
+	state: hostStateSchema,
+	role: v.optional(hostRoleSchema, 'relay'),
+	/** Set in messages outside of links: a joining host asks which hosts it can link to, another responds. */
+	introduction: v.optional(v.picklist(['request', 'response'])),
+	/** The number of hosts whose charges and loads the message sums up. */
+	hostCount: v.optional(v.number(), 1),
 	configuration: v.number(),
 	revision: v.number(),
+	/** Whether the sender reads the store and has contact to it. */
+	hasStoreContact: v.optional(v.boolean(), false),
+	/** Counts the changes of the sender's cluster state; to members and to relays of the same failure domain. */
+	stateVersion: v.optional(v.number()),
 	/** Whether the message holds the host's description and all its charges and loads, not only those changed since the last message. */
 	isWhole: v.optional(v.boolean(), false),
 	/** The sender's description; present if `isWhole`. */
 	host: v.optional(hostDescriptionSchema),
+	/** Digest of the hosts that the sender reports to the recipient; present if `isWhole`. */
+	digest: v.optional(v.number()),
 	/** Units charged to rate limits since the host started, by workspace. */
 	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Running requests, uncached prompt tokens that await prefill, and occupied memory tokens, by server. */
@@ -46,6 +81,12 @@
 	deaths: v.optional(v.array(v.object({
 		fingerprint: v.number(), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
 	})), []),
+	/** Hosts that the sender reports: new ones, and those whose state or role has changed. */
+	hosts: v.optional(v.array(v.object({description: hostDescriptionSchema, state: hostStateSchema, role: hostRoleSchema})), []),
+	/** Names of hosts that the sender no longer reports. */
+	departed: v.optional(v.array(v.string()), []),
+	/** Changes of the cluster state, each with the state version to which it leads; to members and to relays of the same failure domain. */
+	updates: v.optional(v.array(v.object({version: v.number(), change: stateUpdateSchema})), []),
 });
 
 /** The content of one datagram between hosts. */
@@ -54,18 +95,27 @@
 /** Where the parts of a prompt are or will be cached. */
 export type PromptPlacement = v.InferOutput<typeof promptPlacementSchema>;
 
+/** A change of the cluster state that is pushed to peers. */
+export type StateUpdate = v.InferOutput<typeof stateUpdateSchema>;
+
+/** Values that are not sent, because the recipient assumes them. */
+const assumedValues: Partial<HostMessage> = {
+	role: 'relay', hostCount: 1, hasStoreContact: false, isWhole: false,
+};
+
 /**
- * Encodes a message, without its empty fields.
+ * Encodes a message, without its empty fields and those that have the assumed value.
  *
  * @param message - A gossip message to peers.
  * @returns The datagram's payload.
  */
 export function encodeHostMessage(message: HostMessage): Uint8Array {
-	return encode(Object.fromEntries(Object.entries(message).filter(([, value]) => !isEmpty(value))));
+	const entries = Object.entries(message) as Array<[keyof HostMessage, HostMessage[keyof HostMessage]]>;
+	return encode(Object.fromEntries(entries.filter(([field, value]) => value !== assumedValues[field] && !isEmpty(value))));
 }
 
 function isEmpty(value: HostMessage[keyof HostMessage]): boolean {
-	return value === undefined || value === false || (typeof value === 'object' && Object.keys(value).length === 0);
+	return value === undefined || (typeof value === 'object' && Object.keys(value).length === 0);
 }
 
 /**
--- a/packages/host/src/members/host-registration.ts
+++ b/packages/host/src/members/host-registration.ts
@@ -4,7 +4,7 @@
 } from '@lacewingpoint/shared';
 import type {ControlStore} from '../ports.js';
 
-/** How long a crashed host stays listed in the store; its peers detect the missing heartbeats earlier. */
+/** How long a crashed relay stays listed in the store; its peers detect the missing heartbeats earlier. */
 const registrationTimeToLive: Milliseconds = 15_000;
 
 const renewalInterval: Milliseconds = 4000;
@@ -12,7 +12,7 @@
 /** Interval of checks for a due renewal, and of attempts while the store does not respond. */
 const retryInterval: Milliseconds = 500;
 
-/** Keeps this host registered in the store under a lease. */
+/** Keeps this host registered in the store under a lease while it is a relay. */
 export class HostRegistration implements Disposable {
 	readonly #store: ControlStore;
 	readonly #description: HostDescription;
@@ -31,16 +31,20 @@
 
 	/** Starts to register the host and to renew its lease. */
 	start(): void {
-		this.#maintenanceTask = startRepeatingTask(retryInterval, async () => this.#maintainRegistration(), error => {
+		this.#maintenanceTask ??= startRepeatingTask(retryInterval, async () => this.#maintainRegistration(), error => {
 			this.#log.warn('registration-failed', {reason: String(error)});
 		});
 	}
 
 	/** Stops renewing and revokes the lease, so that the host is no longer listed. */
 	async release(): Promise<void> {
-		void this.#maintenanceTask?.dispose();
-		if (this.#lease !== undefined) {
-			await this.#store.revokeLease(this.#lease);
+		const task = this.#maintenanceTask;
+		this.#maintenanceTask = undefined;
+		void task?.dispose();
+		const lease = this.#lease;
+		this.#lease = undefined;
+		if (lease !== undefined) {
+			await this.#store.revokeLease(lease);
 		}
 	}
 
--- /dev/null
+++ b/packages/host/src/members/reported-totals.ts
@@ -0,0 +1,62 @@
+import type {UsageTotals} from '@lacewingpoint/coordination';
+import type {ServerLoad} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ClusterState} from '../state/cluster-state.js';
+import type {PeerLink} from './peer-link.js';
+
+/**
+ * The charges and loads that are reported to peers at one moment: to other relays those of this host and its members, to a member those
+ * of all other hosts.
+ */
+export class ReportedTotals {
+	readonly #clusterState: ClusterState;
+	readonly #isMember: (peer: string) => boolean;
+	readonly #now: Milliseconds;
+	#groupLoads: ReadonlyMap<string, ServerLoad> | undefined;
+	#allLoads: ReadonlyMap<string, ServerLoad> | undefined;
+	#groupCharges: UsageTotals | undefined;
+
+	/**
+	 * @param clusterState - The charges and loads as this host knows them.
+	 * @param isMember - Whether a peer, given by name, is a member of this relay.
+	 * @param now - Current monotonic time.
+	 */
+	constructor(clusterState: ClusterState, isMember: (peer: string) => boolean, now: Milliseconds) {
+		this.#clusterState = clusterState;
+		this.#isMember = isMember;
+		this.#now = now;
+	}
+
+	/**
+	 * Returns the charges to be reported to a peer.
+	 *
+	 * @param link - The peer's link.
+	 * @returns Units charged since the start, by workspace.
+	 */
+	chargesFor(link: PeerLink): UsageTotals {
+		const {rateLimiter} = this.#clusterState;
+		if (link.target.kind === 'member') {
+			return rateLimiter.totalsWithoutMember(link.target.host.name, link.target.host.incarnation);
+		}
+
+		this.#groupCharges ??= rateLimiter.groupTotals();
+		return this.#groupCharges;
+	}
+
+	/**
+	 * Returns the loads to be reported to a peer.
+	 *
+	 * @param link - The peer's link.
+	 * @returns Loads by server.
+	 */
+	loadsFor(link: PeerLink): ReadonlyMap<string, ServerLoad> {
+		const {loads} = this.#clusterState;
+		if (link.target.kind === 'member') {
+			this.#allLoads ??= loads.sumLoads(() => true, this.#now);
+			return loads.subtractPeerLoads(this.#allLoads, link.target.host.name);
+		}
+
+		this.#groupLoads ??= loads.sumLoads(this.#isMember, this.#now);
+		return this.#groupLoads;
+	}
+}
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -246,6 +246,8 @@
 	readonly metricsAddress: string;
 	/** Snapshot addresses of some hosts; they may be outdated. */
 	readonly seeds: readonly string[];
+	/** Datagram addresses of the same hosts. */
+	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
 	readonly bounds: HostBounds;
 };
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -1,8 +1,8 @@
 import {type RequestLoad, estimateMemoryTokens} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ClientRequest, ResponseHead} from '../ports.js';
 import type {Exchange} from './backend-connection-pool.js';
 import type {ChosenServer} from './dispatcher.js';
-import type {ClientRequest, ResponseHead} from '../ports.js';
 
 /** One attempt to have a request executed by a server. */
 export type Attempt = {
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -2,7 +2,7 @@
 	type EngineCandidate, type EnginePlacement, type Route, type ServerCandidate, type ServerEntry, type Service, EnginePlacer, RequestQueue,
 	chooseLeastLoadedServer, defaultEnginePlacementOptions, estimateQueueTime,
 } from '@lacewingpoint/routing';
-import type {Milliseconds} from '@lacewingpoint/shared';
+import type {Disposable, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {ClientRequest} from '../ports.js';
 
@@ -50,7 +50,7 @@
  */
 const outdatedWeightsGrace: Milliseconds = 1100;
 
-/** Queued requests are dispatched at this interval, in addition to each change that frees capacity. */
+/** Queued requests, if any, are dispatched at this interval, in addition to each change that frees capacity. */
 const dispatchInterval: Milliseconds = 10;
 
 /** Assumed service time of a request other than a generation, for the estimate of queue times. */
@@ -70,7 +70,7 @@
 };
 
 /** Chooses servers from the cluster state, and queues the requests that no server has capacity for. */
-export class Dispatcher {
+export class Dispatcher implements Disposable {
 	readonly #clusterState: ClusterState;
 	readonly #enginePlacer: EnginePlacer;
 	readonly #failureDomain: string;
@@ -78,6 +78,7 @@
 	readonly #now: () => Milliseconds;
 	readonly #queues = new Map<string, RequestQueue<PendingRequest>>();
 	#isDispatching = false;
+	#timer: NodeJS.Timeout | undefined;
 
 	/**
 	 * @param clusterState - The configuration, servers and loads as this host knows them.
@@ -101,20 +102,6 @@
 		return count;
 	}
 
-	/**
-	 * Starts dispatching queued requests at regular intervals.
-	 *
-	 * @returns A function that stops it.
-	 */
-	start(): () => void {
-		const timer = setInterval(() => {
-			this.dispatchQueued();
-		}, dispatchInterval);
-		return () => {
-			clearInterval(timer);
-		};
-	}
-
 	/**
 	 * Chooses a server for a request. Call it synchronously before sending the request, so that a server that has just started to drain is
 	 * not chosen.
@@ -142,6 +129,9 @@
 	 */
 	enqueue(service: string, entry: {readonly workspace: string; readonly rank: number; readonly size: number; readonly expiresAt: Milliseconds; readonly item: PendingRequest}): void {
 		this.#queueFor(service).addRequest(entry);
+		this.#timer ??= setInterval(() => {
+			this.dispatchQueued();
+		}, dispatchInterval);
 	}
 
 	/**
@@ -172,6 +162,15 @@
 		}
 
 		this.#isDispatching = false;
+		if (this.queuedRequests === 0) {
+			clearInterval(this.#timer);
+			this.#timer = undefined;
+		}
+	}
+
+	/** Stops dispatching. */
+	dispose(): void {
+		clearInterval(this.#timer);
 	}
 
 	#findUsableEntries(placementRequest: PlacementRequest, service: Service | undefined): ServerEntry[] {
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -2,10 +2,10 @@
 import type {
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
-import type {BackendConnectionPool} from './backend-connection-pool.js';
 import type {ClusterState} from '../state/cluster-state.js';
-import type {ChosenServer, Dispatcher} from './dispatcher.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
+import type {BackendConnectionPool} from './backend-connection-pool.js';
+import type {ChosenServer, Dispatcher} from './dispatcher.js';
 
 /** The components of a host that all its requests share, and callbacks to the host. */
 export type PipelineContext = {
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -1,5 +1,6 @@
 import type {Route, Workspace} from '@lacewingpoint/routing';
 import {type Milliseconds, hashText} from '@lacewingpoint/shared';
+import type {HeaderList, ReceivedRequest, ResponseHead} from '../ports.js';
 import {
 	type Attempt, type AttemptRecord, createAttempt, describeAttempt, responseFraming, roundTime,
 } from './attempt.js';
@@ -7,7 +8,6 @@
 import type {ChosenServer, PendingRequest} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
-import type {HeaderList, ReceivedRequest, ResponseHead} from '../ports.js';
 import {admitRequest, quotaUnits, selectService} from './request-admission.js';
 import {StallDetector} from './stall-detector.js';
 
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -4,6 +4,7 @@
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
+import type {KnownState, MissingChanges} from './peer-snapshots.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
 const reregistrationGrace: Milliseconds = 2000;
@@ -11,6 +12,9 @@
 /** A peer without a heartbeat for this long is not offered to clients: more than three heartbeat intervals, so that the loss of a datagram is tolerated. */
 const heartbeatTimeout: Milliseconds = 750;
 
+/** Hosts reported by a peer that has stopped sending are kept this long: they link to another peer, which reports them again. */
+const reportTimeout: Milliseconds = 3000;
+
 /** Hosts that are not listed in the store are kept this long after their last heartbeat, so that they can be listed again after a store outage. */
 const hostRemovalDelay: Milliseconds = 60_000;
 
@@ -43,6 +47,8 @@
 	/** A server that accepts requests may have been added, changed or removed. */
 	onServersChanged(): void;
 	onServerRemoved(id: string): void;
+	/** The configuration, a server or a target version has changed; `change` is undefined for a configuration, which is large. */
+	onStateChanged(change: Exclude<StateChange, {readonly type: 'configuration'}> | undefined): void;
 	/** The holder of the weights lease was read from the store; undefined when the lease is free. */
 	onLeaseHolderRead(holder: string | undefined): void;
 };
@@ -50,7 +56,7 @@
 /** What a host knows about the configuration, servers, weights and hosts, merged from the store and from peers. */
 export class ClusterState {
 	readonly servers = new ServerDirectory({reregistrationGrace});
-	readonly hosts = new HostDirectory({heartbeatTimeout, removalDelay: hostRemovalDelay});
+	readonly hosts = new HostDirectory({heartbeatTimeout, reportTimeout, removalDelay: hostRemovalDelay});
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly health = new ServerHealth(healthOptions);
 	readonly promptCache = new PromptCacheIndex();
@@ -65,6 +71,10 @@
 	#configurationAppliedAt = 0;
 	#revision = 0;
 	#unreadableEntries = 0;
+	/** Counts the changes of the configuration, servers and target versions. */
+	#stateVersion = 0;
+	/** The state version at which each server was changed last. */
+	readonly #serverVersions = new Map<string, number>();
 
 	/**
 	 * @param log - Receives a record of each change.
@@ -92,6 +102,11 @@
 		return this.#revision;
 	}
 
+	/** Counts the changes of the configuration, servers and target versions since the start. */
+	get stateVersion(): number {
+		return this.#stateVersion;
+	}
+
 	/** Number of store entries that could not be parsed since the start. */
 	get unreadableEntries(): number {
 		return this.#unreadableEntries;
@@ -115,16 +130,56 @@
 		}
 
 		if (isComplete) {
-			const ids = new Set(batch.changes.flatMap(change => change.type === 'server' ? [change.entry.id] : []));
-			for (const id of this.servers.removeUnlisted(ids, batch.revision, this.#now())) {
-				this.#removeServer(id, source);
-			}
+			this.#removeUnlisted(new Set(batch.changes.flatMap(change => change.type === 'server' ? [change.entry.id] : [])), batch.revision, source);
 		}
 
 		this.#revision = Math.max(this.#revision, batch.revision);
 		this.#listener.onServersChanged();
 	}
 
+	/**
+	 * Applies the changes that a peer has returned for `changesSince`.
+	 *
+	 * @param missing - The changes and the ids of all servers.
+	 * @param source - The peer's name, for the log.
+	 */
+	applyMissing(missing: MissingChanges, source: string): void {
+		this.apply(missing, false, source);
+		this.#removeUnlisted(new Set(missing.serverIds), missing.revision, source);
+		this.#listener.onServersChanged();
+	}
+
+	/**
+	 * Records that there are no changes up to a store revision that have not been applied.
+	 *
+	 * @param revision - The store revision.
+	 */
+	confirmRevision(revision: number): void {
+		this.#revision = Math.max(this.#revision, revision);
+	}
+
+	/**
+	 * Lists the changes that a member lacks.
+	 *
+	 * @param known - What the member knows already.
+	 * @returns The changes: all target versions, because their ages may have been corrected, and the newer ones of the others.
+	 */
+	changesSince(known: KnownState): MissingChanges {
+		const servers = this.servers.listEntries();
+		const configuration = this.configuration;
+		const changedServers = servers.filter(({entry}) => (this.#serverVersions.get(entry.id) ?? 0) > known.stateVersion);
+		return {
+			changes: [
+				...(configuration !== undefined && configuration.version > known.configuration ? [{type: 'configuration', revision: this.#configurationRevision, configuration} as const] : []),
+				...changedServers.map(({entry, revision}) => ({type: 'server', revision, entry} as const)),
+				...this.#describeTargetVersions(),
+			],
+			revision: this.#revision,
+			serverIds: servers.map(({entry}) => entry.id),
+			stateVersion: this.#stateVersion,
+		};
+	}
+
 	/** @returns The complete state, for an outdated peer. */
 	snapshot(): ChangeBatch {
 		const changes: StateChange[] = this.servers.listEntries().map(({entry, revision}) => ({type: 'server', revision, entry}));
@@ -133,15 +188,8 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		for (const [model, targets] of this.weightsTracker.targetVersions()) {
-			for (const {version, revision, knownSince, isAssumed} of targets) {
-				changes.push({
-					type: 'weights', revision, model, version, age: this.#now() - knownSince, isAgeAssumed: isAssumed,
-				});
-			}
-		}
-
-		for (const description of this.hosts.listPeers(this.#now())) {
+		changes.push(...this.#describeTargetVersions());
+		for (const description of this.hosts.listRelays(this.#now())) {
 			changes.push({type: 'host', revision: 0, description});
 		}
 
@@ -151,7 +199,7 @@
 	/** Removes servers whose entries expired during a store outage and that have not registered again. */
 	removeExpiredServers(): void {
 		for (const id of this.servers.removeExpired(this.#now())) {
-			this.#removeServer(id, 'lapse');
+			this.#removeServer(id, this.#revision, 'lapse');
 		}
 	}
 
@@ -186,6 +234,23 @@
 		this.#listener.onServersChanged();
 	}
 
+	#describeTargetVersions(): Array<StateChange & {readonly type: 'weights'}> {
+		return [...this.weightsTracker.targetVersions()].flatMap(([model, targets]) => targets.map(({version, revision, knownSince, isAssumed}) => ({
+			type: 'weights', revision, model, version, age: this.#now() - knownSince, isAgeAssumed: isAssumed,
+		} as const)));
+	}
+
+	#removeUnlisted(ids: ReadonlySet<string>, revision: number, source: string): void {
+		for (const id of this.servers.removeUnlisted(ids, revision, this.#now())) {
+			this.#removeServer(id, revision, source);
+		}
+	}
+
+	#recordStateChange(change: Exclude<StateChange, {readonly type: 'configuration'}> | undefined): void {
+		this.#stateVersion++;
+		this.#listener.onStateChanged(change);
+	}
+
 	#applyChange(change: StateChange, source: string): void {
 		switch (change.type) {
 			case 'configuration': {
@@ -200,7 +265,7 @@
 
 			case 'server-gone': {
 				if (this.servers.applyRemoval(change.id, change.revision, this.#now())) {
-					this.#removeServer(change.id, source);
+					this.#removeServer(change.id, change.revision, source);
 				}
 
 				break;
@@ -258,6 +323,7 @@
 		this.#log.info('configuration', {
 			version: configuration.version, revision, routes: configuration.routes.length, workspaces: configuration.workspaces?.length ?? 0, source,
 		});
+		this.#recordStateChange(undefined);
 	}
 
 	#applyTargetVersion(change: StateChange & {readonly type: 'weights'}, source: string): void {
@@ -269,11 +335,17 @@
 		const target = {
 			version, revision, knownSince: this.#now() - age, isAssumed,
 		};
-		if (this.weightsTracker.addTargetVersion(model, target)) {
+		const wasAssumed = this.weightsTracker.hasAssumedAges;
+		const isNew = this.weightsTracker.addTargetVersion(model, target);
+		if (isNew) {
 			this.#log.info('weights-named', {
 				model, version, revision, age: Math.round(age), isAssumed, source,
 			});
 		}
+
+		if (isNew || wasAssumed !== this.weightsTracker.hasAssumedAges) {
+			this.#recordStateChange({...change, age, isAgeAssumed: isAssumed});
+		}
 	}
 
 	#applyServer(entry: ServerEntry, revision: number, source: string): void {
@@ -298,6 +370,8 @@
 		this.#log.info('server', {
 			id: entry.id, service: entry.service, incarnation: entry.incarnation, draining: entry.isDraining, weights: entry.weights, revision, change, source,
 		});
+		this.#serverVersions.set(entry.id, this.#stateVersion + 1);
+		this.#recordStateChange({type: 'server', revision, entry});
 	}
 
 	#setCacheCapacity(entry: ServerEntry): void {
@@ -307,10 +381,12 @@
 		}
 	}
 
-	#removeServer(id: string, source: string): void {
+	#removeServer(id: string, revision: number, source: string): void {
 		this.#clearServerState(id);
 		this.promptCache.removeLocation(id);
-		this.#log.info('server-gone', {id, source, revision: this.#revision});
+		this.#serverVersions.delete(id);
+		this.#log.info('server-gone', {id, source, revision});
+		this.#recordStateChange({type: 'server-gone', revision, id});
 		this.#listener.onServerRemoved(id);
 	}
 
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -1,47 +1,117 @@
 import {type Server, createServer} from 'node:http';
+import type {FleetLink, HostReport} from '@lacewingpoint/coordination';
 import {type LayerError, type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {Result} from 'true-myth';
-import {listen} from '../requests/client-listener.js';
+import * as v from 'valibot';
 import type {ChangeBatch} from '../ports.js';
+import {listen} from '../requests/client-listener.js';
+
+/** What a host knows already. */
+export type KnownState = {
+	/** Version of its configuration; 0 while it has none. */
+	readonly configuration: number;
+	/** The state version up to which it has the changes of the responding host; 0 if it has none of them. */
+	readonly stateVersion: number;
+};
 
-type SnapshotContext = {readonly snapshot: () => ChangeBatch};
+/** Changes that another host lacks. */
+export type MissingChanges = ChangeBatch & {
+	/** Ids of all servers, so that others can be removed. */
+	readonly serverIds: readonly string[];
+	/** The state version of the responding host. */
+	readonly stateVersion: number;
+};
 
-const trpc = initTRPC.context<SnapshotContext>().create();
+/** The state that a host serves to its peers. */
+export type SnapshotSource = {
+	snapshot(): ChangeBatch;
+	changesSince(known: KnownState): MissingChanges;
+	/** @returns The hosts that are reported to peers of a kind. */
+	hosts(kind: FleetLink['kind']): HostReport[];
+};
+
+const trpc = initTRPC.context<{readonly source: SnapshotSource}>().create();
+
+const knownStateSchema = v.object({configuration: v.number(), stateVersion: v.number()});
+const linkKindSchema = v.picklist(['relay', 'member']);
 
 const snapshotRouter = trpc.router({
-	snapshot: trpc.procedure.query(({ctx}) => ctx.snapshot()),
+	snapshot: trpc.procedure.query(({ctx}) => ctx.source.snapshot()),
+	changes: trpc.procedure.input(value => v.parse(knownStateSchema, value)).query(({ctx, input}) => ctx.source.changesSince(input)),
+	hosts: trpc.procedure.input(value => v.parse(linkKindSchema, value)).query(({ctx, input}) => ctx.source.hosts(input)),
 });
 
 /** A request for a snapshot fails after this time; the caller retries it later. */
 const snapshotTimeout: Milliseconds = 700;
 
+/** The error of a request that failed or timed out. */
+export type SnapshotError = LayerError<'unreachable'>;
+
 /**
- * Serves snapshots of this host's cluster state to peers that are outdated.
+ * Serves this host's state to peers that are outdated.
  *
  * @param address - The address to listen on, `host:port`.
- * @param snapshot - Creates a snapshot.
+ * @param source - Creates the responses.
  * @returns The server, once it is listening; rejects if the address cannot be bound.
  */
-export async function serveSnapshots(address: string, snapshot: () => ChangeBatch): Promise<Server> {
-	const server = createServer(createHTTPHandler({router: snapshotRouter, createContext: () => ({snapshot})}));
+export async function serveSnapshots(address: string, source: SnapshotSource): Promise<Server> {
+	const server = createServer(createHTTPHandler({router: snapshotRouter, createContext: () => ({source})}));
 	await listen(server, address);
 	return server;
 }
 
 /**
- * Fetches a snapshot of a peer's cluster state.
+ * Fetches a snapshot of a peer's cluster state. The ages of target versions include the time of the transfer.
  *
  * @param address - The peer's snapshot address, `host:port`.
  * @returns The snapshot; the error `unreachable` if the request failed or timed out.
  */
-export async function fetchSnapshot(address: string): Promise<Result<ChangeBatch, LayerError<'unreachable'>>> {
+export async function fetchSnapshot(address: string): Promise<Result<ChangeBatch, SnapshotError>> {
+	return fetchBatch(address, async (client, signal) => client.snapshot.query(undefined, {signal}));
+}
+
+/**
+ * Fetches the changes of the cluster state that this host lacks. The ages of target versions include the time of the transfer.
+ *
+ * @param address - The peer's snapshot address, `host:port`.
+ * @param known - What this host knows already.
+ * @returns The changes; the error `unreachable` if the request failed or timed out.
+ */
+export async function fetchChanges(address: string, known: KnownState): Promise<Result<MissingChanges, SnapshotError>> {
+	return fetchBatch(address, async (client, signal) => client.changes.query(known, {signal}));
+}
+
+/**
+ * Fetches the hosts that a peer reports.
+ *
+ * @param address - The peer's snapshot address, `host:port`.
+ * @param kind - This host's part in the exchange with the peer.
+ * @returns The hosts; the error `unreachable` if the request failed or timed out.
+ */
+export async function fetchHosts(address: string, kind: FleetLink['kind']): Promise<Result<HostReport[], SnapshotError>> {
+	return callPeer(address, async (client, signal) => client.hosts.query(kind, {signal}));
+}
+
+type SnapshotClient = ReturnType<typeof createTRPCClient<typeof snapshotRouter>>;
+
+async function fetchBatch<Batch extends ChangeBatch>(address: string, call: (client: SnapshotClient, signal: AbortSignal) => Promise<Batch>): Promise<Result<Batch, SnapshotError>> {
+	const requestedAt = performance.now();
+	const batch = await callPeer(address, call);
+	const transferTime = performance.now() - requestedAt;
+	return batch.map(value => ({
+		...value,
+		changes: value.changes.map(change => change.type === 'weights' && change.age !== undefined ? {...change, age: change.age + transferTime} : change),
+	}));
+}
+
+async function callPeer<Response>(address: string, call: (client: SnapshotClient, signal: AbortSignal) => Promise<Response>): Promise<Result<Response, SnapshotError>> {
 	const client = createTRPCClient<typeof snapshotRouter>({links: [httpLink({url: `http://${address}`})]});
 	try {
-		return Result.ok(await client.snapshot.query(undefined, {signal: AbortSignal.timeout(snapshotTimeout)}));
+		return Result.ok(await call(client, AbortSignal.timeout(snapshotTimeout)));
 	} catch (error) {
-		return Result.err({layer: 'host', code: 'unreachable', message: `could not fetch a snapshot from ${address}: ${getErrorMessage(error)}`});
+		return Result.err({layer: 'host', code: 'unreachable', message: `could not fetch the state of ${address}: ${getErrorMessage(error)}`});
 	}
 }
--- a/packages/host/src/state/peer-synchronizer.ts
+++ b/packages/host/src/state/peer-synchronizer.ts
@@ -7,15 +7,18 @@
 /** Minimum time between two snapshot requests. */
 const minimumSnapshotInterval: Milliseconds = 250;
 
-/** How long the store may take to deliver a change that a peer has announced, before the peer is asked for a snapshot. */
+/** How long the store, or the relay that reads it, may take to deliver a change that a peer has announced, before the peer is asked for a snapshot. */
 const storeUpdateGrace: Milliseconds = 300;
 
-/** Time between requests to seeds while this host has no configuration. */
-const seedRequestInterval: Milliseconds = 300;
+/** Time between requests to seeds while this host has no configuration; it doubles with each request, as the seeds may not have one either. */
+const seedRequestInterval = {first: 300, longest: 2400} as const;
 
 /** A host that serves snapshots. */
 type SnapshotSource = Pick<HostDescription, 'name' | 'snapshotAddress'>;
 
+/** The versions that a peer's message states. */
+type AnnouncedState = {readonly configuration: number; readonly revision: number};
+
 export type PeerSynchronizerOptions = {
 	readonly clusterState: ClusterState;
 	readonly storeWatch: StoreWatch;
@@ -23,6 +26,10 @@
 	readonly seedAddresses: readonly string[];
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
+	/** @returns Whether another relay, which reads the store, passes on its changes. */
+	isFollowing(): boolean;
+	/** @returns Peers that have run for some time and respond. */
+	peers(): readonly HostDescription[];
 };
 
 /** Fetches from peers what the store cannot provide: the whole state while it is unreachable, and the ages of target versions. */
@@ -32,7 +39,8 @@
 	readonly #peersAskedForAges = new Set<string>();
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
 	#nextSeedIndex = 0;
-	#outdatedSince: Milliseconds | undefined;
+	/** The announced state that this host has lacked for the longest time. */
+	#missing: {readonly since: Milliseconds; readonly announced: AnnouncedState} | undefined;
 
 	constructor(options: PeerSynchronizerOptions) {
 		this.#options = options;
@@ -48,23 +56,34 @@
 	 * Requests a snapshot from a peer that has announced a newer state, unless the store is expected to deliver it.
 	 *
 	 * @param peer - The peer's name and snapshot address.
-	 * @param configurationVersion - The version of the peer's configuration.
+	 * @param announced - The state that the peer has announced.
 	 */
-	handleNewerPeer(peer: SnapshotSource, configurationVersion: number): void {
+	handleNewerPeer(peer: SnapshotSource, announced: AnnouncedState): void {
 		const {clusterState, storeWatch, now} = this.#options;
-		if (storeWatch.isConnected && clusterState.configuration !== undefined) {
-			this.#outdatedSince ??= now();
-			if (now() - this.#outdatedSince < storeUpdateGrace || configurationVersion <= clusterState.configuration.version) {
+		const hasSource = storeWatch.isConnected || this.#options.isFollowing();
+		if (hasSource && clusterState.configuration !== undefined) {
+			if (this.#missing === undefined || this.#hasReached(this.#missing.announced)) {
+				this.#missing = {since: now(), announced};
+			}
+
+			const isSourceDue = now() - this.#missing.since >= storeUpdateGrace;
+			// A connected watch delivers the changes of servers; what another relay reads may not be missing for long.
+			if (!isSourceDue || (storeWatch.isConnected && announced.configuration <= clusterState.configuration.version)) {
 				return;
 			}
 		}
 
 		if (now() - this.#lastRequestAt >= minimumSnapshotInterval) {
-			this.#outdatedSince = undefined;
+			this.#missing = undefined;
 			void this.#fetchAndApply(peer);
 		}
 	}
 
+	#hasReached({configuration, revision}: AnnouncedState): boolean {
+		const {clusterState} = this.#options;
+		return (clusterState.configuration?.version ?? 0) >= configuration && clusterState.revision >= revision;
+	}
+
 	// The store holds the target versions but not their ages; a peer that has run for longer knows those.
 	#requestTargetAges(): void {
 		const {clusterState, now} = this.#options;
@@ -73,7 +92,7 @@
 		}
 
 		const keyOf = ({name, incarnation}: HostDescription) => `${name} ${incarnation}`;
-		const peer = clusterState.hosts.listServing(now()).find(candidate => !this.#peersAskedForAges.has(keyOf(candidate)));
+		const peer = this.#options.peers().find(candidate => !this.#peersAskedForAges.has(keyOf(candidate)));
 		if (peer !== undefined) {
 			this.#peersAskedForAges.add(keyOf(peer));
 			void this.#fetchAndApply(peer);
@@ -84,7 +103,8 @@
 	#requestFromSeed(): void {
 		const {clusterState, seedAddresses, now} = this.#options;
 		const seed = seedAddresses[this.#nextSeedIndex % seedAddresses.length];
-		if (clusterState.configuration === undefined && seed !== undefined && now() - this.#lastRequestAt >= seedRequestInterval) {
+		const interval = Math.min(seedRequestInterval.first * (2 ** this.#nextSeedIndex), seedRequestInterval.longest);
+		if (clusterState.configuration === undefined && seed !== undefined && now() - this.#lastRequestAt >= interval) {
 			this.#nextSeedIndex++;
 			void this.#fetchAndApply({name: seed, snapshotAddress: seed});
 		}
@@ -92,16 +112,13 @@
 
 	async #fetchAndApply(peer: SnapshotSource): Promise<void> {
 		const {clusterState, log, now} = this.#options;
-		const requestedAt = now();
-		this.#lastRequestAt = requestedAt;
+		this.#lastRequestAt = now();
 		const snapshot = await fetchSnapshot(peer.snapshotAddress);
 		if (snapshot.isErr) {
 			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
 			return;
 		}
 
-		const transferTime = now() - requestedAt;
-		const changes = snapshot.value.changes.map(change => change.type === 'weights' && change.age !== undefined ? {...change, age: change.age + transferTime} : change);
-		clusterState.apply({...snapshot.value, changes}, true, peer.name);
+		clusterState.apply(snapshot.value, true, peer.name);
 	}
 }
--- a/packages/host/src/state/prompt-placement-tracker.ts
+++ b/packages/host/src/state/prompt-placement-tracker.ts
@@ -1,9 +1,9 @@
 import type {PromptPart} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
 import type {ChosenServer} from '../requests/dispatcher.js';
 import type {HostGossip} from '../members/host-gossip.js';
 import type {ReceivedRequest} from '../ports.js';
+import type {ClusterState} from './cluster-state.js';
 
 /** Until the first token arrives, the prefill of a prompt is assumed to take this many times the predicted time. */
 const prefillTimeMargin = 1.3;
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -1,7 +1,7 @@
 import type {Quarantine, SuspectCrash} from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
 import type {HostGossip} from '../members/host-gossip.js';
+import type {ClusterState} from './cluster-state.js';
 
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
--- a/packages/host/src/state/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -2,8 +2,8 @@
 import {
 	type Disposable, type Logger, type Milliseconds, type RandomSource, describeError,
 } from '@lacewingpoint/shared';
-import type {ClusterState} from './cluster-state.js';
 import type {ControlStore} from '../ports.js';
+import type {ClusterState} from './cluster-state.js';
 
 /** How long the store keeps a watch open without changes. A stalled watch is detected after this time plus the client's margin. */
 const watchTimeout: Milliseconds = 2000;
@@ -12,13 +12,11 @@
 const retryDelay = {minimum: 50, maximum: 400} as const;
 
 /**
- * If the monotonic clock advances by more than this between two checks, or the wall clock deviates from it by more than this,
+ * If the monotonic clock advances by more than this between two checks, which are made every 100 ms, or the wall clock deviates from it by more than this,
  * the process was suspended or the wall clock was set.
  */
 const clockJumpThreshold: Milliseconds = 700;
 
-const clockCheckInterval: Milliseconds = 100;
-
 /**
  * A suspension cannot be told from a wall clock that was set forward. Of a longer step, only this much is counted as a suspension; the
  * rest is assumed to come from setting the clock.
@@ -44,7 +42,9 @@
 	#revision = 0;
 	#isConnected = false;
 	#consecutiveFailures = 0;
-	#clockCheckTimer: NodeJS.Timeout | undefined;
+	#isFollowing = false;
+	#isFollowingWanted = false;
+	#previousClocks: {readonly monotonic: Milliseconds; readonly wall: Milliseconds} | undefined;
 
 	constructor(options: StoreWatchOptions) {
 		this.#options = options;
@@ -55,26 +55,36 @@
 		return this.#isConnected;
 	}
 
-	/** Starts following the store and checking the clocks. */
+	/** Starts following the store. */
 	start(): void {
-		void this.#followStore();
-		const {now, wallClock} = this.#options;
-		let previousMonotonic = now();
-		let previousWall = wallClock();
-		this.#clockCheckTimer = setInterval(() => {
-			const monotonicElapsed = now() - previousMonotonic;
-			const wallElapsed = wallClock() - previousWall;
-			previousMonotonic = now();
-			previousWall = wallClock();
-			if (monotonicElapsed > clockJumpThreshold || Math.abs(wallElapsed - monotonicElapsed) > clockJumpThreshold) {
-				this.#options.log.info('clock-jump', {steady: monotonicElapsed, wall: wallElapsed});
-				if (wallElapsed > monotonicElapsed) {
-					this.#options.onSuspended(Math.min(wallElapsed - monotonicElapsed, maximumSuspension));
-				}
-
-				this.requestFullRead();
+		this.#isFollowingWanted = true;
+		if (!this.#isFollowing && !this.#isStopped) {
+			this.#isFollowing = true;
+			this.#needsFullRead = true;
+			void this.#followStore();
+		}
+	}
+
+	/** Stops following the store until the next start, because another host passes on its changes. A call under way is completed. */
+	pause(): void {
+		this.#isFollowingWanted = false;
+	}
+
+	/** Checks whether the process was suspended or the wall clock was set. Called periodically. */
+	checkClocks(): void {
+		const clocks = {monotonic: this.#options.now(), wall: this.#options.wallClock()};
+		const previous = this.#previousClocks ?? clocks;
+		this.#previousClocks = clocks;
+		const monotonicElapsed = clocks.monotonic - previous.monotonic;
+		const wallElapsed = clocks.wall - previous.wall;
+		if (monotonicElapsed > clockJumpThreshold || Math.abs(wallElapsed - monotonicElapsed) > clockJumpThreshold) {
+			this.#options.log.info('clock-jump', {steady: monotonicElapsed, wall: wallElapsed});
+			if (wallElapsed > monotonicElapsed) {
+				this.#options.onSuspended(Math.min(wallElapsed - monotonicElapsed, maximumSuspension));
 			}
-		}, clockCheckInterval);
+
+			this.requestFullRead();
+		}
 	}
 
 	/** Makes the next call to the store a full read instead of a watch. */
@@ -85,17 +95,19 @@
 	dispose(): void {
 		this.#isStopped = true;
 		this.#isConnected = false;
-		clearInterval(this.#clockCheckTimer);
 	}
 
 	async #followStore(): Promise<void> {
-		while (!this.#isStopped) {
+		while (!this.#isStopped && this.#isFollowingWanted) {
 			const canContinue = this.#needsFullRead ? await this.#readAll() : await this.#readChanges();
 			if (!canContinue && !this.#isStopped) {
 				const maximumDelay = Math.min(retryDelay.minimum * (2 ** Math.min(this.#consecutiveFailures, 10)), retryDelay.maximum);
 				await pause(maximumDelay * (0.5 + (this.#options.random.next() / 2)));
 			}
 		}
+
+		this.#isFollowing = false;
+		this.#isConnected = false;
 	}
 
 	/** @returns Whether the next call may follow without a delay. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,7 +10,7 @@
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
 export {type PromptLocation, type PromptSource, PromptSources} from './prompt-sources.js';
 export {
-	type RequestLoad, type ServerLoad, ServerLoads, noLoad,
+	type RequestLoad, type ServerLoad, ServerLoads, isSameLoad, noLoad,
 } from './server-loads.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
 export {
--- a/packages/routing/src/server-loads.ts
+++ b/packages/routing/src/server-loads.ts
@@ -22,7 +22,18 @@
 	};
 }
 
-type PeerLoads = {receivedAt: Milliseconds; loads: ReadonlyMap<string, ServerLoad>};
+type PeerLoads = {receivedAt: Milliseconds; readonly loads: Map<string, ServerLoad>};
+
+/**
+ * Compares two loads.
+ *
+ * @param left - A load.
+ * @param right - Another load.
+ * @returns Whether they are equal.
+ */
+export function isSameLoad(left: ServerLoad, right: ServerLoad): boolean {
+	return left.requests === right.requests && left.prefillTokens === right.prefillTokens && left.memoryTokens === right.memoryTokens;
+}
 
 /**
  * The load of each server over all hosts: this host's own requests exactly, those of the peers as of their last message. Without the
@@ -97,10 +108,85 @@
 	 * @param loads - The peer's loads by server.
 	 * @param now - Current monotonic time.
 	 * @param isFullState - Whether `loads` replaces all earlier loads of the peer; otherwise the loads of other servers are unchanged.
+	 * @returns Whether the peer's loads have changed.
+	 */
+	mergePeerLoads(peer: string, loads: ReadonlyMap<string, ServerLoad>, now: Milliseconds, isFullState = true): boolean {
+		const known = this.#peerLoads.get(peer);
+		if (known === undefined) {
+			this.#peerLoads.set(peer, {receivedAt: now, loads: new Map(loads)});
+			return loads.size > 0;
+		}
+
+		known.receivedAt = now;
+		let hasChanged = false;
+		for (const [server, load] of loads) {
+			hasChanged ||= !isSameLoad(known.loads.get(server) ?? noLoad, load);
+			known.loads.set(server, load);
+		}
+
+		if (isFullState && known.loads.size > loads.size) {
+			for (const server of known.loads.keys()) {
+				if (!loads.has(server)) {
+					hasChanged = true;
+					known.loads.delete(server);
+				}
+			}
+		}
+
+		return hasChanged;
+	}
+
+	/**
+	 * Sums up the loads of this host and of some peers: what a relay reports to others on behalf of its members.
+	 *
+	 * @param isIncluded - Whether the loads of a peer, given by name, are included.
+	 * @param now - Current monotonic time.
+	 * @returns The sums by server.
+	 */
+	sumLoads(isIncluded: (peer: string) => boolean, now: Milliseconds): Map<string, ServerLoad> {
+		const sums = new Map(this.#localLoads);
+		for (const [peer, {receivedAt, loads}] of this.#peerLoads) {
+			if (now - receivedAt <= this.#peerExpiry && isIncluded(peer)) {
+				for (const [server, load] of loads) {
+					sums.set(server, addLoads(sums.get(server) ?? noLoad, load));
+				}
+			}
+		}
+
+		return sums;
+	}
+
+	/**
+	 * Subtracts the loads that a peer sent from sums that include them.
+	 *
+	 * @param sums - Sums by server.
+	 * @param peer - The peer's name.
+	 * @returns The sums without the peer's loads.
+	 */
+	subtractPeerLoads(sums: ReadonlyMap<string, ServerLoad>, peer: string): ReadonlyMap<string, ServerLoad> {
+		const loads = this.#peerLoads.get(peer)?.loads;
+		if (loads === undefined || loads.size === 0) {
+			return sums;
+		}
+
+		const rest = new Map(sums);
+		for (const [server, load] of loads) {
+			const sum = rest.get(server);
+			if (sum !== undefined) {
+				rest.set(server, addLoads(sum, {requests: -load.requests, prefillTokens: -load.prefillTokens, memoryTokens: -load.memoryTokens}));
+			}
+		}
+
+		return rest;
+	}
+
+	/**
+	 * Forgets the loads of a peer with which state is no longer exchanged; another peer reports them from now on.
+	 *
+	 * @param peer - The peer's name.
 	 */
-	mergePeerLoads(peer: string, loads: ReadonlyMap<string, ServerLoad>, now: Milliseconds, isFullState = true): void {
-		const previous = isFullState ? [] : this.#peerLoads.get(peer)?.loads ?? [];
-		this.#peerLoads.set(peer, {receivedAt: now, loads: new Map([...previous, ...loads])});
+	removePeer(peer: string): void {
+		this.#peerLoads.delete(peer);
 	}
 
 	/**
