Join through seeds, and simulate whole fleets in the emulator

The parts that exchange state are one class (Fleet) without sockets and timers of its own, so the emulator runs fleets of 9 to 550 hosts in simulated time. Its tests cover killed relays and readers, suspensions, one-way cuts, losses, restarts, charges and loads counted once, and the traffic of a member at 50, 200 and 550 hosts. Attempts record their longest pause.

--- a/packages-private/measure/src/index.ts
+++ b/packages-private/measure/src/index.ts
@@ -9,3 +9,4 @@
 export {
 	type RequestKind, type Site, instituto, tanaRidge,
 } from './workload.js';
+export {type SimulatedFleetHost, SimulatedFleet} from './simulated-fleet.js';
--- a/packages/coordination/src/fleet-topology.ts
+++ b/packages/coordination/src/fleet-topology.ts
@@ -12,6 +12,8 @@
 	readonly relayTimeout: Milliseconds;
 	/** A relay that failed is not chosen again for this long, unless there is no other. */
 	readonly failedRelayBackoff: Milliseconds;
+	/** Time between checks whether a domain lacks a relay or has one too many. */
+	readonly roleReviewInterval: Milliseconds;
 	/** How long a domain must lack a relay, or have one too many, before a host changes its role. */
 	readonly roleChangeDelay: Milliseconds;
 };
@@ -39,6 +41,7 @@
 	#relay: {readonly description: HostDescription; readonly attachedAt: Milliseconds} | undefined;
 	#isSettledPeerKnown = false;
 	#roleChangeDueSince: Milliseconds | undefined;
+	#roleReviewedAt = Number.NEGATIVE_INFINITY;
 
 	/**
 	 * @param self - This host.
@@ -85,22 +88,19 @@
 			return;
 		}
 
-		if (this.#role === 'relay') {
-			this.#stepDownIfSuperfluous(now, mustBeRelay);
-			return;
-		}
-
-		if (mustBeRelay) {
+		if (this.#role !== 'relay' && mustBeRelay) {
 			this.#becomeRelay();
-			return;
-		}
-
-		if (!this.#isRelayUsable(now)) {
+		} else if (this.#role !== 'relay' && !this.#isRelayUsable(now)) {
 			this.#chooseRelay(now);
 		}
 
-		if (this.#role === 'member') {
-			this.#stepUpIfNeeded(now);
+		if (now - this.#roleReviewedAt >= this.#options.roleReviewInterval) {
+			this.#roleReviewedAt = now;
+			if (this.#role === 'relay') {
+				this.#stepDownIfSuperfluous(now, mustBeRelay);
+			} else {
+				this.#stepUpIfNeeded(now);
+			}
 		}
 	}
 
@@ -225,7 +225,7 @@
 
 	/** Lists the hosts of a domain that do not stop, this one included, those preferred as relays first. */
 	#listDomain(failureDomain: string, now: Milliseconds): HostReport[] {
-		const others = this.#directory.listAlive(now).filter(host => host.description.failureDomain === failureDomain && host.state !== 'stopping' && host.description.name !== this.#self.name);
+		const others = this.#directory.listAlive(now, failureDomain).filter(host => host.state !== 'stopping' && host.description.name !== this.#self.name);
 		return rankHosts(failureDomain === this.#self.failureDomain ? [...others, this.#describeSelf()] : others);
 	}
 
--- a/packages/coordination/src/host-directory.ts
+++ b/packages/coordination/src/host-directory.ts
@@ -186,7 +186,8 @@
 		const relays: HostDescription[] = [];
 		for (const [name, record] of this.#records) {
 			const current = this.#findCurrent(record, now);
-			const latest = current ?? this.#findLatest(record, now);
+			// A host may have registered as a relay after it was last heard as a joining one.
+			const latest = (current?.role === 'joining' ? record.listed : undefined) ?? current ?? record.listed ?? this.#findLatest(record, now);
 			if (latest === undefined) {
 				this.#records.delete(name);
 			} else if (latest.role === 'relay' && (latest.state !== 'stopping' || current !== undefined)) {
@@ -204,17 +205,35 @@
 	 * @returns The members.
 	 */
 	listMembers(now: Milliseconds): HostReport[] {
-		return [...this.#records.values()].flatMap(record => this.#hasHeartbeat(record, now) && record.direct!.report.role === 'member' ? [record.direct!.report] : []);
+		const members: HostReport[] = [];
+		for (const record of this.#records.values()) {
+			if (record.direct?.report.role === 'member' && this.#hasHeartbeat(record, now)) {
+				members.push(record.direct.report);
+			}
+		}
+
+		return members;
 	}
 
 	/**
 	 * Lists the hosts that are alive.
 	 *
 	 * @param now - Current monotonic time.
+	 * @param failureDomain - The domain of the hosts; all domains by default.
 	 * @returns The hosts whose heartbeats arrive here or at a peer that reports them.
 	 */
-	listAlive(now: Milliseconds): HostReport[] {
-		return [...this.#records.values()].flatMap(record => this.#findCurrent(record, now) ?? []);
+	listAlive(now: Milliseconds, failureDomain?: string): HostReport[] {
+		const hosts: HostReport[] = [];
+		for (const record of this.#records.values()) {
+			if (failureDomain === undefined || isInDomain(record, failureDomain)) {
+				const current = this.#findCurrent(record, now);
+				if (current !== undefined) {
+					hosts.push(current);
+				}
+			}
+		}
+
+		return hosts;
 	}
 
 	/**
@@ -274,6 +293,12 @@
 	#findLatest(record: HostRecord, now: Milliseconds): HostReport | undefined {
 		const timed = [...record.reports.values(), ...(record.direct === undefined ? [] : [record.direct])];
 		const latest = timed.toSorted((left, right) => right.at - left.at).find(({at}) => now - at <= this.#options.removalDelay);
-		return latest?.report ?? record.listed;
+		return latest?.report;
 	}
 }
+
+// A host stays in its domain, so any information on it will do.
+function isInDomain({direct, reports, listed}: HostRecord, failureDomain: string): boolean {
+	const report = direct?.report ?? listed ?? reports.values().next().value?.report;
+	return report?.description.failureDomain === failureDomain;
+}
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -2,7 +2,7 @@
 import {type HostState, createLeaseTiming} from '@lacewingpoint/coordination';
 import {Quarantine, RetryBudget} from '@lacewingpoint/routing';
 import {
-	DisposableStore, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
+	DisposableStore, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, systemScheduler,
 } from '@lacewingpoint/shared';
 import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
 import {StoreWatch} from './state/store-watch.js';
@@ -10,13 +10,10 @@
 import {type ClientListener, serveClients} from './requests/client-listener.js';
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
-import {FleetMembership} from './members/fleet-membership.js';
-import {GossipReceiver} from './members/gossip-receiver.js';
-import {HostGossip} from './members/host-gossip.js';
-import type {HostMessage, StateUpdate} from './members/host-messages.js';
+import {Fleet} from './members/fleet.js';
+import {GossipSocket} from './members/gossip-socket.js';
+import type {StateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
-import {PeerSynchronizer} from './state/peer-synchronizer.js';
-import {RelayFollower} from './state/relay-follower.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {
 	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest, StateChange,
@@ -25,7 +22,7 @@
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
-import {serveSnapshots} from './state/peer-snapshots.js';
+import {httpPeerClient, serveSnapshots} from './state/peer-snapshots.js';
 import {WeightsController} from './weights/weights-controller.js';
 import {WeightsLease} from './weights/weights-lease.js';
 
@@ -68,15 +65,11 @@
 	readonly #clusterState: ClusterState;
 	readonly #dispatcher: Dispatcher;
 	readonly #connectionPool: BackendConnectionPool;
-	readonly #hostGossip: HostGossip;
-	readonly #membership: FleetMembership;
-	readonly #gossipReceiver: GossipReceiver;
-	readonly #relayFollower: RelayFollower;
+	readonly #fleet: Fleet;
 	readonly #storeWatch: StoreWatch;
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
 	readonly #weightsController: WeightsController;
-	readonly #peerSynchronizer: PeerSynchronizer;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
 	readonly #quarantine = new Quarantine(quarantineOptions);
@@ -105,7 +98,7 @@
 				this.#connectionPool.closeIdle(id);
 			},
 			onStateChanged: change => {
-				this.#hostGossip.announceStateChange(toStateUpdate(change));
+				this.#fleet.gossip.announceStateChange(toStateUpdate(change));
 			},
 			onLeaseHolderRead: holder => {
 				this.#weightsLease.updateHolder(holder);
@@ -119,30 +112,21 @@
 				this.#metrics.incrementCounter('backend_connections');
 			},
 		});
-		this.#hostGossip = new HostGossip({
-			address: settings.datagramAddress,
+		this.#fleet = new Fleet({
 			description: settings.description,
+			seedAddresses: settings.seedDatagramAddresses,
+			seedSnapshotAddresses: settings.seeds,
 			clusterState: this.#clusterState,
+			quarantine: this.#quarantine,
+			transport: new GossipSocket({address: settings.datagramAddress, log, metrics: this.#metrics}),
+			peerClient: httpPeerClient,
+			scheduler: systemScheduler,
 			log,
 			metrics: this.#metrics,
 			now,
 			hostState: () => this.#hostState(),
-			hostRole: () => this.#membership.role,
 			hasStoreContact: () => this.#storeWatch.isConnected,
-			reportDigest: kind => this.#membership.reportDigest(kind),
-			onMessage: message => {
-				this.#onPeerMessage(message);
-			},
-		});
-		this.#membership = new FleetMembership({
-			description: settings.description,
-			seedAddresses: settings.seedDatagramAddresses.filter(address => address !== settings.datagramAddress),
-			clusterState: this.#clusterState,
-			gossip: this.#hostGossip,
-			log,
-			metrics: this.#metrics,
-			now,
-			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#membership.role === 'relay'),
+			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#fleet.role === 'relay'),
 			onReaderChanged: isReader => {
 				if (isReader) {
 					this.#storeWatch.start();
@@ -158,20 +142,16 @@
 				}
 			},
 		});
-		this.#gossipReceiver = new GossipReceiver(this.#clusterState, this.#hostGossip, this.#quarantine, now);
-		this.#relayFollower = new RelayFollower(this.#clusterState, log, now);
+		const {gossip} = this.#fleet;
 		this.#storeWatch = new StoreWatch({
 			store: adapter.store, clusterState: this.#clusterState, log, random, now, wallClock, onSuspended: time => {
 				this.#clusterState.weightsTracker.addSuspendedTime(time);
-				this.#relayFollower.requestFullState();
+				this.#fleet.requestFullState();
 			},
 		});
-		this.#peerSynchronizer = new PeerSynchronizer({
-			clusterState: this.#clusterState, storeWatch: this.#storeWatch, seedAddresses: settings.seeds.filter(seed => seed !== settings.snapshotAddress), log, now, isFollowing: () => this.#membership.findStateSource() !== undefined, peers: () => this.#clusterState.hosts.listRelays(now()).filter(host => this.#clusterState.hosts.hasHeartbeat(host.name, now())),
-		});
-		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, this.#hostGossip, now);
+		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#crashDetector = new ServerCrashDetector({
-			clusterState: this.#clusterState, hostGossip: this.#hostGossip, quarantine: this.#quarantine, log, now,
+			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, log, now,
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		const {name: hostName} = settings.description;
@@ -182,15 +162,14 @@
 			connections: this.#connectionPool, backend: adapter.backend, log, metrics: this.#metrics,
 		});
 		this.#weightsController = new WeightsController({
-			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: this.#hostGossip, log, now,
+			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
 		});
 	}
 
 	/** Starts serving. Clients get 503 until a configuration is known. */
 	async start(): Promise<void> {
 		const {settings, adapter, log, now} = this.#dependencies;
-		await this.#hostGossip.start();
-		this.#membership.review();
+		await this.#fleet.start();
 		this.#clientListeners = await Promise.all(adapter.interfaces.map(async ({address, protocol}) => serveClients({
 			address,
 			protocol,
@@ -208,11 +187,7 @@
 				});
 			},
 		})));
-		const snapshotServer = await serveSnapshots(settings.snapshotAddress, {
-			snapshot: () => this.#clusterState.snapshot(),
-			changesSince: known => this.#clusterState.changesSince(known),
-			hosts: kind => this.#membership.listReported(kind),
-		});
+		const snapshotServer = await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource);
 		this.#disposables.defer(() => {
 			closeServer(snapshotServer);
 		});
@@ -303,7 +278,7 @@
 		const startedAt = now();
 		this.#isStopping = true;
 		log.info('stop', {requests: this.#runningRequests, connections: this.#clientConnectionCount()});
-		this.#hostGossip.broadcastState();
+		this.#fleet.gossip.broadcastState();
 		this.#weightsLease.stopCampaigning();
 		await this.#registration.release();
 		const deadline = startedAt + this.#bounds.stopGrace - shutdownReserve;
@@ -316,7 +291,7 @@
 
 		await this.#weightsController.release();
 		log.info('stopped', {requests: this.#runningRequests, took: Math.round(now() - startedAt)});
-		this.#hostGossip.broadcastState();
+		this.#fleet.gossip.broadcastState();
 		await this.dispose();
 	}
 
@@ -326,7 +301,7 @@
 		this.#weightsLease.stopCampaigning();
 		this.#weightsController.dispose();
 		await this.#registration.dispose();
-		this.#hostGossip.dispose();
+		this.#fleet.dispose();
 		this.#connectionPool.dispose();
 		this.#dispatcher.dispose();
 		for (const listener of this.#clientListeners) {
@@ -366,10 +341,10 @@
 			metrics: this.#metrics,
 			now,
 			retryBudget: service => this.#getRetryBudget(service),
-			hostCount: () => this.#hostGossip.hostCount,
+			hostCount: () => this.#fleet.gossip.hostCount,
 			onRequestPlaced: (chosen, received) => {
 				this.#placementTracker.recordPlacement(chosen, received);
-				this.#hostGossip.announceLoadChange();
+				this.#fleet.gossip.announceLoadChange();
 			},
 			onPrefillEnded: (chosen, received, isPrefilled) => {
 				this.#placementTracker.recordPrefillResult(chosen, received, isPrefilled);
@@ -382,7 +357,7 @@
 			},
 			onRequestFinished: () => {
 				this.#runningRequests--;
-				this.#hostGossip.announceLoadChange();
+				this.#fleet.gossip.announceLoadChange();
 			},
 		};
 	}
@@ -401,29 +376,11 @@
 
 	#runMaintenance(): void {
 		this.#storeWatch.checkClocks();
-		this.#membership.review();
+		this.#fleet.review();
 		this.#clusterState.removeExpiredServers();
-		if (this.#membership.role === 'relay') {
-			this.#peerSynchronizer.requestMissingState();
-		}
-
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
-	#onPeerMessage(message: HostMessage): void {
-		const link = this.#membership.handleMessage(message);
-		if (link === undefined) {
-			return;
-		}
-
-		this.#gossipReceiver.merge(link.sender, link.kind, message);
-		if (link.sender.name === this.#membership.findStateSource()) {
-			this.#relayFollower.handleMessage(link.sender, message);
-		} else if (message.configuration > this.configurationVersion || message.revision > this.#clusterState.revision) {
-			this.#peerSynchronizer.handleNewerPeer(link.sender, message);
-		}
-	}
-
 	#formatMetrics(): string {
 		const gauges: Readonly<Record<string, number>> = {
 			waiting: this.#dispatcher.queuedRequests,
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,5 +1,10 @@
 export {type ClusterStateListener, ClusterState} from './state/cluster-state.js';
+export type {
+	KnownState, MissingChanges, PeerClient, SnapshotSource,
+} from './state/peer-snapshots.js';
 export {EventRelay} from './requests/event-relay.js';
+export {Fleet, type FleetOptions} from './members/fleet.js';
+export type {GossipTransport} from './members/gossip-socket.js';
 export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
 export {Host, type HostDependencies} from './host.js';
 export {leaseHolderKey, leaseTermKey} from './weights/weights-lease.js';
--- a/packages/host/src/members/fleet-membership.ts
+++ b/packages/host/src/members/fleet-membership.ts
@@ -3,7 +3,7 @@
 } from '@lacewingpoint/coordination';
 import type {Logger, Metrics, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
-import {fetchHosts} from '../state/peer-snapshots.js';
+import type {PeerClient} from '../state/peer-snapshots.js';
 import type {HostGossip} from './host-gossip.js';
 import type {HostMessage} from './host-messages.js';
 
@@ -15,7 +15,7 @@
  * gets another relay, or loses one, only after a longer time, so that a short interruption does not move roles.
  */
 const topologyOptions = {
-	relaysPerDomain: 3, joinTime: 600, relayTimeout: 750, failedRelayBackoff: 2000, roleChangeDelay: 2500,
+	relaysPerDomain: 3, joinTime: 600, relayTimeout: 750, failedRelayBackoff: 2000, roleReviewInterval: 500, roleChangeDelay: 2500,
 } as const;
 
 /** Relays announce their contact to the store with each heartbeat, every 200 ms. */
@@ -24,8 +24,18 @@
 /** The list of a peer that may have lost a message is requested again after this many digests in a row that differ. */
 const toleratedMismatches = 1;
 
+/** Stands for the senders of introductions as the reporter of hosts. */
+const introductionReporter = '';
+
 /** The hosts that one incarnation of a peer reports. */
-type Mirror = {readonly incarnation: string; readonly reports: HostReports; mismatches: number; isRequested: boolean};
+type Mirror = {
+	readonly incarnation: string;
+	readonly reports: HostReports;
+	/** Whether all hosts were requested once; the peer sends only changes. */
+	isComplete: boolean;
+	mismatches: number;
+	isRequested: boolean;
+};
 
 export type FleetMembershipOptions = {
 	readonly description: HostDescription;
@@ -33,6 +43,7 @@
 	readonly seedAddresses: readonly string[];
 	readonly clusterState: ClusterState;
 	readonly gossip: HostGossip;
+	readonly peerClient: PeerClient;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
@@ -186,11 +197,10 @@
 			return;
 		}
 
-		// A host that responds does not keep sending, so its response is only a report.
-		clusterState.hosts.recordReport(report, sender.name, now());
-		for (const host of message.hosts) {
+		// The sender does not keep these reports up to date, so they are not recorded as its own and soon expire.
+		for (const host of [report, ...message.hosts]) {
 			if (host.description.name !== this.#options.description.name) {
-				clusterState.hosts.recordReport(host, sender.name, now());
+				clusterState.hosts.recordReport(host, introductionReporter, now());
 			}
 		}
 
@@ -270,15 +280,15 @@
 		}
 
 		mirror.mismatches++;
-		if (mirror.mismatches > toleratedMismatches && !mirror.isRequested) {
+		if ((mirror.mismatches > toleratedMismatches || !mirror.isComplete) && !mirror.isRequested) {
 			void this.#requestHosts(sender, mirror);
 		}
 	}
 
 	async #requestHosts(sender: HostDescription, mirror: Mirror): Promise<void> {
-		const {clusterState, log} = this.#options;
+		const {clusterState, log, peerClient} = this.#options;
 		mirror.isRequested = true;
-		const hosts = await fetchHosts(sender.snapshotAddress, this.role === 'relay' ? 'relay' : 'member');
+		const hosts = await peerClient.fetchHosts(sender.snapshotAddress, this.role === 'relay' ? 'relay' : 'member');
 		mirror.isRequested = false;
 		mirror.mismatches = 0;
 		if (hosts.isErr) {
@@ -286,6 +296,7 @@
 			return;
 		}
 
+		mirror.isComplete = true;
 		const {departed} = mirror.reports.replace(hosts.value);
 		for (const name of departed) {
 			clusterState.hosts.recordDeparture(name, sender.name);
@@ -301,7 +312,7 @@
 		}
 
 		const mirror = {
-			incarnation, reports: new HostReports(), mismatches: 0, isRequested: false,
+			incarnation, reports: new HostReports(), isComplete: false, mismatches: 0, isRequested: false,
 		};
 		this.#mirrors.set(name, mirror);
 		return mirror;
--- /dev/null
+++ b/packages/host/src/members/fleet.ts
@@ -0,0 +1,151 @@
+import type {HostDescription, HostRole, HostState} from '@lacewingpoint/coordination';
+import type {Quarantine} from '@lacewingpoint/routing';
+import type {
+	Disposable, Logger, Metrics, Milliseconds, Scheduler,
+} from '@lacewingpoint/shared';
+import type {ClusterState} from '../state/cluster-state.js';
+import type {PeerClient, SnapshotSource} from '../state/peer-snapshots.js';
+import {PeerSynchronizer} from '../state/peer-synchronizer.js';
+import {RelayFollower} from '../state/relay-follower.js';
+import {FleetMembership} from './fleet-membership.js';
+import {GossipReceiver} from './gossip-receiver.js';
+import type {GossipTransport} from './gossip-socket.js';
+import {HostGossip} from './host-gossip.js';
+import type {HostMessage} from './host-messages.js';
+
+export type FleetOptions = {
+	readonly description: HostDescription;
+	/** Datagram addresses of some hosts; they may be outdated. */
+	readonly seedAddresses: readonly string[];
+	/** Snapshot addresses of the same hosts. */
+	readonly seedSnapshotAddresses: readonly string[];
+	readonly clusterState: ClusterState;
+	readonly quarantine: Quarantine;
+	readonly transport: GossipTransport;
+	readonly peerClient: PeerClient;
+	readonly scheduler: Scheduler;
+	readonly log: Logger;
+	readonly metrics: Metrics;
+	readonly now: () => Milliseconds;
+	hostState(): HostState;
+	/** @returns Whether this host reads the store and has contact to it. */
+	hasStoreContact(): boolean;
+	/** @returns Whether this host has a task for which it has to stay a relay. */
+	mustBeRelay(): boolean;
+	/** Called when this host is to read the store from now on, or to leave that to another. */
+	onReaderChanged(isReader: boolean): void;
+	onRoleChanged(role: HostRole): void;
+};
+
+/** This host's part in the fleet: its links to other hosts, and the state that it exchanges with them. */
+export class Fleet implements Disposable {
+	readonly gossip: HostGossip;
+	readonly #options: FleetOptions;
+	readonly #membership: FleetMembership;
+	readonly #receiver: GossipReceiver;
+	readonly #relayFollower: RelayFollower;
+	readonly #peerSynchronizer: PeerSynchronizer;
+
+	constructor(options: FleetOptions) {
+		const {
+			description, clusterState, peerClient, log, metrics, now,
+		} = options;
+		this.#options = options;
+		this.gossip = new HostGossip({
+			transport: options.transport,
+			description,
+			clusterState,
+			scheduler: options.scheduler,
+			now,
+			hostState: () => options.hostState(),
+			hostRole: () => this.#membership.role,
+			hasStoreContact: () => options.hasStoreContact(),
+			reportDigest: kind => this.#membership.reportDigest(kind),
+			onMessage: message => {
+				this.#onMessage(message);
+			},
+		});
+		this.#membership = new FleetMembership({
+			description,
+			seedAddresses: options.seedAddresses.filter(address => address !== description.peerAddress),
+			clusterState,
+			gossip: this.gossip,
+			peerClient,
+			log,
+			metrics,
+			now,
+			mustBeRelay: () => options.mustBeRelay(),
+			onReaderChanged(isReader) {
+				options.onReaderChanged(isReader);
+			},
+			onRoleChanged(role) {
+				options.onRoleChanged(role);
+			},
+		});
+		this.#receiver = new GossipReceiver(clusterState, this.gossip, options.quarantine, now);
+		this.#relayFollower = new RelayFollower(clusterState, peerClient, log, now);
+		this.#peerSynchronizer = new PeerSynchronizer({
+			clusterState,
+			peerClient,
+			seedAddresses: options.seedSnapshotAddresses.filter(address => address !== description.snapshotAddress),
+			log,
+			now,
+			hasStoreContact: () => options.hasStoreContact(),
+			isFollowing: () => this.#membership.findStateSource() !== undefined,
+			peers: () => clusterState.hosts.listRelays(now()).filter(host => clusterState.hosts.hasHeartbeat(host.name, now())),
+		});
+	}
+
+	/** This host's part in the exchange of state. */
+	get role(): HostRole {
+		return this.#membership.role;
+	}
+
+	/** The state that this host serves to its peers. */
+	get snapshotSource(): SnapshotSource {
+		const {clusterState} = this.#options;
+		return {
+			snapshot: () => clusterState.snapshot(),
+			changesSince: known => clusterState.changesSince(known),
+			hosts: kind => this.#membership.listReported(kind),
+		};
+	}
+
+	/** Starts to receive messages and to join other hosts. */
+	async start(): Promise<void> {
+		await this.gossip.start();
+		this.#membership.review();
+	}
+
+	/** Reviews the links to other hosts and requests missing state. Called periodically. */
+	review(): void {
+		this.#membership.review();
+		if (this.role === 'relay') {
+			this.#peerSynchronizer.requestMissingState();
+		}
+	}
+
+	/** Requests the whole state from the relay that this host follows, because messages may have been missed. */
+	requestFullState(): void {
+		this.#relayFollower.requestFullState();
+	}
+
+	dispose(): void {
+		this.gossip.dispose();
+	}
+
+	#onMessage(message: HostMessage): void {
+		const link = this.#membership.handleMessage(message);
+		if (link === undefined) {
+			return;
+		}
+
+		const {clusterState} = this.#options;
+		this.#receiver.merge(link.sender, link.kind, message);
+		if (link.sender.name === this.#membership.findStateSource()) {
+			this.#relayFollower.handleMessage(link.sender, message);
+		} else if (message.configuration > (clusterState.configuration?.version ?? 0) || message.revision > clusterState.revision) {
+			this.#peerSynchronizer.handleNewerPeer(link.sender, message);
+		}
+	}
+}
--- a/packages/host/src/members/gossip-socket.ts
+++ b/packages/host/src/members/gossip-socket.ts
@@ -2,16 +2,32 @@
 import type {Disposable, Logger, Metrics} from '@lacewingpoint/shared';
 import {type HostMessage, decodeHostMessage, encodeHostMessage} from './host-messages.js';
 
+/** Carries messages between hosts. Messages may get lost. */
+export type GossipTransport = Disposable & {
+	/**
+	 * Starts to receive messages.
+	 *
+	 * @param onMessage - Called with each message.
+	 */
+	start(onMessage: (message: HostMessage) => void): Promise<void>;
+	/**
+	 * Sends a message.
+	 *
+	 * @param message - The message.
+	 * @param addresses - The addresses of the recipients.
+	 */
+	send(message: HostMessage, addresses: readonly string[]): void;
+};
+
 export type GossipSocketOptions = {
 	/** The address to receive at, `host:port`. */
 	readonly address: string;
 	readonly log: Logger;
 	readonly metrics: Metrics;
-	onMessage(message: HostMessage): void;
 };
 
 /** Sends and receives messages between hosts as datagrams. */
-export class GossipSocket implements Disposable {
+export class GossipSocket implements GossipTransport {
 	readonly #options: GossipSocketOptions;
 	readonly #socket: Socket;
 	#isClosed = false;
@@ -21,9 +37,8 @@
 		this.#socket = createSocket('udp4');
 	}
 
-	/** Binds the socket. */
-	async start(): Promise<void> {
-		const {address, log, metrics, onMessage} = this.#options;
+	async start(onMessage: (message: HostMessage) => void): Promise<void> {
+		const {address, log, metrics} = this.#options;
 		const [host, port] = address.split(':');
 		this.#socket.on('message', bytes => {
 			const message = decodeHostMessage(bytes);
@@ -42,12 +57,6 @@
 		});
 	}
 
-	/**
-	 * Sends a message; it may get lost.
-	 *
-	 * @param message - The message.
-	 * @param addresses - The addresses of the recipients.
-	 */
 	send(message: HostMessage, addresses: readonly string[]): void {
 		if (this.#isClosed) {
 			return;
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -3,12 +3,12 @@
 } from '@lacewingpoint/coordination';
 import type {SuspectCrash} from '@lacewingpoint/routing';
 import type {
-	Disposable, Logger, Metrics, Milliseconds,
+	Disposable, Milliseconds, Scheduler,
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import {CrashLog} from './crash-log.js';
 import type {GossipEvents} from './gossip-events.js';
-import {GossipSocket} from './gossip-socket.js';
+import type {GossipTransport} from './gossip-socket.js';
 import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
 import {PeerLink} from './peer-link.js';
 import {ReportedTotals} from './reported-totals.js';
@@ -26,11 +26,10 @@
 export type LinkSelection = FleetLink['kind'] | 'all';
 
 export type HostGossipOptions = {
-	readonly address: string;
+	readonly transport: GossipTransport;
 	readonly description: HostDescription;
 	readonly clusterState: ClusterState;
-	readonly log: Logger;
-	readonly metrics: Metrics;
+	readonly scheduler: Scheduler;
 	readonly now: () => Milliseconds;
 	hostState(): HostState;
 	hostRole(): HostRole;
@@ -53,26 +52,15 @@
  */
 export class HostGossip implements Disposable {
 	readonly #options: HostGossipOptions;
-	readonly #socket: GossipSocket;
 	#links = new Map<string, PeerLink>();
 	readonly #hostCounts = new Map<string, number>();
 	readonly #crashLog = new CrashLog();
 	#isClosed = false;
-	#timer: NodeJS.Timeout | undefined;
+	#cancelTimer: (() => void) | undefined;
 	#timerDueAt = Number.POSITIVE_INFINITY;
 
 	constructor(options: HostGossipOptions) {
 		this.#options = options;
-		this.#socket = new GossipSocket({
-			address: options.address,
-			log: options.log,
-			metrics: options.metrics,
-			onMessage(message) {
-				if (message.name !== options.description.name) {
-					options.onMessage(message);
-				}
-			},
-		});
 	}
 
 	/** The number of hosts in the fleet, as far as the linked peers report them, this one included. */
@@ -87,7 +75,12 @@
 
 	/** Starts to receive messages, and to send them to peers once there are some. */
 	async start(): Promise<void> {
-		await this.#socket.start();
+		const {transport, description, onMessage} = this.#options;
+		await transport.start(message => {
+			if (message.name !== description.name) {
+				onMessage(message);
+			}
+		});
 	}
 
 	/**
@@ -291,7 +284,7 @@
 	 * @param hosts - Hosts to which the recipient can link.
 	 */
 	sendIntroduction(introduction: 'request' | 'response', addresses: readonly string[], hosts: HostMessage['hosts']): void {
-		this.#socket.send({
+		this.#options.transport.send({
 			...this.#createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, hosts,
 		}, addresses);
 	}
@@ -311,9 +304,9 @@
 	}
 
 	dispose(): void {
-		clearTimeout(this.#timer);
+		this.#cancelTimer?.();
 		this.#isClosed = true;
-		this.#socket.dispose();
+		void this.#options.transport.dispose();
 	}
 
 	#announce(events: Partial<GossipEvents>): void {
@@ -344,16 +337,16 @@
 			dueAt = Math.min(dueAt, link.lastSentAt + (link.hasPendingUpdates ? this.#sendInterval : heartbeatInterval));
 		}
 
-		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#timer !== undefined)) {
+		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#cancelTimer !== undefined)) {
 			return;
 		}
 
-		clearTimeout(this.#timer);
+		this.#cancelTimer?.();
 		this.#timerDueAt = dueAt;
-		this.#timer = setTimeout(() => {
-			this.#timer = undefined;
+		this.#cancelTimer = this.#options.scheduler.schedule(Math.max(dueAt - this.#options.now(), 0), () => {
+			this.#cancelTimer = undefined;
 			this.#send(this.#sendInterval);
-		}, Math.max(dueAt - this.#options.now(), 0));
+		});
 	}
 
 	#send(interval: Milliseconds): void {
@@ -383,7 +376,7 @@
 			hasMore = taken.hasMore;
 			const {host, kind} = link.target;
 			link.sentStateVersion = hasMore ? taken.events.updates.at(-1)?.version ?? link.sentStateVersion : clusterState.stateVersion;
-			this.#socket.send({
+			this.#options.transport.send({
 				...this.#createHeader(),
 				...taken.events,
 				hostCount: this.#hostCountFor(link),
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -1,5 +1,5 @@
 import {type RequestLoad, estimateMemoryTokens} from '@lacewingpoint/routing';
-import type {Milliseconds} from '@lacewingpoint/shared';
+import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
 import type {ClientRequest, ResponseHead} from '../ports.js';
 import type {Exchange} from './backend-connection-pool.js';
 import type {ChosenServer} from './dispatcher.js';
@@ -15,6 +15,12 @@
 	status: number;
 	isFinished: boolean;
 	hasFirstByte: boolean;
+	/** When the response last made progress; `undefined` before its first byte. */
+	lastDataAt: Milliseconds | undefined;
+	/** The longest time between two pieces of the response. */
+	longestPause: Milliseconds;
+	/** Uncached prompt tokens that the server had to prefill for others during the longest pause, as far as this host knows. */
+	pauseBacklog: Tokens;
 	/** How the end of the response body is marked; `undefined` unless the head of this response was forwarded. */
 	framing: 'length' | 'chunks' | 'close' | undefined;
 };
@@ -43,6 +49,9 @@
 		status: 0,
 		isFinished: false,
 		hasFirstByte: false,
+		lastDataAt: undefined,
+		longestPause: 0,
+		pauseBacklog: 0,
 		framing: undefined,
 	};
 }
@@ -70,6 +79,8 @@
 		at: roundTime(attempt.sentAt - receivedAt),
 		result: outcome.result,
 		took: roundTime(outcome.endedAt - attempt.sentAt),
+		pause: attempt.longestPause === 0 ? undefined : roundTime(attempt.longestPause),
+		pauseBacklog: attempt.longestPause === 0 ? undefined : attempt.pauseBacklog,
 		status: attempt.status,
 		framing: attempt.framing,
 	};
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -367,6 +367,7 @@
 			this.#recordFirstByte(attempt);
 		}
 
+		this.#recordPause(attempt);
 		this.#updateStallDetector(attempt);
 		const bytes = this.#isStream && attempt.status === 200 ? this.#eventRelay.push(chunk) : chunk;
 		if (bytes.length > 0 && !this.received.responseWriter.write(bytes)) {
@@ -375,6 +376,16 @@
 		}
 	}
 
+	#recordPause(attempt: Attempt): void {
+		const {clusterState, now} = this.#context;
+		const pause = now() - (attempt.lastDataAt ?? now());
+		attempt.lastDataAt = now();
+		if (this.#isStream && pause > attempt.longestPause) {
+			attempt.longestPause = pause;
+			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now()).prefillTokens;
+		}
+	}
+
 	#recordFirstByte(attempt: Attempt): void {
 		const {clusterState, metrics, now} = this.#context;
 		const {entry, engine} = attempt.chosen;
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -63,37 +63,45 @@
 	return server;
 }
 
-/**
- * Fetches a snapshot of a peer's cluster state. The ages of target versions include the time of the transfer.
- *
- * @param address - The peer's snapshot address, `host:port`.
- * @returns The snapshot; the error `unreachable` if the request failed or timed out.
- */
-export async function fetchSnapshot(address: string): Promise<Result<ChangeBatch, SnapshotError>> {
-	return fetchBatch(address, async (client, signal) => client.snapshot.query(undefined, {signal}));
-}
-
-/**
- * Fetches the changes of the cluster state that this host lacks. The ages of target versions include the time of the transfer.
- *
- * @param address - The peer's snapshot address, `host:port`.
- * @param known - What this host knows already.
- * @returns The changes; the error `unreachable` if the request failed or timed out.
- */
-export async function fetchChanges(address: string, known: KnownState): Promise<Result<MissingChanges, SnapshotError>> {
-	return fetchBatch(address, async (client, signal) => client.changes.query(known, {signal}));
-}
+/** Requests the state of peers. Each call fails with `unreachable` if the peer does not respond in time. */
+export type PeerClient = {
+	/**
+	 * Fetches a snapshot of a peer's cluster state. The ages of target versions include the time of the transfer.
+	 *
+	 * @param address - The peer's snapshot address, `host:port`.
+	 * @returns The snapshot.
+	 */
+	fetchSnapshot(address: string): Promise<Result<ChangeBatch, SnapshotError>>;
+	/**
+	 * Fetches the changes of the cluster state that this host lacks. The ages of target versions include the time of the transfer.
+	 *
+	 * @param address - The peer's snapshot address, `host:port`.
+	 * @param known - What this host knows already.
+	 * @returns The changes.
+	 */
+	fetchChanges(address: string, known: KnownState): Promise<Result<MissingChanges, SnapshotError>>;
+	/**
+	 * Fetches the hosts that a peer reports.
+	 *
+	 * @param address - The peer's snapshot address, `host:port`.
+	 * @param kind - This host's part in the exchange with the peer.
+	 * @returns The hosts.
+	 */
+	fetchHosts(address: string, kind: FleetLink['kind']): Promise<Result<HostReport[], SnapshotError>>;
+};
 
-/**
- * Fetches the hosts that a peer reports.
- *
- * @param address - The peer's snapshot address, `host:port`.
- * @param kind - This host's part in the exchange with the peer.
- * @returns The hosts; the error `unreachable` if the request failed or timed out.
- */
-export async function fetchHosts(address: string, kind: FleetLink['kind']): Promise<Result<HostReport[], SnapshotError>> {
-	return callPeer(address, async (client, signal) => client.hosts.query(kind, {signal}));
-}
+/** Requests the state of peers with trpc over HTTP. */
+export const httpPeerClient: PeerClient = {
+	async fetchSnapshot(address) {
+		return fetchBatch(address, async (client, signal) => client.snapshot.query(undefined, {signal}));
+	},
+	async fetchChanges(address, known) {
+		return fetchBatch(address, async (client, signal) => client.changes.query(known, {signal}));
+	},
+	async fetchHosts(address, kind) {
+		return callPeer(address, async (client, signal) => client.hosts.query(kind, {signal}));
+	},
+};
 
 type SnapshotClient = ReturnType<typeof createTRPCClient<typeof snapshotRouter>>;
 
--- a/packages/host/src/state/peer-synchronizer.ts
+++ b/packages/host/src/state/peer-synchronizer.ts
@@ -1,8 +1,7 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {StoreWatch} from './store-watch.js';
 import type {ClusterState} from './cluster-state.js';
-import {fetchSnapshot} from './peer-snapshots.js';
+import type {PeerClient} from './peer-snapshots.js';
 
 /** Minimum time between two snapshot requests. */
 const minimumSnapshotInterval: Milliseconds = 250;
@@ -21,11 +20,13 @@
 
 export type PeerSynchronizerOptions = {
 	readonly clusterState: ClusterState;
-	readonly storeWatch: StoreWatch;
+	readonly peerClient: PeerClient;
 	/** Snapshot addresses of some hosts, possibly outdated. */
 	readonly seedAddresses: readonly string[];
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
+	/** @returns Whether this host reads the store and has contact to it. */
+	hasStoreContact(): boolean;
 	/** @returns Whether another relay, which reads the store, passes on its changes. */
 	isFollowing(): boolean;
 	/** @returns Peers that have run for some time and respond. */
@@ -59,8 +60,9 @@
 	 * @param announced - The state that the peer has announced.
 	 */
 	handleNewerPeer(peer: SnapshotSource, announced: AnnouncedState): void {
-		const {clusterState, storeWatch, now} = this.#options;
-		const hasSource = storeWatch.isConnected || this.#options.isFollowing();
+		const {clusterState, now} = this.#options;
+		const hasStoreContact = this.#options.hasStoreContact();
+		const hasSource = hasStoreContact || this.#options.isFollowing();
 		if (hasSource && clusterState.configuration !== undefined) {
 			if (this.#missing === undefined || this.#hasReached(this.#missing.announced)) {
 				this.#missing = {since: now(), announced};
@@ -68,7 +70,7 @@
 
 			const isSourceDue = now() - this.#missing.since >= storeUpdateGrace;
 			// A connected watch delivers the changes of servers; what another relay reads may not be missing for long.
-			if (!isSourceDue || (storeWatch.isConnected && announced.configuration <= clusterState.configuration.version)) {
+			if (!isSourceDue || (hasStoreContact && announced.configuration <= clusterState.configuration.version)) {
 				return;
 			}
 		}
@@ -111,9 +113,9 @@
 	}
 
 	async #fetchAndApply(peer: SnapshotSource): Promise<void> {
-		const {clusterState, log, now} = this.#options;
+		const {clusterState, peerClient, log, now} = this.#options;
 		this.#lastRequestAt = now();
-		const snapshot = await fetchSnapshot(peer.snapshotAddress);
+		const snapshot = await peerClient.fetchSnapshot(peer.snapshotAddress);
 		if (snapshot.isErr) {
 			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
 			return;
--- a/packages/host/src/state/relay-follower.ts
+++ b/packages/host/src/state/relay-follower.ts
@@ -2,7 +2,7 @@
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage} from '../members/host-messages.js';
 import type {ClusterState} from './cluster-state.js';
-import {fetchChanges} from './peer-snapshots.js';
+import type {PeerClient} from './peer-snapshots.js';
 
 /** Minimum time between two requests to the relay. */
 const minimumRequestInterval: Milliseconds = 100;
@@ -13,6 +13,7 @@
  */
 export class RelayFollower {
 	readonly #clusterState: ClusterState;
+	readonly #peerClient: PeerClient;
 	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
 	#relay = '';
@@ -20,8 +21,9 @@
 	#isRequesting = false;
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
 
-	constructor(clusterState: ClusterState, log: Logger, now: () => Milliseconds) {
+	constructor(clusterState: ClusterState, peerClient: PeerClient, log: Logger, now: () => Milliseconds) {
 		this.#clusterState = clusterState;
+		this.#peerClient = peerClient;
 		this.#log = log;
 		this.#now = now;
 	}
@@ -70,7 +72,7 @@
 	async #requestChanges(relay: HostDescription, relayKey: string): Promise<void> {
 		this.#isRequesting = true;
 		this.#lastRequestAt = this.#now();
-		const response = await fetchChanges(relay.snapshotAddress, {
+		const response = await this.#peerClient.fetchChanges(relay.snapshotAddress, {
 			configuration: this.#clusterState.configuration?.version ?? 0, stateVersion: this.#stateVersion ?? 0,
 		});
 		this.#isRequesting = false;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -14,3 +14,4 @@
 export {
 	type Bytes, type Milliseconds, type Tokens, bytesPerMebibyte, millisecondsPerSecond,
 } from './units.js';
+export {type Scheduler, systemScheduler} from './scheduler.js';
