Learn the speed of engines and the backlog that delays their streams

While prompts are prefilled, each step takes as long as a chunk, and an event holds several tokens. The speed of engines was a constant of another site: predictions were at 1.7 times (long) and 0.8 times (short prompts) off. The slowness of a server was measured against a prediction that already contained it, so only its square root was learned.

Change: the time to first token is a regression over measured ones for each service; the rate of fetches follows from the configured links; a late pause lowers the backlog up to which servers with running streams are preferred. The emulator plays Flor de Chimborazo and reports late pauses.

Tests replay the pattern in the emulator against the placement without observations.

--- a/packages-private/measure/__tests__/experiment.test.ts
+++ b/packages-private/measure/__tests__/experiment.test.ts
@@ -1,13 +1,13 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, instituto, runExperiment, tanaRidge,
+	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, florDeChimborazo, instituto, runExperiment, tanaRidge,
 } from '../src/index.js';
 
 const test = suite('simulated experiments');
 
 const parameters: EngineParameters = {
-	slots: 2, memoryTokens: 10_000, stepTime: 2, stepTimePerRequest: 0, prefillTokensPerMillisecond: 100, prefillTokensPerStep: 1000,
+	slots: 2, memoryTokens: 10_000, stepTime: 2, stepTimePerRequest: 0, prefillTokensPerMillisecond: 100, prefillTokensPerStep: 1000, tokensPerEvent: 1,
 };
 
 function createRequest(log: string[], name: string, overrides: Partial<EngineRequest> = {}): EngineRequest {
@@ -102,4 +102,31 @@
 	assert.ok(predicted.p99 < roundRobin.p99);
 });
 
+test('an engine reports the longest time between two events of a stream', () => {
+	const events = new EventQueue();
+	const engine = new ModelEngine('e', parameters, events);
+	let pause = 0;
+	engine.submit(createRequest([], 'stream', {
+		promptTokens: 100, parts: [{id: 'short', tokens: 100}], outputTokens: 20, onCompleted(longestPause) {
+			pause = longestPause;
+		},
+	}));
+	events.runUntil(10);
+	// A prompt of 3000 tokens is prefilled in three steps of 12 ms.
+	engine.submit(createRequest([], 'long'));
+	events.runUntil(200);
+	assert.is(pause, 12);
+});
+
+// Flor de Chimborazo: prompts of 9,000 tokens take 200 ms of an engine, and each running stream there pauses meanwhile.
+test('with long prompts and short streams on slow engines, fewer streams pause for too long than without observing the engines', () => {
+	const run = (policy: 'lacewingpoint' | 'no observations') => [1, 2, 3].map(seed => runExperiment({
+		site: florDeChimborazo, policy, pattern: 'new weights', loadFactor: 1, durationSeconds: 20, seed,
+	}));
+	const sum = (results: ReturnType<typeof run>, read: (result: ReturnType<typeof run>[number]) => number) => results.reduce((total, result) => total + read(result), 0);
+	const [learned, baseline] = [run('lacewingpoint'), run('no observations')];
+	assert.ok(sum(learned, result => result.latePauses) <= sum(baseline, result => result.latePauses) * 0.8, `${sum(learned, result => result.latePauses)} of ${sum(baseline, result => result.latePauses)}`);
+	assert.ok(sum(learned, result => result.withinObjective) >= sum(baseline, result => result.withinObjective) - 0.01);
+});
+
 test.run();
--- a/packages-private/measure/src/experiment.ts
+++ b/packages-private/measure/src/experiment.ts
@@ -1,7 +1,9 @@
 import {type Milliseconds, createSeededRandom} from '@lacewingpoint/shared';
 import {EventQueue} from './event-queue.js';
 import {ModelEngine} from './model-engine.js';
-import {type GenerationOutcome, type PolicyName, SimulatedHost} from './simulated-host.js';
+import {
+	type GenerationOutcome, type PauseOutcome, type PolicyName, SimulatedHost,
+} from './simulated-host.js';
 import {type RequestKind, type Site, Workload} from './workload.js';
 
 /** Load patterns: the change that happens half-way through a run. */
@@ -34,6 +36,8 @@
 	readonly hitRate: number;
 	/** Most tokens prefilled by one server, relative to the mean of all servers. */
 	readonly imbalance: number;
+	/** Share of completed responses with a pause over the objective. */
+	readonly latePauses: number;
 	/** Lowest `withinObjective` of all request kinds. */
 	readonly worstKind: number;
 };
@@ -70,6 +74,7 @@
 	const workload = new Workload(site, createSeededRandom(seed));
 	const engines = Array.from({length: site.engineCount}, (_, index) => new ModelEngine(`engine-${index}`, site.engineParameters, events));
 	const outcomes: GenerationOutcome[] = [];
+	const pauses: PauseOutcome[] = [];
 	let requestCount = 0;
 	const hosts: SimulatedHost[] = Array.from({length: hostCount}, (_, index) => new SimulatedHost({
 		name: `host-${index}`,
@@ -91,6 +96,11 @@
 				outcomes.push(outcome);
 			}
 		},
+		onPause(outcome) {
+			if (events.now >= warmUpTime) {
+				pauses.push(outcome);
+			}
+		},
 	}));
 	let currentLoadFactor = loadFactor;
 	const repeat = (interval: Milliseconds, run: () => void) => {
@@ -159,7 +169,7 @@
 		}
 	});
 	events.runUntil(durationSeconds * 1000);
-	return summarize(outcomes, engines);
+	return summarize(outcomes, pauses, engines);
 }
 
 function shareLoads(hosts: readonly SimulatedHost[], now: Milliseconds): void {
@@ -190,7 +200,7 @@
 	}
 }
 
-function summarize(outcomes: readonly GenerationOutcome[], engines: readonly ModelEngine[]): ExperimentResult {
+function summarize(outcomes: readonly GenerationOutcome[], pauses: readonly PauseOutcome[], engines: readonly ModelEngine[]): ExperimentResult {
 	const served = outcomes.filter(outcome => outcome.timeToFirstToken !== undefined);
 	const timesToFirstToken = served.map(outcome => outcome.timeToFirstToken!).toSorted((left, right) => left - right);
 	const percentile = (share: number) => timesToFirstToken[Math.min(Math.floor(timesToFirstToken.length * share), timesToFirstToken.length - 1)] ?? Number.NaN;
@@ -209,6 +219,7 @@
 		p99: percentile(0.99),
 		hitRate: cachedTokens / Math.max(promptTokens, 1),
 		imbalance: Math.max(...prefilledTokens) * prefilledTokens.length / prefilledTokens.reduce((sum, tokens) => sum + tokens, 1),
+		latePauses: pauses.filter(({request, longestPause}) => longestPause > request.kind.pauseObjective).length / Math.max(pauses.length, 1),
 		worstKind: Math.min(...kinds.map(kind => shareWithinObjective(outcomes.filter(outcome => outcome.request.kind === kind)))),
 	};
 }
--- a/packages-private/measure/src/model-engine.ts
+++ b/packages-private/measure/src/model-engine.ts
@@ -16,6 +16,8 @@
 	readonly prefillTokensPerMillisecond: number;
 	/** Maximum number of prompt tokens prefilled in one step. */
 	readonly prefillTokensPerStep: Tokens;
+	/** Number of output tokens in one event of a stream. */
+	readonly tokensPerEvent: Tokens;
 };
 
 /** A generation request to an engine. */
@@ -28,7 +30,8 @@
 	readonly fetchedTokens: Tokens;
 	/** Called with the number of prompt tokens that were cached or fetched. */
 	onFirstToken(cachedTokens: Tokens): void;
-	onCompleted(): void;
+	/** Called with the longest time between two events. */
+	onCompleted(longestPause: Milliseconds): void;
 	/** Called when the engine crashes before the request has completed. */
 	onCrashed(): void;
 };
@@ -38,6 +41,9 @@
 	readonly cachedTokens: Tokens;
 	uncachedTokens: Tokens;
 	remainingOutput: Tokens;
+	/** Time of the last event; `undefined` before the first one. */
+	lastEventAt: Milliseconds | undefined;
+	longestPause: Milliseconds;
 };
 
 /**
@@ -185,14 +191,15 @@
 			}
 
 			running.remainingOutput--;
+			this.#recordEvent(running);
 			if (running.remainingOutput <= 0) {
 				completed.push(running);
 			}
 		}
 
 		this.#runningRequests = this.#runningRequests.filter(running => !completed.includes(running));
-		for (const {request} of completed) {
-			request.onCompleted();
+		for (const {request, longestPause} of completed) {
+			request.onCompleted(longestPause);
 		}
 
 		if (this.#runningRequests.length === 0 && this.#queuedRequests.length === 0) {
@@ -200,13 +207,21 @@
 		}
 	}
 
+	#recordEvent(running: RunningRequest): void {
+		const generatedTokens = running.request.outputTokens - running.remainingOutput;
+		if (running.remainingOutput <= 0 || generatedTokens % this.#parameters.tokensPerEvent === 1 % this.#parameters.tokensPerEvent) {
+			running.longestPause = Math.max(running.longestPause, this.#events.now - (running.lastEventAt ?? this.#events.now));
+			running.lastEventAt = this.#events.now;
+		}
+	}
+
 	#admitRequests(): void {
 		while (this.#queuedRequests.length > 0 && this.#runningRequests.length < this.#parameters.slots && this.#hasMemory(this.#queuedRequests[0]!)) {
 			const request = this.#queuedRequests.shift()!;
 			const cachedTokens = Math.max(this.#matchCachedPrefix(request), request.fetchedTokens);
 			// At least the last prompt token is always computed, because it produces the first output token.
 			this.#runningRequests.push({
-				request, cachedTokens, uncachedTokens: Math.max(request.promptTokens - cachedTokens, 1), remainingOutput: request.outputTokens,
+				request, cachedTokens, uncachedTokens: Math.max(request.promptTokens - cachedTokens, 1), remainingOutput: request.outputTokens, lastEventAt: undefined, longestPause: 0,
 			});
 		}
 	}
--- a/packages-private/measure/src/simulated-host.ts
+++ b/packages-private/measure/src/simulated-host.ts
@@ -1,5 +1,5 @@
 import {
-	type EngineCandidate, type EnginePlacement, type GenerationRequest, EnginePlacer, PromptCacheIndex, RequestQueue, ServerLoads, defaultEnginePlacementOptions, estimateMemoryTokens,
+	type EngineCandidate, type EnginePlacement, type GenerationRequest, EngineObservations, EnginePlacer, PromptCacheIndex, RequestQueue, ServerLoads, defaultEnginePlacementOptions, estimateMemoryTokens,
 } from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {EventQueue} from './event-queue.js';
@@ -7,14 +7,20 @@
 import type {Site, WorkloadRequest} from './workload.js';
 
 /** The placement policies to compare. */
-export const policyNames = ['lacewingpoint', 'no notes', 'least requests', 'round robin'] as const;
+export const policyNames = ['lacewingpoint', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
 
-/** A placement policy. `no notes` is the placement of lacewingpoint on hosts that do not exchange placements and loads. */
+/**
+ * A placement policy. `no observations` is the placement of lacewingpoint without what it learns of the engines: their speed and the
+ * backlog that delays running streams; `no notes` is the placement on hosts that do not exchange placements and loads.
+ */
 export type PolicyName = (typeof policyNames)[number];
 
 /** Address of the prompt store. */
 const storeAddress = 'store';
 
+/** All engines belong to one service. */
+const serviceName = 'models';
+
 /** Time from the first token until the prompt store has the parts. */
 const storeSaveTime: Milliseconds = 60;
 
@@ -39,6 +45,9 @@
 	readonly cachedTokens: number;
 };
 
+/** The longest pause of a completed response. */
+export type PauseOutcome = {readonly request: WorkloadRequest; readonly longestPause: Milliseconds};
+
 export type SimulatedHostOptions = {
 	readonly name: string;
 	readonly policy: PolicyName;
@@ -47,6 +56,7 @@
 	readonly events: EventQueue;
 	onPlacement(placement: PromptPlacement): void;
 	onOutcome(outcome: GenerationOutcome): void;
+	onPause(outcome: PauseOutcome): void;
 };
 
 type PendingRequest = {readonly request: WorkloadRequest; readonly arrivedAt: Milliseconds; attempts: number};
@@ -57,6 +67,7 @@
 	readonly #options: SimulatedHostOptions;
 	readonly #promptCache = new PromptCacheIndex();
 	readonly #placer = new EnginePlacer(this.#promptCache, defaultEnginePlacementOptions);
+	readonly #observations = new EngineObservations();
 	readonly #queue = new RequestQueue<PendingRequest>();
 	#nextCandidate = 0;
 
@@ -119,6 +130,7 @@
 			remainingLoad = {prefillTokens: 0, memoryTokens: 0};
 		};
 
+		const sentAt = events.now;
 		const isAccepted = engine.submit({
 			parts: pending.request.parts,
 			cacheSalt: placement.cacheSalt,
@@ -128,9 +140,14 @@
 			onFirstToken: cachedTokens => {
 				this.serverLoads.completePrefill(engine.id, remainingLoad.prefillTokens);
 				remainingLoad = {...remainingLoad, prefillTokens: 0};
+				this.#observations.recordFirstToken(serviceName, placement.backlogTokens + placement.uncachedTokens, events.now - sentAt);
 				this.#options.onOutcome({request: pending.request, timeToFirstToken: events.now - pending.arrivedAt, cachedTokens});
 			},
-			onCompleted: removeLoad,
+			onCompleted: longestPause => {
+				removeLoad();
+				this.#observations.recordPause(serviceName, {pause: longestPause, objective: pending.request.kind.pauseObjective, backlog: this.serverLoads.totalLoad(engine.id, events.now).prefillTokens}, events.now);
+				this.#options.onPause({request: pending.request, longestPause});
+			},
 			onCrashed: () => {
 				removeLoad();
 				this.#retry(pending);
@@ -174,6 +191,10 @@
 		};
 		const context = {failureDomain: 'a', store: {address: storeAddress, failureDomain: 'a'}, now: events.now};
 		if (policy === 'lacewingpoint' || policy === 'no notes') {
+			return this.#placer.choosePlacement(generation, candidates, {...context, ...this.#observations.describeService(serviceName, events.now)});
+		}
+
+		if (policy === 'no observations') {
 			return this.#placer.choosePlacement(generation, candidates, context);
 		}
 
--- a/packages-private/measure/src/workload.ts
+++ b/packages-private/measure/src/workload.ts
@@ -8,6 +8,8 @@
 	readonly requestsPerSecond: number;
 	/** Objective for the time to first token. */
 	readonly objective: Milliseconds;
+	/** The longest pause within a stream that is on time. */
+	readonly pauseObjective: Milliseconds;
 	/** Limits only the time in the queue, to a share of it. */
 	readonly deadline: Milliseconds;
 	/** Requests of a lower rank are served first. */
@@ -40,16 +42,16 @@
 	name: 'Tana Ridge',
 	engineCount: 8,
 	engineParameters: {
-		slots: 128, memoryTokens: 128_362, stepTime: 3.41, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 112, prefillTokensPerStep: 1024,
+		slots: 128, memoryTokens: 128_362, stepTime: 3.41, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 112, prefillTokensPerStep: 1024, tokensPerEvent: 6,
 	},
 	weightsLoadTime: 1800,
 	maxConcurrentLoads: 2,
 	requestKinds: [
 		{
-			name: 'datasheet check', requestsPerSecond: 37.9, objective: 500, deadline: 4000, rank: 0, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 10, documentCount: 900, popularityExponent: 0.3,
+			name: 'datasheet check', requestsPerSecond: 37.9, objective: 500, pauseObjective: 250, deadline: 4000, rank: 0, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 10, documentCount: 900, popularityExponent: 0.3,
 		},
 		{
-			name: 'quote draft', requestsPerSecond: 38.6, objective: 300, deadline: 12_000, rank: 1,
+			name: 'quote draft', requestsPerSecond: 38.6, objective: 300, pauseObjective: 250, deadline: 12_000, rank: 1,
 			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 58, documentCount: 600, popularityExponent: 0.3,
 		},
 	],
@@ -60,22 +62,43 @@
 	name: 'Instituto',
 	engineCount: 13,
 	engineParameters: {
-		slots: 32, memoryTokens: 171_052, stepTime: 3.55, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 157, prefillTokensPerStep: 1024,
+		slots: 32, memoryTokens: 171_052, stepTime: 3.55, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 157, prefillTokensPerStep: 1024, tokensPerEvent: 6,
 	},
 	weightsLoadTime: 1100,
 	maxConcurrentLoads: 3,
 	requestKinds: [
 		{
-			name: 'course guide', requestsPerSecond: 79.3, objective: 250, deadline: 4000, rank: 1,
+			name: 'course guide', requestsPerSecond: 79.3, objective: 250, pauseObjective: 200, deadline: 4000, rank: 1,
 			instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 7, documentCount: 1071, popularityExponent: 0.3,
 		},
 		{
-			name: 'short reply', requestsPerSecond: 49.2, objective: 200, deadline: 10_000, rank: 0,
+			name: 'short reply', requestsPerSecond: 49.2, objective: 200, pauseObjective: 200, deadline: 10_000, rank: 0,
 			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 42, documentCount: 664, popularityExponent: 0.3,
 		},
 	],
 };
 
+/** Flor de Chimborazo: long hive diaries and short questions on few engines that prefill slowly. */
+export const florDeChimborazo: Site = {
+	name: 'Flor de Chimborazo',
+	engineCount: 6,
+	engineParameters: {
+		slots: 64, memoryTokens: 105_861, stepTime: 6.35, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 42.8, prefillTokensPerStep: 2048, tokensPerEvent: 6,
+	},
+	weightsLoadTime: 670,
+	maxConcurrentLoads: 2,
+	requestKinds: [
+		{
+			name: 'hive diary', requestsPerSecond: 9.83, objective: 600, pauseObjective: 300, deadline: 6000, rank: 1,
+			instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 13, documentCount: 300, popularityExponent: 0.3,
+		},
+		{
+			name: 'short question', requestsPerSecond: 24.9, objective: 400, pauseObjective: 300, deadline: 15_000, rank: 0,
+			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 73, documentCount: 300, popularityExponent: 0.3,
+		},
+	],
+};
+
 /** A generation request of a client. */
 export type WorkloadRequest = {
 	readonly id: number;
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -1,8 +1,8 @@
 import {
-	type EngineCandidate, type EnginePlacement, type Route, type ServerCandidate, type ServerEntry, type Service, EnginePlacer, RequestQueue,
-	chooseLeastLoadedServer, defaultEnginePlacementOptions, estimateQueueTime,
+	type EngineCandidate, type EnginePlacement, type EngineProfile, type Route, type ServerCandidate, type ServerEntry, type Service, EnginePlacer, RequestQueue,
+	chooseLeastLoadedServer, estimateQueueTime,
 } from '@lacewingpoint/routing';
-import type {Disposable, Milliseconds} from '@lacewingpoint/shared';
+import {type Disposable, type Milliseconds, millisecondsPerSecond} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {ClientRequest} from '../ports.js';
 
@@ -62,6 +62,9 @@
  */
 const serverQueueMargin: Milliseconds = 1500;
 
+/** The share of a link's bandwidth that one fetch reaches, since fetches of other servers share the link. */
+const fetchBandwidthShare = 0.6;
+
 export type DispatcherOptions = {
 	readonly failureDomain: string;
 	readonly now: () => Milliseconds;
@@ -239,10 +242,13 @@
 			failureDomain: this.#failureDomain,
 			store: promptStore,
 			now,
+			...this.#clusterState.engineObservations.describeService(placementRequest.service, now),
+			fetchTokensPerMillisecond: estimateFetchRate(service.engine!),
 		});
 		if (placement === undefined) {
+			const {prefillTimePerToken} = this.#clusterState.engineObservations.describeService(placementRequest.service, now).timing;
 			const tokensAhead = this.#queueFor(placementRequest.service).sizeAhead(placementRequest.route.rank) + generation.promptTokens;
-			return {type: 'full', estimatedWait: tokensAhead / (defaultEnginePlacementOptions.prefillTokensPerMillisecond * candidates.length)};
+			return {type: 'full', estimatedWait: tokensAhead * prefillTimePerToken / candidates.length};
 		}
 
 		if (placement.dispatchNotBefore > now) {
@@ -258,3 +264,8 @@
 		return queue;
 	}
 }
+
+function estimateFetchRate({linkMegabits, bytesPerToken}: EngineProfile): number {
+	const bytesPerMillisecond = linkMegabits * 1_000_000 / 8 / millisecondsPerSecond;
+	return bytesPerMillisecond * fetchBandwidthShare / bytesPerToken;
+}
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -383,6 +383,10 @@
 		if (this.#isStream && pause > attempt.longestPause) {
 			attempt.longestPause = pause;
 			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now()).prefillTokens;
+			const objective = this.#route!.pauseObjective;
+			if (objective !== undefined && attempt.chosen.engine !== undefined) {
+				clusterState.engineObservations.recordPause(this.#service, {pause, objective, backlog: attempt.pauseBacklog}, now());
+			}
 		}
 	}
 
@@ -395,7 +399,9 @@
 			this.#context.onPrefillEnded(attempt.chosen, this.received, true);
 			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
 			attempt.load = {...attempt.load, prefillTokens: 0};
-			clusterState.health.recordSlowness(entry.id, timeToFirstByte / Math.max(engine.predictedTimeToFirstToken, 1), now());
+			const fastTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
+			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(fastTime, 1), now());
+			clusterState.engineObservations.recordFirstToken(this.#service, engine.backlogTokens + engine.uncachedTokens, Math.max(timeToFirstByte - engine.fetchTime, 0));
 		}
 
 		if (this.#firstByteAt === undefined) {
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -1,6 +1,6 @@
 import {HostDirectory, DistributedRateLimiter, type RateLimit} from '@lacewingpoint/coordination';
 import {
-	type Configuration, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, WeightsTracker,
+	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -60,6 +60,7 @@
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly health = new ServerHealth(healthOptions);
 	readonly promptCache = new PromptCacheIndex();
+	readonly engineObservations = new EngineObservations();
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
 	readonly weightsTracker = new WeightsTracker(weightsTrackerOptions);
 	readonly #listener: ClusterStateListener;
--- a/packages/routing/__tests__/engine-placement.test.ts
+++ b/packages/routing/__tests__/engine-placement.test.ts
@@ -108,4 +108,21 @@
 	assert.is(placer.choosePlacement({...generation, promptTokens: 126_000}, [candidate('a')], context)!.server, 'a');
 });
 
+// Long prompts and short streams on slow engines: a second long prompt behind the first pauses all running streams for too long.
+test('a long prompt goes to the server with few running streams when its backlog would pause those of another for too long', () => {
+	const index = new PromptCacheIndex();
+	const placer = new EnginePlacer(index);
+	index.recordParts('a', 'm 1', shared, 0);
+	index.recordParts('b', 'm 1', shared, 0);
+	const candidates = [candidate('a', {load: loadOf(6, 6000)}), candidate('b', {load: loadOf(1, 12_000)})];
+	assert.is(placer.choosePlacement(generation, candidates, context)!.server, 'a');
+	assert.is(placer.choosePlacement(generation, candidates, {...context, prefillBacklogLimit: 8000})!.server, 'b');
+});
+
+test('predictions use the measured speed of the engines', () => {
+	const placer = new EnginePlacer(new PromptCacheIndex());
+	const slow = placer.choosePlacement(generation, [candidate('a')], {...context, timing: {baseLatency: 35, prefillTimePerToken: 0.04}})!;
+	assert.is(slow.predictedTimeToFirstToken, 35 + (9200 * 0.04));
+});
+
 test.run();
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -17,6 +17,8 @@
 	readonly timeout: Milliseconds;
 	/** The latency objective: the response, or the first event of a stream, is on time within it. */
 	readonly objective: Milliseconds;
+	/** The longest pause within a stream that is still on time; absent if there is no such limit. */
+	readonly pauseObjective?: Milliseconds | undefined;
 	/** Priority among routes; 0 is the highest. */
 	readonly rank: number;
 	readonly services: readonly WeightedService[];
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
+import type {EngineTiming} from './engine-timing.js';
 import type {PromptCacheIndex, PromptPart} from './prompt-cache-index.js';
 import {type PromptSource, PromptSources} from './prompt-sources.js';
 import type {ServerLoad} from './server-loads.js';
@@ -45,6 +46,12 @@
 	readonly failureDomain: string;
 	readonly store: PromptStoreLocation | undefined;
 	readonly now: Milliseconds;
+	/** How fast the service's engines are; the defaults of the options if absent. */
+	readonly timing?: EngineTiming | undefined;
+	/** The rate of a fetch; the default of the options if absent. */
+	readonly fetchTokensPerMillisecond?: number | undefined;
+	/** The prompt tokens that may wait for prefill at a server with running streams, before their pauses are too long. */
+	readonly prefillBacklogLimit?: Tokens | undefined;
 };
 
 /** The server chosen for a generation, and what is expected there. */
@@ -58,6 +65,12 @@
 	readonly fetchedTokens: Tokens;
 	/** Prompt tokens that the server has to prefill. */
 	readonly uncachedTokens: Tokens;
+	/** Prompt tokens of earlier requests that the server has to prefill first. */
+	readonly backlogTokens: Tokens;
+	/** The part of the predicted time that a fetch takes. */
+	readonly fetchTime: Milliseconds;
+	/** The slowness of the server that the prediction is based on. */
+	readonly slowness: number;
 	/** The address from which the server fetches cached parts. */
 	readonly fetchFrom: string | undefined;
 	/** The address of the prompt store to which the server saves the shared parts. */
@@ -72,18 +85,14 @@
 };
 
 export type EnginePlacementOptions = {
-	/** The prefill rate of a server, without the duration of its steps; each server's slowness scales it. */
-	readonly prefillTokensPerMillisecond: number;
+	/** The speed assumed of engines until it is measured; each server's slowness scales it. */
+	readonly timing: EngineTiming;
 	/** Chunked prefill: the number of prompt tokens processed in one step. */
 	readonly prefillChunkTokens: Tokens;
-	/** The fixed part of the duration of a step. */
-	readonly stepTime: Milliseconds;
 	/** The duration that each running request adds to a step. */
 	readonly stepTimePerRequest: Milliseconds;
 	/** The weight of the delay that a request causes for the others in its batch, relative to its own latency. */
 	readonly batchDelayWeight: number;
-	/** The time to first token without prefill or queue. */
-	readonly baseLatency: Milliseconds;
 	/** The fixed part of the duration of a fetch. */
 	readonly fetchSetupTime: Milliseconds;
 	readonly fetchTokensPerMillisecond: number;
@@ -101,6 +110,8 @@
 	readonly crossDomainCost: Milliseconds;
 	/** The cost of a failing server. */
 	readonly failingServerCost: Milliseconds;
+	/** The cost of exceeding the backlog limit, for each running request at the server. */
+	readonly pauseCostPerRequest: Milliseconds;
 	/** The share of a server's KV cache that requests may fill. */
 	readonly usableMemoryShare: number;
 	/** The prefill backlog of a server, as time, above which requests are queued at the host instead. */
@@ -108,12 +119,10 @@
 };
 
 export const defaultEnginePlacementOptions: EnginePlacementOptions = {
-	prefillTokensPerMillisecond: 110,
+	timing: {baseLatency: 35, prefillTimePerToken: 0.0125},
 	prefillChunkTokens: 1024,
-	stepTime: 3.5,
 	stepTimePerRequest: 0.1,
 	batchDelayWeight: 0.05,
-	baseLatency: 35,
 	fetchSetupTime: 8,
 	fetchTokensPerMillisecond: 350,
 	crossDomainFetchFactor: 2,
@@ -123,6 +132,7 @@
 	rolloutDrainingShare: 0.6,
 	crossDomainCost: 4,
 	failingServerCost: 2000,
+	pauseCostPerRequest: 300,
 	usableMemoryShare: 0.9,
 	maximumQueueTime: 400,
 };
@@ -167,7 +177,7 @@
 		let nextBestCost: number | undefined;
 		const contexts = new Map<number, VersionContext>();
 		for (const candidate of candidates) {
-			if (!this.#hasCapacity(generation, candidate)) {
+			if (!this.#hasCapacity(generation, candidate, context)) {
 				continue;
 			}
 
@@ -185,18 +195,18 @@
 		return best === undefined ? undefined : {...best, nextBestCost};
 	}
 
-	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate): boolean {
+	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate, context: PlacementContext): boolean {
 		const memory = candidate.load.memoryTokens + estimateMemoryTokens(generation);
-		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens);
+		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens, context);
 		return candidate.load.requests === 0
 			|| (candidate.load.requests < candidate.slots && memory <= candidate.memoryTokens * this.#options.usableMemoryShare && queueTime <= this.#options.maximumQueueTime);
 	}
 
 	// Each chunk of a prompt is prefilled within a step of the whole batch, whose duration grows with the number of running requests.
-	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens): Milliseconds {
-		const {prefillTokensPerMillisecond, prefillChunkTokens, stepTime, stepTimePerRequest} = this.#options;
-		const stepTimePerToken = (stepTime + (stepTimePerRequest * candidate.load.requests)) / prefillChunkTokens;
-		return tokens * ((1 / prefillTokensPerMillisecond) + stepTimePerToken) * candidate.slowness;
+	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens, context: PlacementContext): Milliseconds {
+		const {timing, prefillChunkTokens, stepTimePerRequest} = this.#options;
+		const {prefillTimePerToken} = context.timing ?? timing;
+		return tokens * (prefillTimePerToken + (stepTimePerRequest * candidate.load.requests / prefillChunkTokens)) * candidate.slowness;
 	}
 
 	#createVersionContext(generation: GenerationRequest, weightsVersion: number, candidates: readonly EngineCandidate[], context: PlacementContext): VersionContext {
@@ -212,10 +222,10 @@
 		const fetchedTokens = Math.max((source?.tokens ?? 0) - localMatch.tokens, 0);
 		const uncachedTokens = Math.max(generation.promptTokens - localMatch.tokens - fetchedTokens, 0);
 		const fetchFactor = source === undefined || source.failureDomain === candidate.failureDomain ? 1 : options.crossDomainFetchFactor;
-		const fetchTime = fetchedTokens === 0 ? 0 : options.fetchSetupTime + (fetchedTokens * fetchFactor / options.fetchTokensPerMillisecond);
-		const prefillTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens + uncachedTokens);
+		const fetchTime = fetchedTokens === 0 ? 0 : options.fetchSetupTime + (fetchedTokens * fetchFactor / (context.fetchTokensPerMillisecond ?? options.fetchTokensPerMillisecond));
+		const prefillTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens + uncachedTokens, context);
 		const pendingTime = localMatch.partCount > 0 ? Math.max(localMatch.availableAt - context.now, 0) : 0;
-		const predictedTimeToFirstToken = (options.baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
+		const predictedTimeToFirstToken = ((context.timing ?? options.timing).baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
 		const cost = predictedTimeToFirstToken
 			+ (candidate.load.requests * options.stepTimePerRequest * generation.outputTokens * options.batchDelayWeight)
 			+ (fetchTime * (options.fetchTimeWeight - 1))
@@ -223,7 +233,8 @@
 			+ (candidate.isOutdated ? generation.objective * options.outdatedWeightsShare : 0)
 			+ (candidate.isRolloutDraining ? generation.objective * options.rolloutDrainingShare : 0)
 			+ (candidate.failureDomain === context.failureDomain ? 0 : options.crossDomainCost)
-			+ (candidate.isFailing ? options.failingServerCost : 0);
+			+ (candidate.isFailing ? options.failingServerCost : 0)
+			+ (this.#exceedsBacklogLimit(candidate, uncachedTokens, context) ? candidate.load.requests * options.pauseCostPerRequest : 0);
 		const sharedParts = generation.parts.slice(0, -1);
 		const stored = context.store === undefined ? undefined : this.#index.matchPrefix(context.store.address, salt, sharedParts);
 		const isStored = stored === undefined || stored.partCount === sharedParts.length;
@@ -236,6 +247,9 @@
 			cachedTokens: localMatch.tokens,
 			fetchedTokens,
 			uncachedTokens,
+			backlogTokens: candidate.load.prefillTokens,
+			fetchTime,
+			slowness: candidate.slowness,
 			fetchFrom: fetchedTokens > 0 ? source?.address : fallback,
 			saveTo: isStored ? undefined : context.store?.address,
 			predictedTimeToFirstToken,
@@ -245,6 +259,10 @@
 		};
 	}
 
+	#exceedsBacklogLimit(candidate: EngineCandidate, uncachedTokens: Tokens, context: PlacementContext): boolean {
+		return candidate.load.prefillTokens + uncachedTokens > (context.prefillBacklogLimit ?? Number.POSITIVE_INFINITY);
+	}
+
 	// Concurrent requests should not prefill a shared part at several servers: one that no location holds is prefilled at its owner, and
 	// one that a server is prefilling is waited for there.
 	#estimateDuplicatePrefillCost(generation: GenerationRequest, candidate: EngineCandidate, sources: PromptSources, localPartCount: number): Milliseconds {
