Remove the learned speed of engines again; keep the backlog limit and the corrected slowness

After a rollout all caches are empty and the time per token measured then is that of crowded steps. The slowness learned for each server covers slow engines. Conclusion: reverted.

--- a/packages-private/measure/src/simulated-host.ts
+++ b/packages-private/measure/src/simulated-host.ts
@@ -10,7 +10,7 @@
 export const policyNames = ['lacewingpoint', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
 
 /**
- * A placement policy. `no observations` is the placement of lacewingpoint without what it learns of the engines: their speed and the
+ * A placement policy. `no observations` is the placement of lacewingpoint without the learned limit of the
  * backlog that delays running streams; `no notes` is the placement on hosts that do not exchange placements and loads.
  */
 export type PolicyName = (typeof policyNames)[number];
@@ -130,7 +130,6 @@
 			remainingLoad = {prefillTokens: 0, memoryTokens: 0};
 		};
 
-		const sentAt = events.now;
 		const isAccepted = engine.submit({
 			parts: pending.request.parts,
 			cacheSalt: placement.cacheSalt,
@@ -140,7 +139,6 @@
 			onFirstToken: cachedTokens => {
 				this.serverLoads.completePrefill(engine.id, remainingLoad.prefillTokens);
 				remainingLoad = {...remainingLoad, prefillTokens: 0};
-				this.#observations.recordFirstToken(serviceName, placement.backlogTokens + placement.uncachedTokens, events.now - sentAt);
 				this.#options.onOutcome({request: pending.request, timeToFirstToken: events.now - pending.arrivedAt, cachedTokens});
 			},
 			onCompleted: longestPause => {
@@ -191,7 +189,7 @@
 		};
 		const context = {failureDomain: 'a', store: {address: storeAddress, failureDomain: 'a'}, now: events.now};
 		if (policy === 'lacewingpoint' || policy === 'no notes') {
-			return this.#placer.choosePlacement(generation, candidates, {...context, ...this.#observations.describeService(serviceName, events.now)});
+			return this.#placer.choosePlacement(generation, candidates, {...context, prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
 		}
 
 		if (policy === 'no observations') {
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -1,6 +1,6 @@
 import {
 	type EngineCandidate, type EnginePlacement, type EngineProfile, type Route, type ServerCandidate, type ServerEntry, type Service, EnginePlacer, RequestQueue,
-	chooseLeastLoadedServer, estimateQueueTime,
+	chooseLeastLoadedServer, defaultEnginePlacementOptions, estimateQueueTime,
 } from '@lacewingpoint/routing';
 import {type Disposable, type Milliseconds, millisecondsPerSecond} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
@@ -242,13 +242,12 @@
 			failureDomain: this.#failureDomain,
 			store: promptStore,
 			now,
-			...this.#clusterState.engineObservations.describeService(placementRequest.service, now),
+			prefillBacklogLimit: this.#clusterState.engineObservations.prefillBacklogLimit(placementRequest.service, now),
 			fetchTokensPerMillisecond: estimateFetchRate(service.engine!),
 		});
 		if (placement === undefined) {
-			const {prefillTimePerToken} = this.#clusterState.engineObservations.describeService(placementRequest.service, now).timing;
 			const tokensAhead = this.#queueFor(placementRequest.service).sizeAhead(placementRequest.route.rank) + generation.promptTokens;
-			return {type: 'full', estimatedWait: tokensAhead * prefillTimePerToken / candidates.length};
+			return {type: 'full', estimatedWait: tokensAhead * defaultEnginePlacementOptions.prefillTimePerToken / candidates.length};
 		}
 
 		if (placement.dispatchNotBefore > now) {
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -399,9 +399,9 @@
 			this.#context.onPrefillEnded(attempt.chosen, this.received, true);
 			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
 			attempt.load = {...attempt.load, prefillTokens: 0};
-			const fastTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
-			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(fastTime, 1), now());
-			clusterState.engineObservations.recordFirstToken(this.#service, engine.backlogTokens + engine.uncachedTokens, Math.max(timeToFirstByte - engine.fetchTime, 0));
+			// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
+			const unscaledTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
+			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(unscaledTime, 1), now());
 		}
 
 		if (this.#firstByteAt === undefined) {
--- a/packages/routing/__tests__/engine-placement.test.ts
+++ b/packages/routing/__tests__/engine-placement.test.ts
@@ -119,10 +119,4 @@
 	assert.is(placer.choosePlacement(generation, candidates, {...context, prefillBacklogLimit: 8000})!.server, 'b');
 });
 
-test('predictions use the measured speed of the engines', () => {
-	const placer = new EnginePlacer(new PromptCacheIndex());
-	const slow = placer.choosePlacement(generation, [candidate('a')], {...context, timing: {baseLatency: 35, prefillTimePerToken: 0.04}})!;
-	assert.is(slow.predictedTimeToFirstToken, 35 + (9200 * 0.04));
-});
-
 test.run();
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -1,5 +1,4 @@
 import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
-import type {EngineTiming} from './engine-timing.js';
 import type {PromptCacheIndex, PromptPart} from './prompt-cache-index.js';
 import {type PromptSource, PromptSources} from './prompt-sources.js';
 import type {ServerLoad} from './server-loads.js';
@@ -46,8 +45,6 @@
 	readonly failureDomain: string;
 	readonly store: PromptStoreLocation | undefined;
 	readonly now: Milliseconds;
-	/** How fast the service's engines are; the defaults of the options if absent. */
-	readonly timing?: EngineTiming | undefined;
 	/** The rate of a fetch; the default of the options if absent. */
 	readonly fetchTokensPerMillisecond?: number | undefined;
 	/** The prompt tokens that may wait for prefill at a server with running streams, before their pauses are too long. */
@@ -65,8 +62,6 @@
 	readonly fetchedTokens: Tokens;
 	/** Prompt tokens that the server has to prefill. */
 	readonly uncachedTokens: Tokens;
-	/** Prompt tokens of earlier requests that the server has to prefill first. */
-	readonly backlogTokens: Tokens;
 	/** The part of the predicted time that a fetch takes. */
 	readonly fetchTime: Milliseconds;
 	/** The slowness of the server that the prediction is based on. */
@@ -85,8 +80,10 @@
 };
 
 export type EnginePlacementOptions = {
-	/** The speed assumed of engines until it is measured; each server's slowness scales it. */
-	readonly timing: EngineTiming;
+	/** The time to first token without prefill or queue; each server's slowness scales it. */
+	readonly baseLatency: Milliseconds;
+	/** The time to prefill a token, the fixed part of the steps included; each server's slowness scales it. */
+	readonly prefillTimePerToken: Milliseconds;
 	/** Chunked prefill: the number of prompt tokens processed in one step. */
 	readonly prefillChunkTokens: Tokens;
 	/** The duration that each running request adds to a step. */
@@ -119,7 +116,8 @@
 };
 
 export const defaultEnginePlacementOptions: EnginePlacementOptions = {
-	timing: {baseLatency: 35, prefillTimePerToken: 0.0125},
+	baseLatency: 35,
+	prefillTimePerToken: 0.0125,
 	prefillChunkTokens: 1024,
 	stepTimePerRequest: 0.1,
 	batchDelayWeight: 0.05,
@@ -177,7 +175,7 @@
 		let nextBestCost: number | undefined;
 		const contexts = new Map<number, VersionContext>();
 		for (const candidate of candidates) {
-			if (!this.#hasCapacity(generation, candidate, context)) {
+			if (!this.#hasCapacity(generation, candidate)) {
 				continue;
 			}
 
@@ -195,17 +193,16 @@
 		return best === undefined ? undefined : {...best, nextBestCost};
 	}
 
-	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate, context: PlacementContext): boolean {
+	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate): boolean {
 		const memory = candidate.load.memoryTokens + estimateMemoryTokens(generation);
-		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens, context);
+		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens);
 		return candidate.load.requests === 0
 			|| (candidate.load.requests < candidate.slots && memory <= candidate.memoryTokens * this.#options.usableMemoryShare && queueTime <= this.#options.maximumQueueTime);
 	}
 
 	// Each chunk of a prompt is prefilled within a step of the whole batch, whose duration grows with the number of running requests.
-	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens, context: PlacementContext): Milliseconds {
-		const {timing, prefillChunkTokens, stepTimePerRequest} = this.#options;
-		const {prefillTimePerToken} = context.timing ?? timing;
+	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens): Milliseconds {
+		const {prefillTimePerToken, prefillChunkTokens, stepTimePerRequest} = this.#options;
 		return tokens * (prefillTimePerToken + (stepTimePerRequest * candidate.load.requests / prefillChunkTokens)) * candidate.slowness;
 	}
 
@@ -223,9 +220,9 @@
 		const uncachedTokens = Math.max(generation.promptTokens - localMatch.tokens - fetchedTokens, 0);
 		const fetchFactor = source === undefined || source.failureDomain === candidate.failureDomain ? 1 : options.crossDomainFetchFactor;
 		const fetchTime = fetchedTokens === 0 ? 0 : options.fetchSetupTime + (fetchedTokens * fetchFactor / (context.fetchTokensPerMillisecond ?? options.fetchTokensPerMillisecond));
-		const prefillTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens + uncachedTokens, context);
+		const prefillTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens + uncachedTokens);
 		const pendingTime = localMatch.partCount > 0 ? Math.max(localMatch.availableAt - context.now, 0) : 0;
-		const predictedTimeToFirstToken = ((context.timing ?? options.timing).baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
+		const predictedTimeToFirstToken = (options.baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
 		const cost = predictedTimeToFirstToken
 			+ (candidate.load.requests * options.stepTimePerRequest * generation.outputTokens * options.batchDelayWeight)
 			+ (fetchTime * (options.fetchTimeWeight - 1))
@@ -247,7 +244,6 @@
 			cachedTokens: localMatch.tokens,
 			fetchedTokens,
 			uncachedTokens,
-			backlogTokens: candidate.load.prefillTokens,
 			fetchTime,
 			slowness: candidate.slowness,
 			fetchFrom: fetchedTokens > 0 ? source?.address : fallback,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -18,7 +18,6 @@
 	EnginePlacer, defaultEnginePlacementOptions, estimateMemoryTokens,
 } from './engine-placement.js';
 export {type ObservedPause, EngineObservations} from './engine-observations.js';
-export {type EngineTiming, type EngineTimingOptions, EngineTimingEstimator} from './engine-timing.js';
 export {type PrefillBacklogLimitOptions, PrefillBacklogLimit} from './prefill-backlog-limit.js';
 export {
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
--- a/packages/routing/src/prefill-backlog-limit.ts
+++ b/packages/routing/src/prefill-backlog-limit.ts
@@ -1,4 +1,5 @@
 import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
+import type {ObservedPause} from './engine-observations.js';
 
 export type PrefillBacklogLimitOptions = {
 	/** A pause counts as late from this share of the route's objective on. */
@@ -31,12 +32,10 @@
 	/**
 	 * Records the longest pause of a stream.
 	 *
-	 * @param pause - The pause.
-	 * @param objective - The longest pause that is still on time.
-	 * @param backlog - The tokens that waited for prefill at the server during the pause.
+	 * @param observation - The pause, the longest one that is on time, and the tokens that waited for prefill at the server during it.
 	 * @param now - Current monotonic time.
 	 */
-	recordPause(pause: Milliseconds, objective: Milliseconds, backlog: Tokens, now: Milliseconds): void {
+	recordPause({pause, objective, backlog}: ObservedPause, now: Milliseconds): void {
 		const {lateShare, reductionShare, lowestStepShare, lowestLimit} = this.#options;
 		if (pause < objective * lateShare || backlog <= 0) {
 			return;
