Place each request among a sample of the servers

Load pattern: many hosts place requests at the same time, and learn of each other's placements after up to three hops. The hosts send their requests to the same servers, which look idle to each of them until then.

Change: a request is placed among 16 servers: the owners of its shared parts and others at random; sites with fewer servers are as before. The test compares both placements.

--- a/packages-private/measure/__tests__/experiment.test.ts
+++ b/packages-private/measure/__tests__/experiment.test.ts
@@ -1,7 +1,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, florDeChimborazo, instituto, runExperiment, tanaRidge,
+	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, florDeChimborazo, instituto, institutoGrown, runExperiment, tanaRidge,
 } from '../src/index.js';
 
 const test = suite('simulated experiments');
@@ -129,4 +129,14 @@
 	assert.ok(sum(learned, result => result.withinObjective) >= sum(baseline, result => result.withinObjective) - 0.01);
 });
 
+// The Instituto after it has grown: with 65 hosts, announcements pass up to three hops of 25 to 80 ms.
+test('hosts that learn of each other\'s placements after 100 ms do not send their requests to the same servers', () => {
+	const run = (policy: 'lacewingpoint' | 'no sample') => runExperiment({
+		site: institutoGrown, policy, pattern: 'calm', loadFactor: 1.1, durationSeconds: 6, seed: 3, hostCount: 65, gossipDelay: 100,
+	});
+	const [sampled, baseline] = [run('lacewingpoint'), run('no sample')];
+	assert.ok(sampled.withinObjective >= 0.98, String(sampled.withinObjective));
+	assert.ok(sampled.p95 <= baseline.p95 / 2, `${sampled.p95} ms and ${baseline.p95} ms`);
+});
+
 test.run();
--- a/packages-private/measure/src/experiment.ts
+++ b/packages-private/measure/src/experiment.ts
@@ -1,3 +1,4 @@
+import {ServerLoads} from '@lacewingpoint/routing';
 import {type Milliseconds, createSeededRandom} from '@lacewingpoint/shared';
 import {EventQueue} from './event-queue.js';
 import {ModelEngine} from './model-engine.js';
@@ -19,6 +20,10 @@
 	readonly loadFactor: number;
 	readonly durationSeconds: number;
 	readonly seed: number;
+	/** Number of hosts; nine by default. */
+	readonly hostCount?: number;
+	/** Time until an announcement reaches the other hosts; by default that of hosts which are all relays. */
+	readonly gossipDelay?: Milliseconds;
 };
 
 /** Results of one run. */
@@ -42,13 +47,16 @@
 	readonly worstKind: number;
 };
 
-const hostCount = 9;
+const defaultHostCount = 9;
 
 /** Interval at which hosts exchange loads and placements, as in the host program. */
 const gossipInterval: Milliseconds = 25;
 const queueInterval: Milliseconds = 10;
 const networkDelay: Milliseconds = 1;
 
+/** Lifetime of loads in a sum, which is used at once. */
+const sumExpiry: Milliseconds = 1;
+
 /** First tokens and failures in this initial period are not counted, because the caches are still empty. */
 const warmUpTime: Milliseconds = 4000;
 
@@ -68,7 +76,9 @@
  * @returns Latencies, share of requests served and cache use of the run.
  */
 export function runExperiment(options: ExperimentOptions): ExperimentResult {
-	const {site, policy, pattern, loadFactor, durationSeconds, seed} = options;
+	const {
+		site, policy, pattern, loadFactor, durationSeconds, seed, hostCount = defaultHostCount, gossipDelay = (gossipInterval / 2) + networkDelay,
+	} = options;
 	const events = new EventQueue();
 	// The workload has a random source of its own, so that every policy gets the same requests.
 	const workload = new Workload(site, createSeededRandom(seed));
@@ -82,9 +92,10 @@
 		site,
 		engines,
 		events,
+		random: createSeededRandom(seed + index),
 		onPlacement(placement) {
 			if (policy !== 'no notes') {
-				events.schedule((gossipInterval / 2) + networkDelay, () => {
+				events.schedule(gossipDelay, () => {
 					for (const host of hosts.filter((_host, other) => other !== index)) {
 						host.mergePlacement(placement);
 					}
@@ -127,7 +138,8 @@
 			host.processQueue();
 		}
 	});
-	repeat(gossipInterval, () => {
+	// On average, a load has changed half an interval before it is sent.
+	repeat(Math.max(gossipInterval, 2 * (gossipDelay - networkDelay)), () => {
 		if (policy !== 'no notes') {
 			shareLoads(hosts, events.now);
 		}
@@ -172,13 +184,16 @@
 	return summarize(outcomes, pauses, engines);
 }
 
+// Each host gets the loads of all others in one sum, as a member gets them from its relay.
 function shareLoads(hosts: readonly SimulatedHost[], now: Milliseconds): void {
+	const sums = new ServerLoads(sumExpiry);
 	for (const host of hosts) {
-		for (const peer of hosts) {
-			if (peer !== host) {
-				host.serverLoads.mergePeerLoads(peer.name, new Map(peer.serverLoads.localLoads()), now);
-			}
-		}
+		sums.mergePeerLoads(host.name, host.serverLoads.localLoads(), now);
+	}
+
+	const allLoads = sums.sumLoads(() => true, now);
+	for (const host of hosts) {
+		host.serverLoads.mergePeerLoads('others', sums.subtractPeerLoads(allLoads, host.name), now);
 	}
 }
 
--- a/packages-private/measure/src/simulated-host.ts
+++ b/packages-private/measure/src/simulated-host.ts
@@ -1,17 +1,17 @@
 import {
-	type EngineCandidate, type EnginePlacement, type GenerationRequest, EngineObservations, EnginePlacer, PromptCacheIndex, RequestQueue, ServerLoads, defaultEnginePlacementOptions, estimateMemoryTokens,
+	type EngineCandidate, type EnginePlacement, type GenerationRequest, EngineObservations, EnginePlacer, PromptCacheIndex, RequestQueue, ServerLoads, defaultEnginePlacementOptions, estimateMemoryTokens, findPartOwners, sampleServers,
 } from '@lacewingpoint/routing';
-import type {Milliseconds} from '@lacewingpoint/shared';
+import type {Milliseconds, RandomSource} from '@lacewingpoint/shared';
 import type {EventQueue} from './event-queue.js';
 import type {ModelEngine} from './model-engine.js';
 import type {Site, WorkloadRequest} from './workload.js';
 
 /** The placement policies to compare. */
-export const policyNames = ['lacewingpoint', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
+export const policyNames = ['lacewingpoint', 'no sample', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
 
 /**
- * A placement policy. `no observations` is the placement of lacewingpoint without the learned limit of the
- * backlog that delays running streams; `no notes` is the placement on hosts that do not exchange placements and loads.
+ * A placement policy. `no sample` is the placement of lacewingpoint among all servers, `no observations` the one without the learned
+ * limit of the backlog that delays running streams; `no notes` is the placement on hosts that do not exchange placements and loads.
  */
 export type PolicyName = (typeof policyNames)[number];
 
@@ -54,6 +54,7 @@
 	readonly site: Site;
 	readonly engines: readonly ModelEngine[];
 	readonly events: EventQueue;
+	readonly random: RandomSource;
 	onPlacement(placement: PromptPlacement): void;
 	onOutcome(outcome: GenerationOutcome): void;
 	onPause(outcome: PauseOutcome): void;
@@ -188,8 +189,8 @@
 			parts: request.parts, promptTokens: request.promptTokens, outputTokens: request.outputTokens, objective: request.kind.objective, cacheSaltFor: version => `v${version}`,
 		};
 		const context = {failureDomain: 'a', store: {address: storeAddress, failureDomain: 'a'}, now: events.now};
-		if (policy === 'lacewingpoint' || policy === 'no notes') {
-			return this.#placer.choosePlacement(generation, candidates, {...context, prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
+		if (policy === 'lacewingpoint' || policy === 'no sample' || policy === 'no notes') {
+			return this.#placer.choosePlacement(generation, policy === 'lacewingpoint' ? this.#sampleCandidates(request, candidates) : candidates, {...context, prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
 		}
 
 		if (policy === 'no observations') {
@@ -203,6 +204,11 @@
 		return placement === undefined ? undefined : {...placement, dispatchNotBefore: 0};
 	}
 
+	#sampleCandidates(request: WorkloadRequest, candidates: readonly EngineCandidate[]): readonly EngineCandidate[] {
+		const current = candidates.filter(candidate => !candidate.isOutdated);
+		return sampleServers(candidates, findPartOwners(request.parts.slice(0, -1), current), this.#options.random);
+	}
+
 	#listCandidates(): EngineCandidate[] {
 		const {engines, site, events} = this.#options;
 		const latestVersion = Math.max(...engines.map(engine => engine.weightsVersion));
--- a/packages-private/measure/src/workload.ts
+++ b/packages-private/measure/src/workload.ts
@@ -78,6 +78,27 @@
 	],
 };
 
+/** The Instituto after it has grown: 63 model servers with few slots. */
+export const institutoGrown: Site = {
+	name: 'Instituto grown',
+	engineCount: 63,
+	engineParameters: {
+		slots: 12, memoryTokens: 147_293, stepTime: 3.55, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 157, prefillTokensPerStep: 1024, tokensPerEvent: 6,
+	},
+	weightsLoadTime: 1100,
+	maxConcurrentLoads: 18,
+	requestKinds: [
+		{
+			name: 'course guide', requestsPerSecond: 335, objective: 315, pauseObjective: 200, deadline: 4202, rank: 1,
+			instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 5, documentCount: 1500, popularityExponent: 0.3,
+		},
+		{
+			name: 'short reply', requestsPerSecond: 120, objective: 207, pauseObjective: 200, deadline: 10_326, rank: 0,
+			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 29, documentCount: 1000, popularityExponent: 0.3,
+		},
+	],
+};
+
 /** Flor de Chimborazo: long hive diaries and short questions on few engines that prefill slowly. */
 export const florDeChimborazo: Site = {
 	name: 'Flor de Chimborazo',
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -104,7 +104,9 @@
 				this.#weightsLease.updateHolder(holder);
 			},
 		});
-		this.#dispatcher = new Dispatcher(this.#clusterState, {failureDomain: settings.description.failureDomain, maxWeightsStaleness: () => this.#bounds.weightsWithin, now});
+		this.#dispatcher = new Dispatcher(this.#clusterState, {
+			failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now,
+		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
 			now,
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -1,8 +1,10 @@
 import {
 	type EngineCandidate, type EnginePlacement, type EngineProfile, type Route, type ServerCandidate, type ServerEntry, type Service, EnginePlacer, RequestQueue,
-	chooseLeastLoadedServer, defaultEnginePlacementOptions, estimateQueueTime,
+	chooseLeastLoadedServer, defaultEnginePlacementOptions, defaultSampleSize, estimateQueueTime, findPartOwners, sampleServers,
 } from '@lacewingpoint/routing';
-import {type Disposable, type Milliseconds, millisecondsPerSecond} from '@lacewingpoint/shared';
+import {
+	type Disposable, type Milliseconds, type RandomSource, millisecondsPerSecond,
+} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {ClientRequest} from '../ports.js';
 
@@ -67,6 +69,7 @@
 
 export type DispatcherOptions = {
 	readonly failureDomain: string;
+	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
 	/** @returns How long weights may have been outdated when a request begins on them. */
 	maxWeightsStaleness(): Milliseconds;
@@ -78,6 +81,7 @@
 	readonly #enginePlacer: EnginePlacer;
 	readonly #failureDomain: string;
 	readonly #maxWeightsStaleness: () => Milliseconds;
+	readonly #random: RandomSource;
 	readonly #now: () => Milliseconds;
 	readonly #queues = new Map<string, RequestQueue<PendingRequest>>();
 	#isDispatching = false;
@@ -92,6 +96,7 @@
 		this.#enginePlacer = new EnginePlacer(clusterState.promptCache);
 		this.#failureDomain = options.failureDomain;
 		this.#maxWeightsStaleness = options.maxWeightsStaleness;
+		this.#random = options.random;
 		this.#now = options.now;
 	}
 
@@ -119,9 +124,12 @@
 			return {type: 'none'};
 		}
 
-		return service?.engine !== undefined && placementRequest.request.generation !== undefined
-			? this.#placeGeneration(placementRequest, service, entries)
-			: this.#placePlain(entries, placementRequest.service);
+		const {generation} = placementRequest.request;
+		if (service?.engine !== undefined && generation !== undefined) {
+			return this.#placeGeneration(placementRequest, service, sampleServers(entries, this.#findOwners(entries, generation), this.#random));
+		}
+
+		return this.#placePlain(sampleServers(entries, new Set(), this.#random), placementRequest.service);
 	}
 
 	/**
@@ -184,6 +192,17 @@
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, this.#now())));
 	}
 
+	// Parts are owned by servers with the newest weights, which the others will have soon.
+	#findOwners(entries: readonly ServerEntry[], {model, parts}: NonNullable<ClientRequest['generation']>): Set<string> {
+		if (entries.length <= defaultSampleSize) {
+			return new Set();
+		}
+
+		const versions = new Map(entries.map(entry => [entry, this.#clusterState.observedVersion(entry, model)]));
+		const newest = Math.max(...versions.values());
+		return findPartOwners(parts.slice(0, -1), entries.filter(entry => versions.get(entry) === newest));
+	}
+
 	#placePlain(entries: readonly ServerEntry[], service: string): PlacementResult {
 		const now = this.#now();
 		const candidates: ServerCandidate[] = entries.map(entry => ({
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -12,6 +12,7 @@
 export {
 	type RequestLoad, type ServerLoad, ServerLoads, isSameLoad, noLoad,
 } from './server-loads.js';
+export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
 export {
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
