--- a/packages/host/src/host-endpoints.ts
+++ b/packages/host/src/host-endpoints.ts
@@ -4,7 +4,7 @@
 import type {HostDescription, HostState} from '@lacewingpoint/coordination';
 import {selectNearbyHosts} from '@lacewingpoint/routing';
 import {
-	type Disposable, type Logger, type Milliseconds, getErrorMessage,
+	type Disposable, type Logger, type Milliseconds, type RandomSource, getErrorMessage,
 } from '@lacewingpoint/shared';
 import createRouter from 'find-my-way';
 import {listen} from './requests/client-listener.js';
@@ -16,6 +16,7 @@
 	/** How long clients may cache an address. */
 	readonly addressTimeToLive: Milliseconds;
 	readonly log: Logger;
+	readonly random: RandomSource;
 	hostState(): HostState;
 	/** The peers that serve clients. */
 	servingHosts(): readonly HostDescription[];
@@ -81,7 +82,7 @@
 	const clientLocation = directoryProtocol.decodeLookup(url.slice(url.indexOf('?') + 1));
 	const state = options.hostState();
 	const ownDescription = state === 'serving' ? [settings.description] : [];
-	const hosts = selectNearbyHosts([...ownDescription, ...options.servingHosts()], clientLocation);
+	const hosts = selectNearbyHosts([...ownDescription, ...options.servingHosts()], clientLocation, options.random);
 	// A stopping host still serves requests for a while, so its own address is better than none.
 	const listedHosts = hosts.length > 0 || state === 'starting' ? hosts : [settings.description];
 	if (listedHosts.length === 0) {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -12,11 +12,11 @@
 import {serveEndpoints} from './host-endpoints.js';
 import {Fleet} from './members/fleet.js';
 import {GossipSocket} from './members/gossip-socket.js';
-import type {StateUpdate} from './members/host-messages.js';
+import {toStateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {
-	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest, StateChange,
+	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest,
 } from './ports.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
@@ -170,7 +170,7 @@
 
 	/** Starts serving. Clients get 503 until a configuration is known. */
 	async start(): Promise<void> {
-		const {settings, adapter, log, now} = this.#dependencies;
+		const {settings, adapter, log, random, now} = this.#dependencies;
 		await this.#fleet.start();
 		this.#clientListeners = await Promise.all(adapter.interfaces.map(async ({address, protocol}) => serveClients({
 			address,
@@ -198,6 +198,7 @@
 			directoryProtocol: adapter.directory,
 			addressTimeToLive,
 			log,
+			random,
 			hostState: () => this.#hostState(),
 			servingHosts: () => this.#clusterState.hosts.listServing(now()),
 			formatMetrics: () => this.#formatMetrics(),
@@ -397,18 +398,10 @@
 			servers: this.#clusterState.servers.listEntries().length,
 			log_lines_dropped: this.#dependencies.droppedLogLines(),
 		};
-		return `${this.#metrics.formatSeries()}${Object.entries(gauges).map(([name, value]) => `lacewingpoint_${name} ${value}\n`).join('')}`;
+		return this.#metrics.formatSeries(gauges);
 	}
 }
 
-function toStateUpdate(change: StateChange | undefined): StateUpdate | undefined {
-	if (change?.type === 'weights') {
-		return {...change, age: change.age ?? 0, isAgeAssumed: change.isAgeAssumed ?? false};
-	}
-
-	return change?.type === 'server' || change?.type === 'server-gone' ? change : undefined;
-}
-
 function closeServer(server: Server): void {
 	server.close();
 	server.closeAllConnections();
--- a/packages/host/src/members/fleet-membership.ts
+++ b/packages/host/src/members/fleet-membership.ts
@@ -135,7 +135,7 @@
 
 		const links = this.#topology.listLinks(now());
 		gossip.setLinks(links);
-		clusterState.rateLimiter.setPeers(links.map(link => ({name: link.host.name, hostCount: gossip.linkHostCount(link), isMember: link.kind === 'member'})), now());
+		clusterState.rateLimiter.setPeers(links.map(link => ({name: link.host.name, hostCount: gossip.linkHostCount(link.host.name), isMember: link.kind === 'member'})), now());
 		this.#announceRole(links.length);
 		this.#reviewReader();
 		this.#publishReports();
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -14,6 +14,11 @@
 /** The events of a message; unlike charges and loads, each is sent once. */
 export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'emptying' | 'deaths' | 'hosts' | 'departed' | 'updates'>;
 
+/** The content of a message without events. */
+export const noEvents: GossipEvents = {
+	placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
+};
+
 /** Events that wait to be sent to one peer. */
 export class GossipEventQueue {
 	readonly #placements: PromptPlacement[] = [];
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -7,7 +7,7 @@
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import {CrashLog} from './crash-log.js';
-import type {GossipEvents} from './gossip-events.js';
+import {type GossipEvents, noEvents} from './gossip-events.js';
 import type {GossipTransport} from './gossip-socket.js';
 import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
 import {PeerLink} from './peer-link.js';
@@ -41,11 +41,6 @@
 	onMessage(message: HostMessage): void;
 };
 
-/** The content of a message without events. */
-const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
-};
-
 /**
  * Sends datagrams to the linked peers: heartbeats, versions of the state, rate limit charges, server loads and events. A relay sums up
  * the charges and loads of its members for other relays, and those of all other hosts for each member.
@@ -53,7 +48,6 @@
 export class HostGossip implements Disposable {
 	readonly #options: HostGossipOptions;
 	#links = new Map<string, PeerLink>();
-	readonly #hostCounts = new Map<string, number>();
 	readonly #crashLog = new CrashLog();
 	#isClosed = false;
 	#cancelTimer: (() => void) | undefined;
@@ -66,8 +60,8 @@
 	/** The number of hosts in the fleet, as far as the linked peers report them, this one included. */
 	get hostCount(): number {
 		let count = 1;
-		for (const {target} of this.#links.values()) {
-			count += this.linkHostCount(target);
+		for (const link of this.#links.values()) {
+			count += link.hostCount;
 		}
 
 		return count;
@@ -97,7 +91,6 @@
 		}));
 		for (const name of previous.keys()) {
 			if (!this.#links.has(name)) {
-				this.#hostCounts.delete(name);
 				this.#options.clusterState.loads.removePeer(name);
 			}
 		}
@@ -116,13 +109,13 @@
 	}
 
 	/**
-	 * Returns the number of hosts behind a link.
+	 * Returns the number of hosts whose state a peer reports.
 	 *
-	 * @param target - The link.
-	 * @returns The number that the peer reported last; 1 before its first message.
+	 * @param name - The peer's name.
+	 * @returns The number in its latest message; 1 for a member and before the first message.
 	 */
-	linkHostCount(target: FleetLink): number {
-		return target.kind === 'member' ? 1 : this.#hostCounts.get(target.host.name) ?? 1;
+	linkHostCount(name: string): number {
+		return this.#links.get(name)?.hostCount ?? 1;
 	}
 
 	/**
@@ -132,7 +125,10 @@
 	 * @param count - The number in its latest message.
 	 */
 	recordHostCount(name: string, count: number): void {
-		this.#hostCounts.set(name, count);
+		const link = this.#links.get(name);
+		if (link?.target.kind === 'relay') {
+			link.hostCount = count;
+		}
 	}
 
 	/**
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -1,5 +1,6 @@
 import {decode, encode} from '@msgpack/msgpack';
 import * as v from 'valibot';
+import type {StateChange} from '../ports.js';
 
 const hostStateSchema = v.picklist(['starting', 'serving', 'stopping']);
 const hostRoleSchema = v.picklist(['joining', 'member', 'relay']);
@@ -133,3 +134,17 @@
 		return undefined;
 	}
 }
+
+/**
+ * Converts a change of the cluster state for a datagram.
+ *
+ * @param change - The change; `undefined` for a change of the configuration.
+ * @returns The change, or `undefined` if it is not sent in datagrams.
+ */
+export function toStateUpdate(change: StateChange | undefined): StateUpdate | undefined {
+	if (change?.type === 'weights') {
+		return {...change, age: change.age ?? 0, isAgeAssumed: change.isAgeAssumed ?? false};
+	}
+
+	return change?.type === 'server' || change?.type === 'server-gone' ? change : undefined;
+}
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -14,6 +14,8 @@
 	lastSentAt = Number.NEGATIVE_INFINITY;
 	/** The state version up to which changes have been sent. */
 	sentStateVersion: number;
+	/** The number of hosts whose state the peer reports; 1 for a member and before the first message. */
+	hostCount = 1;
 	/** Whether charges or loads may have changed since the last message. */
 	hasNewTotals = true;
 	/** The charges and loads sent last, so that only changes are sent. */
--- a/packages/routing/__tests__/server-placement.test.ts
+++ b/packages/routing/__tests__/server-placement.test.ts
@@ -1,3 +1,4 @@
+import {createSeededRandom} from '@lacewingpoint/shared';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
@@ -40,9 +41,9 @@
 test('clients get the hosts of their failure domain while it has two, otherwise more, never none', () => {
 	const host = (name: string, failureDomain: string) => ({name, region: 'r', failureDomain});
 	const hosts = [host('1', 'a'), host('2', 'a'), host('3', 'b')];
-	assert.equal(selectNearbyHosts(hosts, {region: 'r', failureDomain: 'a'}).map(entry => entry.name), ['1', '2']);
-	assert.equal(selectNearbyHosts(hosts, {region: 'r', failureDomain: 'b'}).length, 3);
-	assert.equal(selectNearbyHosts(hosts, {region: 'elsewhere', failureDomain: undefined}).length, 3);
+	assert.equal(selectNearbyHosts(hosts, {region: 'r', failureDomain: 'a'}, createSeededRandom(1)).map(entry => entry.name), ['1', '2']);
+	assert.equal(selectNearbyHosts(hosts, {region: 'r', failureDomain: 'b'}, createSeededRandom(1)).length, 3);
+	assert.equal(selectNearbyHosts(hosts, {region: 'elsewhere', failureDomain: undefined}, createSeededRandom(1)).length, 3);
 });
 
 test.run();
--- a/packages/shared/src/metrics.ts
+++ b/packages/shared/src/metrics.ts
@@ -55,8 +55,13 @@
 		entry.histogram.recordValue(Math.min(Math.max(Math.round(milliseconds * microsecondsPerMillisecond), 1), maxTrackableMicroseconds));
 	}
 
-	/** @returns All series, one per line, sorted. */
-	formatSeries(): string {
+	/**
+	 * Formats all series.
+	 *
+	 * @param currentValues - Gauges that are not registered, by name.
+	 * @returns One series per line, the registered ones sorted.
+	 */
+	formatSeries(currentValues: Readonly<Record<string, number>> = {}): string {
 		const counters = [...this.#counters].map(([series, value]) => `${series} ${value}`);
 		const gauges = [...this.#gauges].map(([series, read]) => `${series} ${read()}`);
 		const histograms = [...this.#histograms.values()].flatMap(({name, labels, histogram}) => [
@@ -66,6 +71,7 @@
 			}),
 			`${seriesName(`lacewingpoint_${name}_milliseconds_count`, labels)} ${histogram.totalCount}`,
 		]);
-		return `${[...counters, ...gauges, ...histograms].toSorted().join('\n')}\n`;
+		const unregistered = Object.entries(currentValues).map(([name, value]) => `lacewingpoint_${name} ${value}`);
+		return `${[...[...counters, ...gauges, ...histograms].toSorted(), ...unregistered].join('\n')}\n`;
 	}
 }
