Do not repeat requests for state that are still under way, and leave to a relay what it has announced

Change: requests may take 2.5 s; a failed one is repeated after 200 ms, doubling up to 1.6 s; a host does not ask others for what the relay that it follows has announced, and asks only one at a time.

--- a/packages-private/measure/__tests__/fleet.test.ts
+++ b/packages-private/measure/__tests__/fleet.test.ts
@@ -80,6 +80,18 @@
 	assert.equal(fleet.listOutdated(2), []);
 });
 
+// Guards against day fresh-251e of Flor de Chimborazo, grown: requests for a new configuration timed out on slow links, were repeated at
+// once and at other relays, and some hosts never got it.
+test('new configurations of 150 KB reach all hosts within three seconds over links of seven megabits a second', async () => {
+	const fleet = await startFleet(84, 4);
+	fleet.linkMegabits = 7;
+	for (const version of [2, 3, 4]) {
+		fleet.publish(version, 150_000);
+		await fleet.run(3000);
+		assert.equal(fleet.listOutdated(version), []);
+	}
+});
+
 test('the hosts of a killed relay link to another one, and are known to all again', async () => {
 	const fleet = await startFleet(50, 5);
 	const relay = [...fleet.hosts.values()].find(host => host.fleet.role === 'relay' && !host.isReader)!;
--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -1,10 +1,10 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import {
-	type ChangeBatch, type GossipTransport, type HostMessage, type PeerClient, type SnapshotSource, ClusterState, Fleet, decodeHostMessage, encodeHostMessage,
+	type ChangeBatch, type GossipTransport, type HostMessage, type PeerClient, type SnapshotSource, ClusterState, Fleet, decodeHostMessage, encodeHostMessage, snapshotTimeout,
 } from '@lacewingpoint/host';
 import {type Configuration, Quarantine} from '@lacewingpoint/routing';
 import {
-	Metrics, type Milliseconds, type RandomSource, createSeededRandom, silentLogger,
+	type Bytes, Metrics, type Milliseconds, type RandomSource, createSeededRandom, silentLogger,
 } from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import {EventQueue} from './event-queue.js';
@@ -45,10 +45,14 @@
 	cut: Cut | undefined;
 	/** The share of messages that get lost. */
 	lossShare = 0;
+	/** Bandwidth of the link of each host for the state that its peers request, in megabits a second. */
+	linkMegabits = 1000;
 	/** Calls by readers to the store. */
 	storeReads = 0;
 	readonly #events = new EventQueue();
 	readonly #random: RandomSource;
+	/** Until when the link of a host is occupied by earlier responses. */
+	readonly #linkBusyUntil = new Map<string, Milliseconds>();
 	readonly #receivers = new Map<string, (message: HostMessage) => void>();
 	readonly #byAddress = new Map<string, string>();
 	#configuration: Configuration | undefined;
@@ -172,15 +176,16 @@
 	 * Publishes a configuration in the store.
 	 *
 	 * @param version - Its version.
+	 * @param bytes - Approximate size of its keys.
 	 */
-	publish(version: number): void {
+	publish(version: number, bytes: Bytes = 0): void {
 		this.#revision++;
 		this.#configuration = {
 			version, routes: [], services: [], limits: {
 				headerBytes: 1, bodyBytes: 1, headerTime: 1, idleTime: 1,
 			},
 			workspaces: [{
-				name: 'blue', keys: [], isIsolated: false, unitsPerSecond: 1000, burstUnits: 1000, countsTokens: true, plainTokens: 1,
+				name: 'blue', keys: ['k'.repeat(bytes)], isIsolated: false, unitsPerSecond: 1000, burstUnits: 1000, countsTokens: true, plainTokens: 1,
 			}],
 		};
 		this.#notifyReaders();
@@ -267,7 +272,11 @@
 				return Result.err<Response, {layer: 'host'; code: 'unreachable'; message: string}>({layer: 'host', code: 'unreachable', message: 'no response'});
 			}
 
-			return Result.ok<Response, {layer: 'host'; code: 'unreachable'; message: string}>(respond(host.fleet.snapshotSource));
+			const response = respond(host.fleet.snapshotSource);
+			const isInTime = await this.#transfer(target, response);
+			return isInTime
+				? Result.ok<Response, {layer: 'host'; code: 'unreachable'; message: string}>(response)
+				: Result.err<Response, {layer: 'host'; code: 'unreachable'; message: string}>({layer: 'host', code: 'unreachable', message: 'timed out'});
 		};
 
 		return {
@@ -277,6 +286,19 @@
 		};
 	}
 
+	// Responses of a host share its link one after the other; one that takes too long occupies the link all the same.
+	async #transfer(host: string, response: unknown): Promise<boolean> {
+		const transferTime = JSON.stringify(response).length * 8 / (this.linkMegabits * 1000);
+		const end = Math.max(this.now, this.#linkBusyUntil.get(host) ?? 0) + transferTime;
+		this.#linkBusyUntil.set(host, end);
+		const waitTime = Math.min(end - this.now, snapshotTimeout);
+		return new Promise(resolve => {
+			this.#events.schedule(waitTime, () => {
+				resolve(end - this.now < 1);
+			});
+		});
+	}
+
 	#updateRegistrations(): void {
 		this.#revision++;
 		this.#notifyReaders();
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,6 +1,6 @@
 export {type ClusterStateListener, ClusterState} from './state/cluster-state.js';
-export type {
-	KnownState, MissingChanges, PeerClient, SnapshotSource,
+export {
+	type KnownState, type MissingChanges, type PeerClient, type SnapshotSource, snapshotTimeout,
 } from './state/peer-snapshots.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -92,6 +92,7 @@
 			now,
 			hasStoreContact: () => options.hasStoreContact(),
 			isFollowing: () => this.#membership.findStateSource() !== undefined,
+			isAnnouncedBySource: state => this.#relayFollower.isAnnounced(state),
 			peers: () => clusterState.hosts.listRelays(now()).filter(host => clusterState.hosts.hasHeartbeat(host.name, now())),
 		});
 	}
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -44,8 +44,11 @@
 	hosts: trpc.procedure.input(value => v.parse(linkKindSchema, value)).query(({ctx, input}) => ctx.source.hosts(input)),
 });
 
-/** A request for a snapshot fails after this time; the caller retries it later. */
-const snapshotTimeout: Milliseconds = 700;
+/**
+ * A request for state fails after this time. Long, because all members of a relay request a new configuration at the same time, over
+ * links of a few megabits a second; requests that give up and are repeated would only add to the load.
+ */
+export const snapshotTimeout: Milliseconds = 2500;
 
 /** The error of a request that failed or timed out. */
 export type SnapshotError = LayerError<'unreachable'>;
--- a/packages/host/src/state/peer-synchronizer.ts
+++ b/packages/host/src/state/peer-synchronizer.ts
@@ -16,7 +16,7 @@
 type SnapshotSource = Pick<HostDescription, 'name' | 'snapshotAddress'>;
 
 /** The versions that a peer's message states. */
-type AnnouncedState = {readonly configuration: number; readonly revision: number};
+export type AnnouncedState = {readonly configuration: number; readonly revision: number};
 
 export type PeerSynchronizerOptions = {
 	readonly clusterState: ClusterState;
@@ -29,6 +29,8 @@
 	hasStoreContact(): boolean;
 	/** @returns Whether another relay, which reads the store, passes on its changes. */
 	isFollowing(): boolean;
+	/** @returns Whether that relay has announced a state, so that this host gets it from there. */
+	isAnnouncedBySource(state: AnnouncedState): boolean;
 	/** @returns Peers that have run for some time and respond. */
 	peers(): readonly HostDescription[];
 };
@@ -39,6 +41,7 @@
 	/** Peers that were asked for the ages of target versions, by name and incarnation. */
 	readonly #peersAskedForAges = new Set<string>();
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
+	#isRequesting = false;
 	#nextSeedIndex = 0;
 	/** The announced state that this host has lacked for the longest time. */
 	#missing: {readonly since: Milliseconds; readonly announced: AnnouncedState} | undefined;
@@ -62,7 +65,12 @@
 	handleNewerPeer(peer: SnapshotSource, announced: AnnouncedState): void {
 		const {clusterState, now} = this.#options;
 		const hasStoreContact = this.#options.hasStoreContact();
-		const hasSource = hasStoreContact || this.#options.isFollowing();
+		const isFollowing = this.#options.isFollowing();
+		if (isFollowing && this.#options.isAnnouncedBySource(announced)) {
+			return;
+		}
+
+		const hasSource = hasStoreContact || isFollowing;
 		if (hasSource && clusterState.configuration !== undefined) {
 			if (this.#missing === undefined || this.#hasReached(this.#missing.announced)) {
 				this.#missing = {since: now(), announced};
@@ -75,7 +83,7 @@
 			}
 		}
 
-		if (now() - this.#lastRequestAt >= minimumSnapshotInterval) {
+		if (!this.#isRequesting && now() - this.#lastRequestAt >= minimumSnapshotInterval) {
 			this.#missing = undefined;
 			void this.#fetchAndApply(peer);
 		}
@@ -115,7 +123,9 @@
 	async #fetchAndApply(peer: SnapshotSource): Promise<void> {
 		const {clusterState, peerClient, log, now} = this.#options;
 		this.#lastRequestAt = now();
+		this.#isRequesting = true;
 		const snapshot = await peerClient.fetchSnapshot(peer.snapshotAddress);
+		this.#isRequesting = false;
 		if (snapshot.isErr) {
 			log.info('snapshot-failed', {peer: peer.name, reason: snapshot.error.message});
 			return;
--- a/packages/host/src/state/relay-follower.ts
+++ b/packages/host/src/state/relay-follower.ts
@@ -4,8 +4,8 @@
 import type {ClusterState} from './cluster-state.js';
 import type {PeerClient} from './peer-snapshots.js';
 
-/** Minimum time between two requests to the relay. */
-const minimumRequestInterval: Milliseconds = 100;
+/** Time between two requests to the relay; it doubles with each failed one. */
+const requestInterval = {shortest: 100, longest: 1600} as const;
 
 /**
  * Keeps the cluster state of a member up to date. The relay pushes small changes, each with the state version to which it leads; the
@@ -20,6 +20,9 @@
 	#stateVersion: number | undefined;
 	#isRequesting = false;
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
+	#consecutiveFailures = 0;
+	/** The versions in the latest message of the relay. */
+	#announced = {configuration: 0, revision: 0};
 
 	constructor(clusterState: ClusterState, peerClient: PeerClient, log: Logger, now: () => Milliseconds) {
 		this.#clusterState = clusterState;
@@ -28,6 +31,18 @@
 		this.#now = now;
 	}
 
+	/**
+	 * Tells whether the relay has announced a state, so that this host gets it from there.
+	 *
+	 * @param state - The versions of the state.
+	 * @param state.configuration - Version of the configuration.
+	 * @param state.revision - The store revision.
+	 * @returns Whether the relay's latest message states these versions or newer ones.
+	 */
+	isAnnounced({configuration, revision}: {readonly configuration: number; readonly revision: number}): boolean {
+		return this.#announced.configuration >= configuration && this.#announced.revision >= revision;
+	}
+
 	/** Requests the whole state with the next message, because messages may have been missed. */
 	requestFullState(): void {
 		this.#stateVersion = undefined;
@@ -44,8 +59,10 @@
 		if (relayKey !== this.#relay) {
 			this.#relay = relayKey;
 			this.#stateVersion = undefined;
+			this.#consecutiveFailures = 0;
 		}
 
+		this.#announced = {configuration: message.configuration, revision: message.revision};
 		for (const {version, change} of message.updates) {
 			if (this.#stateVersion !== undefined && version === this.#stateVersion + 1) {
 				this.#clusterState.apply({changes: [change], revision: change.revision}, false, relay.name);
@@ -64,7 +81,8 @@
 		}
 
 		const isOutdated = this.#stateVersion === undefined || this.#stateVersion < message.stateVersion;
-		if (isOutdated && !this.#isRequesting && this.#now() - this.#lastRequestAt >= minimumRequestInterval) {
+		const interval = Math.min(requestInterval.shortest * (2 ** this.#consecutiveFailures), requestInterval.longest);
+		if (isOutdated && !this.#isRequesting && this.#now() - this.#lastRequestAt >= interval) {
 			void this.#requestChanges(relay, relayKey);
 		}
 	}
@@ -76,6 +94,7 @@
 			configuration: this.#clusterState.configuration?.version ?? 0, stateVersion: this.#stateVersion ?? 0,
 		});
 		this.#isRequesting = false;
+		this.#consecutiveFailures = response.isErr ? this.#consecutiveFailures + 1 : 0;
 		if (response.isErr) {
 			this.#log.info('snapshot-failed', {peer: relay.name, reason: response.error.message});
 			return;
