--- a/packages/host/src/members/fleet-membership.ts
+++ b/packages/host/src/members/fleet-membership.ts
@@ -63,6 +63,7 @@
 	readonly #mirrors = new Map<string, Mirror>();
 	readonly #readerElection: StoreReaderElection;
 	#isReader = false;
+	#stateSource: string | undefined;
 	#lastJoinRequestAt = Number.NEGATIVE_INFINITY;
 	#lastRole: HostRole = 'joining';
 	#lastRelay: string | undefined;
@@ -77,22 +78,9 @@
 		return this.#topology.role;
 	}
 
-	/** Whether this host is to read the store. */
-	get isReader(): boolean {
-		return this.#isReader;
-	}
-
-	/**
-	 * Finds the peer from which this host gets the changes of the cluster state.
-	 *
-	 * @returns The relay of a member, or the reader that a relay follows; undefined if this host reads the store.
-	 */
-	findStateSource(): string | undefined {
-		if (this.role === 'member') {
-			return this.#topology.relay?.name;
-		}
-
-		return this.#isReader ? undefined : this.#topology.listDomainRelays(this.#options.now()).find(name => this.#readerElection.hasContact(name, this.#options.now()));
+	/** The peer from which this host gets the changes of the cluster state; undefined if it reads the store, or knows no such peer. */
+	get stateSource(): string | undefined {
+		return this.#stateSource;
 	}
 
 	/**
@@ -219,6 +207,9 @@
 			log.info('store-reader', {isReader, relays});
 			onReaderChanged(isReader);
 		}
+
+		const readingRelay = isReader ? undefined : relays.find(name => this.#readerElection.hasContact(name, now()));
+		this.#stateSource = this.role === 'member' ? this.#topology.relay?.name : readingRelay;
 	}
 
 	#announceRole(links: number): void {
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -91,7 +91,7 @@
 			log,
 			now,
 			hasStoreContact: () => options.hasStoreContact(),
-			isFollowing: () => this.#membership.findStateSource() !== undefined,
+			isFollowing: () => this.#membership.stateSource !== undefined,
 			isAnnouncedBySource: state => this.#relayFollower.isAnnounced(state),
 			peers: () => clusterState.hosts.listRelays(now()).filter(host => clusterState.hosts.hasHeartbeat(host.name, now())),
 		});
@@ -143,7 +143,7 @@
 
 		const {clusterState} = this.#options;
 		this.#receiver.merge(link.sender, link.kind, message);
-		if (link.sender.name === this.#membership.findStateSource()) {
+		if (link.sender.name === this.#membership.stateSource) {
 			this.#relayFollower.handleMessage(link.sender, message);
 		} else if (message.configuration > (clusterState.configuration?.version ?? 0) || message.revision > clusterState.revision) {
 			this.#peerSynchronizer.handleNewerPeer(link.sender, message);
--- a/packages/routing/src/configuration.ts
+++ b/packages/routing/src/configuration.ts
@@ -57,7 +57,7 @@
 	readonly promptStore?: PromptStore | undefined;
 };
 
-/** A tenant: its API keys, priority and rate limit. */
+/** A customer whose requests share API keys, a priority and a rate limit. */
 export type Workspace = {
 	readonly name: string;
 	readonly keys: readonly string[];
