Log what is known of the end of close-delimited responses

The log could not tell a stream that ended within an event from one whose reset went unnoticed. Change: resetCheck and partialEvent in the attempts of the log event request; counter close_delimited_responses. No decision changes.

--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -1,7 +1,7 @@
 import {type RequestLoad, estimateMemoryTokens} from '@lacewingpoint/routing';
-import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
+import type {Bytes, Milliseconds, Tokens} from '@lacewingpoint/shared';
 import type {ClientRequest, ResponseHead} from '../ports.js';
-import type {Exchange} from './backend-connection-pool.js';
+import type {Exchange, ResetCheck} from './backend-connection-pool.js';
 import type {ChosenServer} from './dispatcher.js';
 
 /** One attempt to have a request executed by a server. */
@@ -23,6 +23,10 @@
 	pauseBacklog: Tokens;
 	/** How the end of the response body is marked; `undefined` unless the head of this response was forwarded. */
 	framing: 'length' | 'chunks' | 'close' | undefined;
+	/** What is known of a reset at the end of a close-delimited response; `undefined` for other responses. */
+	resetCheck: ResetCheck | undefined;
+	/** Size of the incomplete event at the end of a stream. */
+	partialEventBytes: Bytes;
 };
 
 /** The entry of an attempt in the log event `request`. */
@@ -53,6 +57,8 @@
 		longestPause: 0,
 		pauseBacklog: 0,
 		framing: undefined,
+		resetCheck: undefined,
+		partialEventBytes: 0,
 	};
 }
 
@@ -83,6 +89,8 @@
 		pauseBacklog: attempt.longestPause === 0 ? undefined : attempt.pauseBacklog,
 		status: attempt.status,
 		framing: attempt.framing,
+		resetCheck: attempt.resetCheck,
+		partialEvent: attempt.partialEventBytes === 0 ? undefined : attempt.partialEventBytes,
 	};
 }
 
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -17,12 +17,24 @@
 /** Why an exchange failed, and whether the request may have reached the server. */
 export type ExchangeFailure = {readonly wasWritten: boolean; readonly reason: string};
 
+/**
+ * Whether a close-delimited response ended with a reset of its connection, as far as known: the code of the error that the connection
+ * reported, `none` if it can still be written to, or `pending` if the end of the response was reported before the check.
+ */
+export type ResetCheck = string;
+
+/** How the end of a response was recognized. */
+export type ResponseEnding = {
+	/** `undefined` if the response has a content length or chunks and needs no check. */
+	readonly resetCheck: ResetCheck | undefined;
+};
+
 /** Callbacks for the response. */
 export type ExchangeHandler = {
 	onHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void;
 	onData(chunk: Uint8Array): void;
 	/** Called when the response is complete. */
-	onEnd(): void;
+	onEnd(ending: ResponseEnding): void;
 	onFailure(failure: ExchangeFailure): void;
 };
 
@@ -66,6 +78,7 @@
 	isClosed: boolean;
 	/** Whether the socket reported an error. Undici reports a reset during a close-delimited response as its end. */
 	hasSocketError: boolean;
+	resetCheck: ResetCheck;
 	/** Whether the body of the current response ends with the connection, because it has neither a content length nor chunks. */
 	isCloseDelimited: boolean;
 };
@@ -76,7 +89,8 @@
  */
 function detectReset(socket: Socket, connection: Connection): void {
 	socket.write('\r\n', error => {
-		const code = error instanceof Error && 'code' in error ? error.code : undefined;
+		const code = error instanceof Error && 'code' in error ? String(error.code) : undefined;
+		connection.resetCheck = code ?? (error ? error.message : 'none');
 		if (code === 'EPIPE' || code === 'ECONNRESET') {
 			connection.hasSocketError = true;
 		}
@@ -126,7 +140,7 @@
 			} else if (!isFinished) {
 				isFinished = true;
 				this.#release(connection);
-				handler.onEnd();
+				handler.onEnd({resetCheck: connection.isCloseDelimited ? connection.resetCheck : undefined});
 			}
 		};
 
@@ -255,7 +269,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, key, idleSince: 0, isClosed: false, hasSocketError: false, isCloseDelimited: false,
+			client, key, idleSince: 0, isClosed: false, hasSocketError: false, resetCheck: 'pending', isCloseDelimited: false,
 		};
 		client.on('disconnect', () => {
 			connection.isClosed = true;
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -4,7 +4,7 @@
 import {
 	type Attempt, type AttemptRecord, createAttempt, describeAttempt, responseFraming, roundTime,
 } from './attempt.js';
-import type {ExchangeFailure} from './backend-connection-pool.js';
+import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {ChosenServer, PendingRequest} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
@@ -276,8 +276,8 @@
 			onData: chunk => {
 				this.#onData(attempt, chunk);
 			},
-			onEnd: () => {
-				this.#onEnd(attempt);
+			onEnd: ending => {
+				this.#onEnd(attempt, ending);
 			},
 			onFailure: failure => {
 				if (attempt === this.#attempt && !attempt.isFinished) {
@@ -410,13 +410,19 @@
 		}
 	}
 
-	#onEnd(attempt: Attempt): void {
+	#onEnd(attempt: Attempt, ending: ResponseEnding): void {
 		if (attempt.isFinished || attempt !== this.#attempt) {
 			return;
 		}
 
+		attempt.resetCheck = ending.resetCheck;
+		if (ending.resetCheck !== undefined) {
+			this.#context.metrics.incrementCounter('close_delimited_responses', {reset_check: ending.resetCheck});
+		}
+
 		if (this.#isStream && attempt.status === 200) {
 			const remainder = this.#eventRelay.flush();
+			attempt.partialEventBytes = remainder.length;
 			if (remainder.length > 0) {
 				this.received.responseWriter.write(remainder);
 			}
