--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -1,6 +1,6 @@
 export {createConfiguration} from './configuration.js';
 export {
 	type PlatformRequest, type RequestHandler, PlatformServerStandIn, createCompletionChunk, formatResponseHead,
-	resetConnection, respondAndReset, respondWithBody, streamCompletion, streamEvents,
+	resetConnection, respondAndReset, respondWithBody, streamCompletion, streamEvents, streamUntilClose,
 } from './platform-server.js';
 export {type StoreFailureMode, PlatformStoreStandIn} from './platform-store.js';
--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -203,6 +203,32 @@
 	};
 }
 
+/**
+ * Creates a handler that streams events without a length or chunks, so that the stream ends with its connection.
+ *
+ * @param eventCount - Number of events in the complete stream.
+ * @param options - `endWithin`: id of an event in whose middle the connection is closed in an orderly way.
+ * @returns The handler.
+ */
+export function streamUntilClose(eventCount: number, options: {readonly endWithin?: number} = {}): RequestHandler {
+	return (request, socket, server) => {
+		server.executedRequests.push(request);
+		socket.write(formatResponseHead(request, ['Content-Type: text/event-stream']));
+		const firstId = Number(request.headers.get('last-event-id') ?? 0) + 1;
+		for (let id = firstId; id <= eventCount; id++) {
+			const event = `id: ${id}\ndata: piece ${id}\n\n`;
+			if (id === options.endWithin) {
+				socket.end(event.slice(0, 8));
+				return;
+			}
+
+			socket.write(event);
+		}
+
+		socket.end();
+	};
+}
+
 /**
  * Creates the text of one chunk of a completion. It depends only on the arguments, so that a resumed stream has the same chunks.
  *
