Do not take a stream that ends within an event for a complete one

Cause: a response without a length or chunks ends with its connection. The pipeline took an orderly end of the connection for the end of the stream, forwarded what there was of the last event and ended the response. Class: the end of the transport is taken for the end of the message. Change: an event stream is complete only if it ends between events. Otherwise the attempt has failed: a resumable stream continues at another server after its last whole event, any other is cut off, so that its client sees the break. What consists of events is decided by the content type.

--- a/packages/host/__tests__/event-relay.test.ts
+++ b/packages/host/__tests__/event-relay.test.ts
@@ -22,6 +22,22 @@
 	assert.is(text(relay.push(Buffer.from('id: 2\ndata: b\n\n'))), 'id: 2\ndata: b\n\n');
 });
 
+test('a stream ends within an event unless only comments and empty lines follow the last complete event', () => {
+	const isWithinEvent = (stream: string) => {
+		const relay = new EventRelay();
+		relay.push(Buffer.from(stream));
+		return relay.isWithinEvent;
+	};
+
+	for (const stream of ['', 'id: 1\ndata: a\n\n', 'id: 1\r\ndata: a\r\n\r\n', 'data: a\n\n\n', 'data: a\n\n: keep-alive', ': keep-alive\n']) {
+		assert.not.ok(isWithinEvent(stream), JSON.stringify(stream));
+	}
+
+	for (const stream of ['i', 'data: a', 'data: a\n', 'data: a\n\nid: 2', 'data: a\n\n: comment\nid: 2\ndata: b\n']) {
+		assert.ok(isWithinEvent(stream), JSON.stringify(stream));
+	}
+});
+
 test('wherever chunks end, no byte is lost or added and no partial event is forwarded', () => {
 	const events = fc.array(fc.record({id: fc.nat(), data: fc.string({unit: fc.constantFrom('a', 'b', ' ', ':'), maxLength: 12})}), {minLength: 1, maxLength: 8});
 	fc.assert(fc.property(events, fc.constantFrom('\n', '\r\n'), fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}), (list, lineEnd, chunkSizes) => {
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -23,6 +23,8 @@
 	pauseBacklog: Tokens;
 	/** How the end of the response body is marked; `undefined` unless the head of this response was forwarded. */
 	framing: 'length' | 'chunks' | 'close' | undefined;
+	/** Whether the response consists of server-sent events. */
+	isEventStream: boolean;
 	/** What is known of a reset at the end of a close-delimited response; `undefined` for other responses. */
 	resetCheck: ResetCheck | undefined;
 	/** Size of the incomplete event at the end of a stream. */
@@ -57,6 +59,7 @@
 		longestPause: 0,
 		pauseBacklog: 0,
 		framing: undefined,
+		isEventStream: false,
 		resetCheck: undefined,
 		partialEventBytes: 0,
 	};
@@ -108,6 +111,17 @@
 	return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
+/**
+ * Determines whether the response of a streaming route consists of events. A response without a content type is assumed to.
+ *
+ * @param headers - The response headers.
+ * @returns Whether the body is a stream of server-sent events.
+ */
+export function isEventStream(headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
+	const contentType = headers['content-type'];
+	return contentType === undefined || String(contentType).toLowerCase().startsWith('text/event-stream');
+}
+
 /**
  * Rounds a time for the log.
  *
--- a/packages/host/src/requests/event-relay.ts
+++ b/packages/host/src/requests/event-relay.ts
@@ -1,3 +1,5 @@
+import type {Bytes} from '@lacewingpoint/shared';
+
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
@@ -14,9 +16,15 @@
 		return this.#lastEventId;
 	}
 
-	/** Whether bytes of an incomplete event are buffered. */
-	get hasPartialEvent(): boolean {
-		return this.#partialEvent.length > 0;
+	/** Number of bytes after the last complete event. */
+	get bufferedBytes(): Bytes {
+		return this.#partialEvent.length;
+	}
+
+	/** Whether the bytes after the last complete event belong to an event. Comments and empty lines do not. */
+	get isWithinEvent(): boolean {
+		const lines = Buffer.from(this.#partialEvent).toString('latin1').split(/[\r\n]+/v);
+		return lines.some(line => line !== '' && !line.startsWith(':'));
 	}
 
 	/**
@@ -38,9 +46,9 @@
 	}
 
 	/**
-	 * Empties the buffer. Call it at the end of a stream that the server ended properly.
+	 * Empties the buffer. Call it at the end of a stream that the server ended between two events.
 	 *
-	 * @returns The bytes after the last complete event.
+	 * @returns The comments and empty lines after the last complete event.
 	 */
 	flush(): Uint8Array {
 		const remainder = this.#partialEvent;
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -2,7 +2,7 @@
 import {type Milliseconds, hashText} from '@lacewingpoint/shared';
 import type {HeaderList, ReceivedRequest, ResponseHead} from '../ports.js';
 import {
-	type Attempt, type AttemptRecord, createAttempt, describeAttempt, responseFraming, roundTime,
+	type Attempt, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming, roundTime,
 } from './attempt.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {ChosenServer, PendingRequest} from './dispatcher.js';
@@ -320,6 +320,7 @@
 		const {entry, engine} = attempt.chosen;
 		attempt.head = head;
 		attempt.status = status;
+		attempt.isEventStream = this.#isStream && status === 200 && isEventStream(headers);
 		if (head.weightsVersion !== undefined && this.received.request.generation !== undefined && (head.instanceId ?? entry.id) === entry.id) {
 			clusterState.recordObservedVersion(entry.id, this.received.request.generation.model, head.weightsVersion);
 		}
@@ -369,7 +370,7 @@
 
 		this.#recordPause(attempt);
 		this.#updateStallDetector(attempt);
-		const bytes = this.#isStream && attempt.status === 200 ? this.#eventRelay.push(chunk) : chunk;
+		const bytes = attempt.isEventStream ? this.#eventRelay.push(chunk) : chunk;
 		if (bytes.length > 0 && !this.received.responseWriter.write(bytes)) {
 			this.#isPaused = true;
 			attempt.exchange?.pause();
@@ -420,9 +421,14 @@
 			this.#context.metrics.incrementCounter('close_delimited_responses', {reset_check: ending.resetCheck});
 		}
 
-		if (this.#isStream && attempt.status === 200) {
+		if (attempt.isEventStream) {
+			if (this.#eventRelay.isWithinEvent) {
+				attempt.partialEventBytes = this.#eventRelay.bufferedBytes;
+				this.#onAttemptFailed({wasWritten: true, reason: 'the stream ended within an event'});
+				return;
+			}
+
 			const remainder = this.#eventRelay.flush();
-			attempt.partialEventBytes = remainder.length;
 			if (remainder.length > 0) {
 				this.received.responseWriter.write(remainder);
 			}
