Reset the connection of a client of HTTP/1.0 whose response is broken off

Cause: a response to HTTP/1.0 has no chunks. Without a length it ends with its connection, and the host closed the connection of a broken-off response in an orderly way, also when it was stopped with responses under way: to the client a complete response. Change: such connections are reset. A client of HTTP/1.1 sees the missing last chunk, as before.

--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -49,6 +49,7 @@
 	readonly #options: ClientListenerOptions;
 	readonly #disconnectListeners: Array<() => void> = [];
 	#isDisconnected = false;
+	#hasContentLength = false;
 
 	constructor(response: ServerResponse, options: ClientListenerOptions) {
 		this.#response = response;
@@ -74,7 +75,9 @@
 
 	writeHead(status: number, headers: HeaderList): void {
 		this.#closeConnectionIfStopping();
-		this.#response.writeHead(status, [...this.#options.protocol.responseHeaders(this.request!, headers)]);
+		const clientHeaders = [...this.#options.protocol.responseHeaders(this.request!, headers)];
+		this.#hasContentLength = clientHeaders.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+		this.#response.writeHead(status, clientHeaders);
 	}
 
 	write(chunk: Uint8Array): boolean {
@@ -86,7 +89,12 @@
 	}
 
 	destroy(): void {
-		this.#response.destroy();
+		// A client of HTTP/1.0 gets no chunks. Without a length, only a reset tells it that the response was broken off.
+		if (this.#response.headersSent && !this.#response.chunkedEncoding && !this.#hasContentLength) {
+			this.#response.socket?.resetAndDestroy();
+		} else {
+			this.#response.destroy();
+		}
 	}
 
 	sendError(status: number, message: string, retryAfter: Milliseconds | undefined): void {
@@ -126,12 +134,15 @@
 export async function serveClients(options: ClientListenerOptions): Promise<ClientListener> {
 	const limits = () => options.limits() ?? defaultLimits;
 	const openSockets = new Set<Socket>();
+	const openResponses = new Set<ResponseWriter>();
 	let bufferedBytes = 0;
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
 	}, (request: IncomingMessage, response: ServerResponse) => {
 		const receivedAt = options.now();
 		const responseWriter = new HttpResponseWriter(response, options);
+		openResponses.add(responseWriter);
+		response.once('close', () => openResponses.delete(responseWriter));
 		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
 		const reject = (id: string | undefined, status: number, reason: string) => {
 			options.onRejected(id, status, reason);
@@ -221,6 +232,10 @@
 		connectionCount: () => openSockets.size,
 		async dispose() {
 			server.close();
+			for (const responseWriter of openResponses) {
+				responseWriter.destroy();
+			}
+
 			server.closeAllConnections();
 		},
 	};
