Take a close-delimited response for complete only once its connection was found open

The result of the write that detects a reset had to arrive within a turn of the event loop, other errors than EPIPE and ECONNRESET did not count, and a connection that closed without an end was not checked at all. Change: a close-delimited response is complete once the server has ended the connection and the write was accepted. Responses that have no body by definition (HEAD, 204, 304) are not close-delimited. Evidence: no test failed before; failing-servers and broken-off-responses pass.

--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -18,8 +18,8 @@
 export type ExchangeFailure = {readonly wasWritten: boolean; readonly reason: string};
 
 /**
- * Whether a close-delimited response ended with a reset of its connection, as far as known: the code of the error that the connection
- * reported, `none` if it can still be written to, or `pending` if the end of the response was reported before the check.
+ * Whether the connection of a close-delimited response was reset at its end: the code of the error that the connection reported, `none`
+ * if it could still be written to, or `pending` while this is not known.
  */
 export type ResetCheck = string;
 
@@ -79,6 +79,10 @@
 	/** Whether the socket reported an error. Undici reports a reset during a close-delimited response as its end. */
 	hasSocketError: boolean;
 	resetCheck: ResetCheck;
+	/** Whether the server ended the connection in an orderly way, as far as Node.js reports it. */
+	isEndReceived: boolean;
+	/** Called when `resetCheck` is known. */
+	onResetChecked: (() => void) | undefined;
 	/** Whether the body of the current response ends with the connection, because it has neither a content length nor chunks. */
 	isCloseDelimited: boolean;
 };
@@ -89,14 +93,17 @@
  */
 function detectReset(socket: Socket, connection: Connection): void {
 	socket.write('\r\n', error => {
-		const code = error instanceof Error && 'code' in error ? String(error.code) : undefined;
-		connection.resetCheck = code ?? (error ? error.message : 'none');
-		if (code === 'EPIPE' || code === 'ECONNRESET') {
-			connection.hasSocketError = true;
-		}
+		connection.resetCheck = error instanceof Error ? ('code' in error ? String(error.code) : error.message) : 'none';
+		connection.onResetChecked?.();
 	});
 }
 
+// A response to HEAD and one with status 204 or 304 has no body, so that its end is known with its head.
+function isCloseDelimited(method: string, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
+	const hasBody = method !== 'HEAD' && status !== 204 && status !== 304;
+	return hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 type ControllerWithRawHeaders = {readonly rawHeaders?: readonly Uint8Array[]};
 
 function decodeRawHeaders(rawHeaders: readonly Uint8Array[] | undefined): HeaderList {
@@ -135,7 +142,7 @@
 		};
 
 		const finish = () => {
-			if (connection.hasSocketError) {
+			if (connection.hasSocketError || (connection.isCloseDelimited && connection.resetCheck !== 'none')) {
 				fail('connection reset before the response was complete');
 			} else if (!isFinished) {
 				isFinished = true;
@@ -162,7 +169,7 @@
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isFinished) {
-					connection.isCloseDelimited = headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+					connection.isCloseDelimited = isCloseDelimited(request.method, status, headers);
 					handler.onHead(status, headers, decodeRawHeaders((controller as unknown as ControllerWithRawHeaders).rawHeaders));
 				}
 			},
@@ -172,9 +179,8 @@
 				}
 			},
 			onResponseEnd() {
-				if (connection.isCloseDelimited) {
-					// The write of detectReset reports its result within this turn of the event loop.
-					setImmediate(finish);
+				if (connection.isCloseDelimited && connection.isEndReceived && connection.resetCheck === 'pending') {
+					connection.onResetChecked = finish;
 				} else {
 					finish();
 				}
@@ -259,6 +265,7 @@
 						connection.hasSocketError ||= error.code !== 'UND_ERR_INFO';
 					});
 					socket?.prependListener('end', () => {
+						connection.isEndReceived = true;
 						if (connection.isCloseDelimited) {
 							detectReset(socket, connection);
 						}
@@ -269,7 +276,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, key, idleSince: 0, isClosed: false, hasSocketError: false, resetCheck: 'pending', isCloseDelimited: false,
+			client, key, idleSince: 0, isClosed: false, hasSocketError: false, isEndReceived: false, resetCheck: 'pending', onResetChecked: undefined, isCloseDelimited: false,
 		};
 		client.on('disconnect', () => {
 			connection.isClosed = true;
