Do not continue at another server what is no stream of events with ids

A resumable route's response of another content type, or a stream without event ids, that broke off was requested again in full and appended to what the client had. Cause: the pipeline took every response of a streaming route for a stream that another server can continue. Change: only a stream of events continues, and only if nothing of it was forwarded or the id of its last event is known; the continuing response must be a stream of events as well. What cannot continue is not given up for a stall either.

--- a/packages/host/src/requests/event-relay.ts
+++ b/packages/host/src/requests/event-relay.ts
@@ -10,12 +10,18 @@
 export class EventRelay {
 	#partialEvent: Uint8Array = new Uint8Array();
 	#lastEventId: string | undefined;
+	#hasForwardedEvents = false;
 
 	/** The id of the last complete event; `undefined` before the first event with an id. */
 	get lastEventId(): string | undefined {
 		return this.#lastEventId;
 	}
 
+	/** Whether another server can continue the stream: nothing was forwarded, or it is known up to which event. */
+	get canBeContinued(): boolean {
+		return !this.#hasForwardedEvents || this.#lastEventId !== undefined;
+	}
+
 	/** Number of bytes after the last complete event. */
 	get bufferedBytes(): Bytes {
 		return this.#partialEvent.length;
@@ -39,6 +45,7 @@
 		const completeEvents = buffered.subarray(0, end);
 		this.#partialEvent = buffered.subarray(end);
 		if (completeEvents.length > 0) {
+			this.#hasForwardedEvents = true;
 			this.#lastEventId = findLastEventId(completeEvents) ?? this.#lastEventId;
 		}
 
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -72,6 +72,8 @@
 	/** The version of the weights expected at the server whose response head was forwarded. */
 	#weightsVersion: number | undefined;
 	#hasResponseStarted = false;
+	/** Whether the response head that was forwarded began a stream of events. */
+	#isEventStream = false;
 	#isQueued = false;
 	#isFinished = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
@@ -96,6 +98,11 @@
 		return this.#route?.repeatability === 'idempotent' || this.#route?.repeatability === 'resumable-stream';
 	}
 
+	/** Whether another attempt could provide the response, or the rest of one that has started. */
+	get #canBeContinued(): boolean {
+		return !this.#hasResponseStarted || (this.#isEventStream && this.#eventRelay.canBeContinued);
+	}
+
 	/** Processes the request until it is sent to a server, queued or refused. */
 	start(): void {
 		const {clusterState, quarantine, now} = this.#context;
@@ -289,7 +296,7 @@
 	}
 
 	#updateStallDetector(attempt: Attempt): void {
-		if (!this.#isRetryable || this.#executions + 1 >= this.#route!.maxServers) {
+		if (!this.#isRetryable || !this.#canBeContinued || this.#executions + 1 >= this.#route!.maxServers) {
 			this.#stallDetector.stop();
 		} else if (!attempt.hasFirstByte) {
 			this.#stallDetector.awaitFirstByte(this.#route!.objective, attempt.chosen.engine?.predictedTimeToFirstToken ?? 0);
@@ -344,14 +351,15 @@
 
 		if (this.#hasResponseStarted) {
 			// The client already has the response head of the first server; only the resumed events are relayed.
-			if (status >= 300) {
-				this.#onAttemptFailed({wasWritten: true, reason: `resume request failed with status ${status}`});
+			if (!attempt.isEventStream) {
+				this.#onAttemptFailed({wasWritten: true, reason: `the stream was not continued: status ${status}, ${String(headers['content-type'])}`});
 			}
 
 			return;
 		}
 
 		this.#hasResponseStarted = true;
+		this.#isEventStream = attempt.isEventStream;
 		this.#weightsVersion = engine?.weightsVersion;
 		clusterState.health.recordOutcome(entry.id, false, now());
 		attempt.framing = responseFraming(headers);
@@ -467,9 +475,8 @@
 
 	// Checks whether another attempt is allowed; if so, takes it from the retry budget.
 	#claimRetry(): boolean {
-		// Once a response head was forwarded, only a stream can continue from another server.
 		return this.#isRetryable
-			&& (!this.#hasResponseStarted || this.#isStream)
+			&& this.#canBeContinued
 			&& this.#executions < this.#route!.maxServers
 			&& this.#attemptCount < this.#route!.maxServers + extraAttempts
 			&& this.#remainingTime() > minimumRemainingTime
