--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -3,4 +3,4 @@
 	type PlatformRequest, type RequestHandler, PlatformServerStandIn, createCompletionChunk, formatResponseHead,
 	resetConnection, respondAndReset, respondWithBody, streamCompletion, streamEvents, streamUntilClose,
 } from './platform-server.js';
-export {type StoreFailureMode, PlatformStoreStandIn} from './platform-store.js';
+export {type StoreCopy, type StoreFailureMode, PlatformStoreStandIn} from './platform-store.js';
--- a/packages-private/stand-ins/src/platform-store.ts
+++ b/packages-private/stand-ins/src/platform-store.ts
@@ -11,12 +11,17 @@
 	readonly delete: readonly string[];
 };
 
+/** A copy of the store, from which it can be restored. */
+export type StoreCopy = {readonly items: readonly Item[]; readonly revision: number; readonly leases: readonly number[]};
+
 /** Ways in which the store fails. `refusing`: it responds with status 503; `silent`: not at all; `resetting`: it resets the connection. */
 export type StoreFailureMode = 'none' | 'refusing' | 'silent' | 'resetting';
 
 /** Stand-in for the platform's store: key-value items with revisions, watches, transactions and leases over HTTP. */
 export class PlatformStoreStandIn {
 	failureMode: StoreFailureMode = 'none';
+	/** Stated in all responses; rises with each restore. */
+	era = 1;
 	/** Number of calls by path. */
 	readonly callCounts = new Map<string, number>();
 	readonly #items = new Map<string, Item>();
@@ -100,6 +105,36 @@
 		this.#notifyWatches();
 	}
 
+	/** @returns A copy of all items, the revision and the leases. */
+	copy(): StoreCopy {
+		return {items: [...this.#items.values()], revision: this.#revision, leases: [...this.#leaseTimers.keys()]};
+	}
+
+	/**
+	 * Restores a copy. Later changes and leases are lost, their revisions are assigned again, and the history is empty.
+	 *
+	 * @param copy - A copy made earlier.
+	 */
+	restore(copy: StoreCopy): void {
+		this.era++;
+		this.#revision = copy.revision;
+		this.#compactedRevision = copy.revision;
+		this.#history = [];
+		this.#items.clear();
+		for (const item of copy.items) {
+			this.#items.set(item.key, item);
+		}
+
+		for (const [lease, timer] of this.#leaseTimers) {
+			if (!copy.leases.includes(lease)) {
+				clearTimeout(timer);
+				this.#leaseTimers.delete(lease);
+			}
+		}
+
+		this.#notifyWatches();
+	}
+
 	#write(key: string, value: string, lease: number): void {
 		this.#revision++;
 		const item: Item = {
@@ -142,7 +177,7 @@
 
 		const body = Buffer.concat(chunks).toString('utf8');
 		const respond = (status: number, value: unknown = {}) => {
-			response.writeHead(status, {'Content-Type': 'application/json'}).end(JSON.stringify(value));
+			response.writeHead(status, {'Content-Type': 'application/json', 'Store-Era': String(this.era)}).end(JSON.stringify(value));
 		};
 
 		if (this.failureMode === 'refusing') {
@@ -214,7 +249,7 @@
 		const after = Number(query.get('after'));
 		const prefix = query.get('prefix') ?? '';
 		const findChanges = () => this.#history.filter(change => change.revision > after && change.key.startsWith(prefix));
-		if (findChanges().length === 0 && after >= this.#compactedRevision) {
+		if (findChanges().length === 0 && after >= this.#compactedRevision && after <= this.#revision) {
 			await new Promise<void>(resolve => {
 				const finish = () => {
 					clearTimeout(timer);
@@ -227,7 +262,7 @@
 			});
 		}
 
-		if (after < this.#compactedRevision) {
+		if (after < this.#compactedRevision || after > this.#revision) {
 			respond(410);
 			return;
 		}
--- a/packages/command-line/src/explanation.ts
+++ b/packages/command-line/src/explanation.ts
@@ -46,11 +46,19 @@
 
 /** Events about a server, and the log field that contains the server's id. */
 const serverEvents: ReadonlyMap<string, string> = new Map([
-	['server', 'id'], ['server-gone', 'id'], ['weights', 'server'], ['order', 'server'], ['order-failed', 'server'], ['server-unreachable', 'server'], ['server-death', 'server'],
+	['server', 'id'],
+	['server-gone', 'id'],
+	['weights', 'server'],
+	['order', 'server'],
+	['order-failed', 'server'],
+	['server-unreachable', 'server'],
+	['server-death', 'server'],
+	['server-leaving', 'server'],
+	['server-pause', 'server'],
 ]);
 
 /** Events about the state of the host that served the request. */
-const hostEvents: ReadonlySet<string> = new Set(['configuration', 'weights-named', 'store-lost', 'store-found', 'history-lost', 'clock-jump', 'start', 'stop', 'reload']);
+const hostEvents: ReadonlySet<string> = new Set(['configuration', 'weights-named', 'store-lost', 'store-found', 'store-restored', 'history-lost', 'clock-jump', 'start', 'stop', 'reload']);
 
 /**
  * Explains the outcome of a request: collects its own log lines, and those about the servers that it was sent to and about the
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	type ClockReading, type LeaseTiming, LeaseValidity, createLeaseTiming, computeHandoverDelay,
+	type ClockReading, type LeaseTiming, LeaseValidity, createLeaseTiming, computeHandoverDelay, computeRestoreDelay,
 } from './lease-validity.js';
 export {type FleetLink, type FleetTopologyOptions, FleetTopology} from './fleet-topology.js';
 export {
--- a/packages/coordination/src/lease-validity.ts
+++ b/packages/coordination/src/lease-validity.ts
@@ -63,6 +63,17 @@
 	return Math.max(handoverGap - elapsed, 0) + handoverMargin;
 }
 
+/**
+ * Computes how long a new holder waits before its first operation if the store was restored from a copy. The last holder may be another
+ * one than the copy says, and may have renewed its lease just before.
+ *
+ * @param timing - The timing of the lease, the same for all holders.
+ * @returns The delay, counted from the acquisition of the lease.
+ */
+export function computeRestoreDelay(timing: LeaseTiming): Milliseconds {
+	return computeHandoverDelay(timing, -(timing.validityWindow + timing.operationTimeout));
+}
+
 /** Tells the holder of a lease whether it may start a protected operation. */
 export class LeaseValidity {
 	readonly #timing: LeaseTiming;
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -163,6 +163,14 @@
 		const modelServerClient = new ModelServerClient({
 			connections: this.#connectionPool, backend: adapter.backend, log, metrics: this.#metrics,
 		});
+		adapter.store.onRestored((era, previousEra) => {
+			log.warn('store-restored', {era, before: previousEra, revision: this.#clusterState.revision});
+			metrics.incrementCounter('store_restores');
+			this.#clusterState.servers.recordStoreRestored(now());
+			this.#storeWatch.handleRestore();
+			this.#registration.registerAgain();
+			this.#weightsLease.handleRestore(era);
+		});
 		this.#weightsController = new WeightsController({
 			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
 		});
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -27,6 +27,8 @@
 const serverEntrySchema = v.object({
 	id: v.string(),
 	incarnation: v.string(),
+	/** Absent in messages of earlier versions. */
+	sequence: v.optional(v.number(), 0),
 	service: v.string(),
 	address: v.string(),
 	failureDomain: v.string(),
--- a/packages/host/src/members/host-registration.ts
+++ b/packages/host/src/members/host-registration.ts
@@ -7,7 +7,8 @@
 /** How long a crashed relay stays listed in the store; its peers detect the missing heartbeats earlier. */
 const registrationTimeToLive: Milliseconds = 15_000;
 
-const renewalInterval: Milliseconds = 4000;
+/** Short, because a renewal also shows that the store was restored from a copy and has lost the registration. */
+const renewalInterval: Milliseconds = 1500;
 
 /** Interval of checks for a due renewal, and of attempts while the store does not respond. */
 const retryInterval: Milliseconds = 500;
@@ -36,6 +37,11 @@
 		});
 	}
 
+	/** Registers again with a new lease, because the store has lost the registration. */
+	registerAgain(): void {
+		this.#lease = undefined;
+	}
+
 	/** Stops renewing and revokes the lease, so that the host is no longer listed. */
 	async release(): Promise<void> {
 		const task = this.#maintenanceTask;
@@ -72,13 +78,14 @@
 			this.#lease = undefined;
 		}
 
+		const {era} = this.#store;
 		const lease = await this.#store.grantLease(registrationTimeToLive);
 		if (lease.isErr) {
 			return;
 		}
 
 		const registered = await this.#store.registerHost(this.#description, lease.value);
-		if (registered.isOk) {
+		if (registered.isOk && this.#store.era === era) {
 			this.#lease = lease.value;
 			this.#renewedAt = this.#now();
 			this.#log.info('registered', {lease: lease.value});
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -21,6 +21,15 @@
  */
 export type StoreError = LayerError<'refused' | 'unknown' | 'history-lost' | 'lease-ended' | 'malformed'>;
 
+/**
+ * A revision of the store. Revisions only rise, also when the store is restored from a copy: the adapter combines them with the number of
+ * restores.
+ */
+export type StoreRevision = number;
+
+/** Called when the store was found restored: what was written since the copy is lost. */
+export type RestoreListener = (era: number, previousEra: number) => void;
+
 /**
  * A change of the cluster state, with the store revision at which it was made. Peers exchange changes as JSON, so the field names are part
  * of their protocol.
@@ -47,6 +56,14 @@
 
 /** The platform's store: entries written by operators and servers, and the router's own keys. */
 export type ControlStore = {
+	/** Rises each time the store is restored from a copy. 0 if it is not known. */
+	readonly era: number;
+	/**
+	 * Subscribes to restores of the store.
+	 *
+	 * @param listener - Called once for each restore that a response shows.
+	 */
+	onRestored(listener: RestoreListener): void;
 	/** @returns All entries that a host needs, read linearizably. */
 	readAll(): Promise<Result<ChangeBatch, StoreError>>;
 	/**
--- a/packages/host/src/state/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -44,6 +44,9 @@
 	#consecutiveFailures = 0;
 	#isFollowing = false;
 	#isFollowingWanted = false;
+	/** Whether the store was restored from a copy since the last full read. */
+	#wasRestored = false;
+	#interruptWatch: (() => void) | undefined;
 	#previousClocks: {readonly monotonic: Milliseconds; readonly wall: Milliseconds} | undefined;
 
 	constructor(options: StoreWatchOptions) {
@@ -87,6 +90,12 @@
 		}
 	}
 
+	/** Reads everything again at once, because the store was restored from a copy. A watch under way is abandoned. */
+	handleRestore(): void {
+		this.#wasRestored = true;
+		this.#interruptWatch?.();
+	}
+
 	/** Makes the next call to the store a full read instead of a watch. */
 	requestFullRead(): void {
 		this.#needsFullRead = true;
@@ -99,7 +108,7 @@
 
 	async #followStore(): Promise<void> {
 		while (!this.#isStopped && this.#isFollowingWanted) {
-			const canContinue = this.#needsFullRead ? await this.#readAll() : await this.#readChanges();
+			const canContinue = this.#needsFullRead || this.#wasRestored ? await this.#readAll() : await this.#readChanges();
 			if (!canContinue && !this.#isStopped) {
 				const maximumDelay = Math.min(retryDelay.minimum * (2 ** Math.min(this.#consecutiveFailures, 10)), retryDelay.maximum);
 				await pause(maximumDelay * (0.5 + (this.#options.random.next() / 2)));
@@ -117,11 +126,16 @@
 		const batch = await store.readAll();
 		if (batch.isErr) {
 			this.#needsFullRead = true;
+			if (batch.error.code === 'history-lost') {
+				return true;
+			}
+
 			this.#recordFailure(describeError(batch.error));
 			return false;
 		}
 
 		this.#recordSuccess();
+		this.#wasRestored = false;
 		clusterState.apply(batch.value, true, 'store');
 		this.#revision = batch.value.revision;
 		return true;
@@ -130,7 +144,17 @@
 	/** @returns Whether the next call may follow without a delay. */
 	async #readChanges(): Promise<boolean> {
 		const {store, clusterState} = this.#options;
-		const batch = await store.watch(this.#revision, watchTimeout);
+		const interrupted = new Promise<undefined>(resolve => {
+			this.#interruptWatch = () => {
+				resolve(undefined);
+			};
+		});
+		const batch = await Promise.race([store.watch(this.#revision, watchTimeout), interrupted]);
+		this.#interruptWatch = undefined;
+		if (batch === undefined || this.#wasRestored) {
+			return true;
+		}
+
 		if (batch.isErr) {
 			this.#needsFullRead = true;
 			if (batch.error.code !== 'history-lost') {
--- a/packages/host/src/weights/weights-lease.ts
+++ b/packages/host/src/weights/weights-lease.ts
@@ -1,6 +1,6 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {
-	LeaseValidity, type ClockReading, type LeaseTiming, computeHandoverDelay,
+	LeaseValidity, type ClockReading, type LeaseTiming, computeHandoverDelay, computeRestoreDelay,
 } from '@lacewingpoint/coordination';
 import {
 	type Logger, type Milliseconds, type RandomSource, describeError,
@@ -27,8 +27,13 @@
 	holder: v.string(),
 	/** Time in milliseconds between the holder's last order and its release of the lease; absent if the lease was not released. */
 	quiet: v.optional(v.number()),
+	/** Era of the store in which the record was written; absent in records of earlier versions. */
+	era: v.optional(v.number(), 0),
 });
 
+/** Terms of a later era are higher than all of earlier ones, whose records may be lost. */
+const termsPerEra = 2 ** 20;
+
 type TermRecord = v.InferOutput<typeof termSchema>;
 
 /** The lease while this host holds it. */
@@ -61,6 +66,9 @@
 	#isCampaigning = false;
 	#isRenewing = false;
 	#isWithdrawn = false;
+	/** The era that began while this host certainly held the lease, so that no other host gave orders at the end of the era before. */
+	#heldUntilEra: number | undefined;
+	#hasSeenRestore = false;
 
 	constructor(options: WeightsLeaseOptions) {
 		this.#options = options;
@@ -99,6 +107,26 @@
 		}
 	}
 
+	/**
+	 * Drops a held lease, because the store was restored from a copy that may lack it, and campaigns again.
+	 *
+	 * @param era - The era of the store that has begun.
+	 */
+	handleRestore(era: number): void {
+		const heldLease = this.#heldLease;
+		this.#hasSeenRestore = true;
+		if (this.mayGiveOrders) {
+			this.#heldUntilEra = era;
+		}
+
+		this.#heldLease = undefined;
+		if (heldLease !== undefined) {
+			this.#options.log.warn('weights-lease-lost', {term: heldLease.term, reason: 'the store was restored from a copy', era});
+			this.#currentHolder = undefined;
+			void this.#campaign();
+		}
+	}
+
 	/** Stops campaigning for the lease, because this host is about to stop. A held lease is kept. */
 	stopCampaigning(): void {
 		this.#isWithdrawn = true;
@@ -131,7 +159,11 @@
 
 		const {store, hostName, now, leaseTiming} = this.#options;
 		const timeSinceLastOrder = Math.min(now() - this.#lastOrderAt, leaseTiming.handoverGap);
-		const written = await store.write([{key: leaseTermKey, value: JSON.stringify({term: heldLease.term, holder: hostName, quiet: timeSinceLastOrder}), expectedRevision: heldLease.termRevision}]);
+		const written = await store.write([{
+			key: leaseTermKey, value: JSON.stringify({
+				term: heldLease.term, holder: hostName, quiet: timeSinceLastOrder, era: store.era,
+			}), expectedRevision: heldLease.termRevision,
+		}]);
 		// Revoked without this record, the lease would look expired, and the next holder would assume a longer time since the last order.
 		if (written.isOk && written.value !== undefined) {
 			await store.revokeLease(heldLease.lease);
@@ -196,29 +228,29 @@
 		}
 
 		const previousTerm = storedTerm.value === undefined ? undefined : this.#parseTermRecord(storedTerm.value);
-		const term = (previousTerm?.term ?? 0) + 1;
+		const {era} = store;
+		const term = Math.max(previousTerm?.term ?? 0, era * termsPerEra) + 1;
 		const written = await store.write([
 			{
 				key: leaseHolderKey, value: hostName, expectedRevision: storedHolder.value?.revision ?? 0, lease: lease.value,
 			},
-			{key: leaseTermKey, value: JSON.stringify({term, holder: hostName}), expectedRevision: storedTerm.value?.revision ?? 0},
+			{key: leaseTermKey, value: JSON.stringify({term, holder: hostName, era}), expectedRevision: storedTerm.value?.revision ?? 0},
 		]);
-		if (written.isErr || written.value === undefined) {
+		if (written.isErr || written.value === undefined || store.era !== era) {
 			await store.revokeLease(lease.value);
 			return false;
 		}
 
 		this.#startTerm({
 			lease: lease.value, term, termRevision: written.value, sentAt,
-		}, previousTerm);
+		}, previousTerm, era);
 		return true;
 	}
 
-	#startTerm(grantedLease: {readonly lease: number; readonly term: number; readonly termRevision: number; readonly sentAt: ClockReading}, previousTerm: TermRecord | undefined): void {
+	#startTerm(grantedLease: {readonly lease: number; readonly term: number; readonly termRevision: number; readonly sentAt: ClockReading}, previousTerm: TermRecord | undefined, era: number): void {
 		const {hostName, leaseTiming, log, now} = this.#options;
 		const {lease, term, termRevision, sentAt} = grantedLease;
-		const isFirstOrSameHolder = previousTerm === undefined || previousTerm.holder === hostName;
-		const handoverDelay = isFirstOrSameHolder ? 0 : computeHandoverDelay(leaseTiming, previousTerm.quiet);
+		const handoverDelay = this.#computeOrderDelay(previousTerm, era);
 		this.#currentHolder = hostName;
 		this.#heldLease = {
 			lease, term, termRevision, leaseValidity: new LeaseValidity(leaseTiming, sentAt, now() + handoverDelay), renewalSentAt: sentAt.steady,
@@ -228,6 +260,16 @@
 		});
 	}
 
+	#computeOrderDelay(previousTerm: TermRecord | undefined, era: number): Milliseconds {
+		const {hostName, leaseTiming} = this.#options;
+		const isPreviousHolderKnown = previousTerm === undefined ? !this.#hasSeenRestore : previousTerm.era === era;
+		if (!isPreviousHolderKnown) {
+			return this.#heldUntilEra === era ? 0 : computeRestoreDelay(leaseTiming);
+		}
+
+		return previousTerm === undefined || previousTerm.holder === hostName ? 0 : computeHandoverDelay(leaseTiming, previousTerm.quiet);
+	}
+
 	#parseTermRecord(item: StoreItem): TermRecord | undefined {
 		const parsed = v.safeParse(v.pipe(v.string(), v.parseJson(), termSchema), item.value);
 		if (!parsed.success) {
--- a/packages/routing/__tests__/server-directory.test.ts
+++ b/packages/routing/__tests__/server-directory.test.ts
@@ -8,7 +8,7 @@
 
 function entry(id: string, more: Partial<ServerEntry> = {}): ServerEntry {
 	return {
-		id, incarnation: '1', service: 's', address: '10.0.0.1:1', failureDomain: 'a', slots: 4, isDraining: false, weights: {}, ...more,
+		id, incarnation: '1', sequence: 0, service: 's', address: '10.0.0.1:1', failureDomain: 'a', slots: 4, isDraining: false, weights: {}, ...more,
 	};
 }
 
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -5,6 +5,8 @@
 	readonly id: string;
 	/** The start time of the server's process; another value under the same id means that the server has restarted. */
 	readonly incarnation: string;
+	/** Rises within an incarnation with each registration that the server writes; 0 if it is not known. */
+	readonly sequence: number;
 	readonly service: string;
 	readonly address: string;
 	readonly failureDomain: string;
@@ -21,6 +23,18 @@
 
 type EntryRecord = {entry: ServerEntry; revision: number; retainedUntil: Milliseconds | undefined};
 
+type RemovalRecord = {
+	readonly revision: number;
+	readonly incarnation: string;
+	/** Whether the store was restored since: the copy may still have the entry. */
+	readonly isBeforeRestore: boolean;
+};
+
+// A restored store may list an earlier registration of the same process.
+function isOutdated(entry: ServerEntry, known: ServerEntry): boolean {
+	return entry.sequence > 0 && entry.incarnation === known.incarnation && entry.sequence < known.sequence;
+}
+
 /**
  * The registered backend servers. Changes are merged by store revision, so the newest one wins whichever source it comes from.
  * An entry that disappears while the store is unreachable is kept until its server has had time to register again.
@@ -28,7 +42,7 @@
 export class ServerDirectory {
 	readonly #options: ServerDirectoryOptions;
 	readonly #records = new Map<string, EntryRecord>();
-	readonly #removalRevisions = new Map<string, number>();
+	readonly #removals = new Map<string, RemovalRecord>();
 	#gracePeriodEnd: Milliseconds | undefined;
 	#isStoreUnreachable = false;
 
@@ -39,6 +53,19 @@
 	/** Records that the store is unreachable. */
 	recordStoreLost(): void {
 		this.#isStoreUnreachable = true;
+		this.#gracePeriodEnd = undefined;
+	}
+
+	/**
+	 * Records that the store was restored from a copy, which lacks the latest registrations and has some that were removed since.
+	 *
+	 * @param now - Current monotonic time.
+	 */
+	recordStoreRestored(now: Milliseconds): void {
+		this.recordStoreRecovered(now);
+		for (const [id, removal] of this.#removals) {
+			this.#removals.set(id, {...removal, isBeforeRestore: true});
+		}
 	}
 
 	/**
@@ -49,10 +76,15 @@
 	recordStoreRecovered(now: Milliseconds): void {
 		this.#isStoreUnreachable = false;
 		this.#gracePeriodEnd = now + this.#options.reregistrationGrace;
+		for (const record of this.#records.values()) {
+			if (record.retainedUntil !== undefined) {
+				record.retainedUntil = this.#gracePeriodEnd;
+			}
+		}
 	}
 
 	/**
-	 * Merges an entry unless a newer change to it is known.
+	 * Merges an entry unless a newer change to it, or a later registration of the same process, is known.
 	 *
 	 * @param entry - Entry of a server, from the store or a peer.
 	 * @param revision - The store revision of the entry.
@@ -60,12 +92,25 @@
 	 */
 	applyEntry(entry: ServerEntry, revision: number): 'nothing' | 'entry' | 'incarnation' {
 		const record = this.#records.get(entry.id);
-		if (revision <= Math.max(record?.revision ?? 0, this.#removalRevisions.get(entry.id) ?? 0)) {
+		const removal = this.#removals.get(entry.id);
+		if (revision <= Math.max(record?.revision ?? 0, removal?.revision ?? 0)) {
+			return 'nothing';
+		}
+
+		if (record !== undefined && isOutdated(entry, record.entry)) {
+			record.revision = revision;
+			record.retainedUntil = undefined;
+			return 'nothing';
+		}
+
+		// A process that is still running writes again, and gets a higher revision than the copy's.
+		if (removal?.isBeforeRestore === true && entry.incarnation === removal.incarnation) {
+			this.#removals.set(entry.id, {...removal, revision, isBeforeRestore: false});
 			return 'nothing';
 		}
 
 		this.#records.set(entry.id, {entry, revision, retainedUntil: undefined});
-		this.#removalRevisions.delete(entry.id);
+		this.#removals.delete(entry.id);
 		return record?.entry.incarnation === entry.incarnation && record.entry.address === entry.address ? 'entry' : 'incarnation';
 	}
 
@@ -146,7 +191,10 @@
 	}
 
 	#deleteRecord(id: string, revision: number): void {
+		const entry = this.#records.get(id)?.entry;
 		this.#records.delete(id);
-		this.#removalRevisions.set(id, revision);
+		this.#removals.set(id, {
+			revision, incarnation: entry?.incarnation ?? '', isBeforeRestore: false,
+		});
 	}
 }
