--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -54,7 +54,7 @@
 		placements: [],
 		weights: [],
 		loading: [],
-		unreachable: [],
+		unreachable: [], leaving: [],
 		emptying: [],
 		deaths: [],
 		hosts: [],
--- a/packages/host/__tests__/host-messages.test.ts
+++ b/packages/host/__tests__/host-messages.test.ts
@@ -5,7 +5,7 @@
 const test = suite('host messages');
 
 const message: HostMessage = {
-	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
+	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
 };
 
 test('decodes what was encoded', () => {
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -22,6 +22,7 @@
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
+import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
 import {httpPeerClient, serveSnapshots} from './state/peer-snapshots.js';
 import {WeightsController} from './weights/weights-controller.js';
 import {WeightsLease} from './weights/weights-lease.js';
@@ -72,6 +73,7 @@
 	readonly #weightsController: WeightsController;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
+	readonly #noticeRecorder: ServerNoticeRecorder;
 	readonly #quarantine = new Quarantine(quarantineOptions);
 	readonly #retryBudgets = new Map<string, RetryBudget>();
 	readonly #disposables = new DisposableStore();
@@ -110,6 +112,9 @@
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
 			now,
+			onResponseHead: (target, status, headers) => {
+				this.#noticeRecorder.recordResponse(target, status, headers);
+			},
 			onConnectionOpened: () => {
 				this.#metrics.incrementCounter('backend_connections');
 			},
@@ -155,13 +160,20 @@
 		this.#crashDetector = new ServerCrashDetector({
 			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, log, now,
 		});
+		this.#noticeRecorder = new ServerNoticeRecorder({
+			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
+		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		const {name: hostName} = settings.description;
 		this.#weightsLease = new WeightsLease({
 			hostName, leaseTiming: createLeaseTiming(settings.bounds.weightsLease, settings.bounds.shortestLease, controlCallTimeout), store: adapter.store, log, random, now, wallClock,
 		});
 		const modelServerClient = new ModelServerClient({
-			connections: this.#connectionPool, backend: adapter.backend, log, metrics: this.#metrics,
+			connections: this.#connectionPool,
+			backend: adapter.backend,
+			log,
+			metrics: this.#metrics,
+			isPaused: entry => this.#clusterState.serverNotices.pausedUntil(entry, now()) !== undefined,
 		});
 		adapter.store.onRestored((era, previousEra) => {
 			log.warn('store-restored', {era, before: previousEra, revision: this.#clusterState.revision});
@@ -243,6 +255,11 @@
 		return this.#clusterState.servers.listEntries().length;
 	}
 
+	/** Number of servers in the cluster state that have said that they are leaving. */
+	get leavingServerCount(): number {
+		return this.#clusterState.servers.listEntries().filter(({entry}) => this.#clusterState.serverNotices.isLeaving(entry)).length;
+	}
+
 	/** Number of peers that serve and have sent a recent heartbeat. */
 	get knownPeerCount(): number {
 		return this.#clusterState.hosts.listServing(this.#dependencies.now()).length;
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -82,7 +82,7 @@
 				options.onRoleChanged(role);
 			},
 		});
-		this.#receiver = new GossipReceiver(clusterState, this.gossip, options.quarantine, now);
+		this.#receiver = new GossipReceiver(clusterState, this.gossip, options.quarantine, log, now);
 		this.#relayFollower = new RelayFollower(clusterState, peerClient, log, now);
 		this.#peerSynchronizer = new PeerSynchronizer({
 			clusterState,
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -12,11 +12,11 @@
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'emptying' | 'deaths' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
@@ -30,9 +30,10 @@
 	#loading: HostMessage['loading'] = [];
 	readonly #draining = new Set<string>();
 	readonly #unreachable = new Set<string>();
+	#leaving: HostMessage['leaving'] = [];
 
 	get isEmpty(): boolean {
-		return this.#weights.length === 0 && this.#loading.length === 0 && this.#draining.size === 0 && this.#unreachable.size === 0 && !this.#hasList;
+		return this.#weights.length === 0 && this.#loading.length === 0 && this.#draining.size === 0 && this.#unreachable.size === 0 && this.#leaving.length === 0 && !this.#hasList;
 	}
 
 	/**
@@ -40,10 +41,11 @@
 	 *
 	 * @param events - The events to forward.
 	 */
-	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'emptying'>): void {
+	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying'>): void {
 		this.#placements.push(...events.placements);
 		this.#weights.push(...events.weights);
 		this.#loading.push(...events.loading);
+		this.#leaving.push(...events.leaving);
 		for (const server of events.unreachable) {
 			this.#unreachable.add(server);
 		}
@@ -94,6 +96,7 @@
 			weights: this.#weights,
 			loading: this.#loading,
 			unreachable: [...this.#unreachable],
+			leaving: this.#leaving,
 			emptying: [...this.#draining],
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
 			departed: this.#departed.splice(0, limits.departed),
@@ -104,6 +107,7 @@
 		this.#loading = [];
 		this.#draining.clear();
 		this.#unreachable.clear();
+		this.#leaving = [];
 		return {events, hasMore: this.#hasList};
 	}
 
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -1,6 +1,6 @@
 import type {FleetLink, HostDescription} from '@lacewingpoint/coordination';
 import type {Quarantine} from '@lacewingpoint/routing';
-import type {Milliseconds} from '@lacewingpoint/shared';
+import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {HostGossip, LinkSelection} from './host-gossip.js';
 import type {HostMessage} from './host-messages.js';
@@ -13,12 +13,14 @@
 	readonly #clusterState: ClusterState;
 	readonly #gossip: HostGossip;
 	readonly #quarantine: Quarantine;
+	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
 
-	constructor(clusterState: ClusterState, gossip: HostGossip, quarantine: Quarantine, now: () => Milliseconds) {
+	constructor(clusterState: ClusterState, gossip: HostGossip, quarantine: Quarantine, log: Logger, now: () => Milliseconds) {
 		this.#clusterState = clusterState;
 		this.#gossip = gossip;
 		this.#quarantine = quarantine;
+		this.#log = log;
 		this.#now = now;
 	}
 
@@ -46,6 +48,13 @@
 			health.applyUnreachableReport(server, now);
 		}
 
+		for (const server of message.leaving) {
+			const isKnown = this.#clusterState.servers.findEntry(server.id)?.incarnation === server.incarnation;
+			if (isKnown && this.#clusterState.serverNotices.recordLeaving(server, now)) {
+				this.#log.info('server-leaving', {server: server.id, incarnation: server.incarnation, source: sender.name});
+			}
+		}
+
 		for (const server of message.emptying) {
 			weightsTracker.recordRolloutDraining(server, now);
 		}
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -1,7 +1,7 @@
 import type {
 	FleetLink, HostDescription, HostReportChanges, HostRole, HostState,
 } from '@lacewingpoint/coordination';
-import type {SuspectCrash} from '@lacewingpoint/routing';
+import type {ServerProcess, SuspectCrash} from '@lacewingpoint/routing';
 import type {
 	Disposable, Milliseconds, Scheduler,
 } from '@lacewingpoint/shared';
@@ -184,6 +184,15 @@
 		this.#announce({unreachable: [server]});
 	}
 
+	/**
+	 * Announces at once that a server is leaving.
+	 *
+	 * @param server - The process that is leaving.
+	 */
+	announceLeaving(server: ServerProcess): void {
+		this.#announce({leaving: [{id: server.id, incarnation: server.incarnation}]});
+	}
+
 	/**
 	 * Announces at once that requests were in flight when a server crashed.
 	 *
@@ -212,8 +221,8 @@
 	 * @param selection - The peers that get them.
 	 */
 	forwardEvents(events: GossipEvents, source: string, selection: LinkSelection): void {
-		const hasEvents = events.placements.length + events.weights.length + events.loading.length + events.unreachable.length + events.emptying.length > 0;
-		if (!hasEvents) {
+		const urgentEvents = events.loading.length + events.unreachable.length + events.leaving.length;
+		if (urgentEvents + events.placements.length + events.weights.length + events.emptying.length === 0) {
 			return;
 		}
 
@@ -221,7 +230,7 @@
 			link.events.forward(events);
 		}
 
-		if (events.loading.length + events.unreachable.length > 0) {
+		if (urgentEvents > 0) {
 			this.sendNow();
 		} else {
 			this.#schedule();
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -78,6 +78,8 @@
 	loading: v.optional(v.array(v.object({server: v.string(), time: v.number()})), []),
 	/** Servers that could not be reached. */
 	unreachable: v.optional(v.array(v.string()), []),
+	/** Servers that have said in a response that they are leaving. */
+	leaving: v.optional(v.array(v.object({id: v.string(), incarnation: v.string()})), []),
 	/** Servers that are draining for a rollout, before they load weights. */
 	emptying: v.optional(v.array(v.string()), []),
 	/** Requests that were in flight when a server crashed; `age` is the time since the crash in milliseconds. */
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -165,6 +165,16 @@
 	readonly weightsVersion: number | undefined;
 };
 
+/** What a server says of itself in a response. */
+export type ServerNotice = {
+	/** Id of the server that responded; `undefined` if the response does not state it. */
+	readonly instanceId: string | undefined;
+	/** Whether the server is leaving and is to get no new requests. */
+	readonly isLeaving: boolean;
+	/** How long the server wants no requests; `undefined` if it takes them, NaN if the value is unreadable. */
+	readonly pause: Milliseconds | undefined;
+};
+
 /** A model server's report of its weights. */
 export type WeightsReport = {
 	/** Versions by model. */
@@ -194,6 +204,8 @@
 	readonly orderPath: string;
 	requestHeaders(request: ClientRequest, options: ForwardingOptions): HeaderList;
 	parseResponseHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ResponseHead;
+	/** @returns What the server says of itself; `undefined` if it says nothing. */
+	parseServerNotice(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerNotice | undefined;
 	/** @returns The response headers without hop-by-hop headers. */
 	responseHeaders(rawHeaders: HeaderList): HeaderList;
 	parseReport(body: unknown): Result<WeightsReport, LayerError>;
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -55,6 +55,8 @@
 	/** Connections are reused only after they have been idle this long, so that an unsolicited response is detected before the next request. */
 	readonly reuseDelay: Milliseconds;
 	readonly now: () => Milliseconds;
+	/** Called with the head of each response, before the handler of its exchange. */
+	readonly onResponseHead: (target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void;
 	/** Called after each attempt to open a connection, also after a failed one. */
 	readonly onConnectionOpened: () => void;
 };
@@ -129,6 +131,7 @@
 	 */
 	send(target: ConnectionTarget, request: OutgoingRequest, handler: ExchangeHandler): Exchange {
 		const connection = this.#acquire(target);
+		const {onResponseHead} = this.#options;
 		let requestController: {pause(): void; resume(): void; abort(reason: Error): void} | undefined;
 		let isFinished = false;
 		let wasWritten = false;
@@ -169,6 +172,7 @@
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isFinished) {
+					onResponseHead(target, status, headers);
 					connection.isCloseDelimited = isCloseDelimited(request.method, status, headers);
 					handler.onHead(status, headers, decodeRawHeaders((controller as unknown as ControllerWithRawHeaders).rawHeaders));
 				}
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -31,11 +31,13 @@
  * The chosen server, or why there is none.
  *
  * - `full`: no server has capacity yet, or a shared part of the prompt is still being prefilled.
+ * - `paused`: the servers want no requests until the end of `wait`, the shortest of their pauses.
  * - `none`: no server is available.
  */
 export type PlacementResult
 	= | {readonly type: 'chosen'; readonly chosen: ChosenServer}
 		| {readonly type: 'full'; readonly estimatedWait: Milliseconds}
+		| {readonly type: 'paused'; readonly wait: Milliseconds}
 		| {readonly type: 'none'};
 
 /** A request that waits in a queue for a server. */
@@ -119,9 +121,10 @@
 	 */
 	place(placementRequest: PlacementRequest): PlacementResult {
 		const service = this.#clusterState.configuration?.services.find(candidate => candidate.name === placementRequest.service);
-		const entries = this.#findUsableEntries(placementRequest, service);
+		const usableEntries = this.#findUsableEntries(placementRequest, service);
+		const entries = usableEntries.filter(entry => this.#clusterState.serverNotices.pausedUntil(entry, this.#now()) === undefined);
 		if (entries.length === 0) {
-			return {type: 'none'};
+			return this.#describePause(usableEntries);
 		}
 
 		const {generation} = placementRequest.request;
@@ -188,10 +191,17 @@
 		const now = this.#now();
 		return this.#clusterState.servers.listAvailable(placementRequest.service).filter(entry =>
 			!placementRequest.excludedServers.has(entry.id)
+			&& !this.#clusterState.serverNotices.isLeaving(entry)
 			&& this.#clusterState.health.evaluateStatus(entry.id, now) !== 'paused'
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, this.#now())));
 	}
 
+	#describePause(entries: readonly ServerEntry[]): PlacementResult {
+		const now = this.#now();
+		const ends = entries.map(entry => this.#clusterState.serverNotices.pausedUntil(entry, now) ?? now);
+		return ends.length === 0 ? {type: 'none'} : {type: 'paused', wait: Math.min(...ends) - now};
+	}
+
 	// Parts are owned by servers with the newest weights, which the others will have soon.
 	#findOwners(entries: readonly ServerEntry[], {model, parts}: NonNullable<ClientRequest['generation']>): Set<string> {
 		if (entries.length <= defaultSampleSize) {
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -5,7 +5,7 @@
 	type Attempt, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming, roundTime,
 } from './attempt.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
-import type {ChosenServer, PendingRequest} from './dispatcher.js';
+import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {admitRequest, quotaUnits, selectService} from './request-admission.js';
@@ -213,24 +213,41 @@
 			return;
 		}
 
-		const placement = this.#place();
+		let placement = this.#place();
 		if (placement.type === 'chosen') {
 			this.#sendAttempt(placement.chosen);
 			return;
 		}
 
-		if (placement.type === 'none') {
-			if (this.#triedServers.size > 0 && this.#executions === 0) {
-				// Every usable server was tried and none executed the request: another attempt is better than a refusal.
-				this.#triedServers.clear();
+		if (placement.type === 'none' && this.#triedServers.size > 0 && this.#executions === 0) {
+			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
+			this.#triedServers.clear();
+			placement = this.#place();
+			if (placement.type !== 'paused') {
 				this.#enqueue(Math.min(remainingTime * queueTimeShare, defaultRetryAfter));
 				return;
 			}
+		}
 
+		this.#waitOrRefuse(placement, remainingTime);
+	}
+
+	#waitOrRefuse(placement: Exclude<PlacementResult, {readonly type: 'chosen'}>, remainingTime: Milliseconds): void {
+		if (placement.type === 'none') {
 			this.#fail('no server is available', Math.min(defaultRetryAfter, remainingTime * retryAfterShare));
 			return;
 		}
 
+		if (placement.type === 'paused') {
+			if (placement.wait > remainingTime * queueTimeShare) {
+				this.#fail('the servers want no requests for a time', placement.wait);
+			} else {
+				this.#enqueue(remainingTime * queueTimeShare);
+			}
+
+			return;
+		}
+
 		if (placement.estimatedWait > remainingTime * queueTimeShare) {
 			this.#fail('the queue is too long for the remaining time', Math.min(placement.estimatedWait, remainingTime * retryAfterShare));
 			return;
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -1,6 +1,6 @@
 import {HostDirectory, DistributedRateLimiter, type RateLimit} from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, WeightsTracker,
+	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, ServerNotices, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -59,6 +59,7 @@
 	readonly hosts = new HostDirectory({heartbeatTimeout, reportTimeout, removalDelay: hostRemovalDelay});
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly health = new ServerHealth(healthOptions);
+	readonly serverNotices = new ServerNotices();
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
@@ -199,6 +200,7 @@
 
 	/** Removes servers whose entries expired during a store outage and that have not registered again. */
 	removeExpiredServers(): void {
+		this.serverNotices.removeExpired(this.#now());
 		for (const id of this.servers.removeExpired(this.#now())) {
 			this.#removeServer(id, this.#revision, 'lapse');
 		}
--- a/packages/host/src/weights/model-server-client.ts
+++ b/packages/host/src/weights/model-server-client.ts
@@ -17,6 +17,8 @@
 	readonly backend: BackendProtocol;
 	readonly log: Logger;
 	readonly metrics: Metrics;
+	/** @returns Whether a server wants no requests at present, so that no call is sent to it. */
+	isPaused(entry: ServerEntry): boolean;
 };
 
 /** Control calls to model servers: reads their weights reports and sends orders to load weights. */
@@ -73,7 +75,11 @@
 	}
 
 	async #call(entry: ServerEntry, method: string, target: string, body: string | undefined): Promise<CallResponse | undefined> {
-		const {connections, backend} = this.#options;
+		const {connections, backend, isPaused} = this.#options;
+		if (isPaused(entry)) {
+			return undefined;
+		}
+
 		const headers: HeaderList = backend.controlCallHeaders(entry.id);
 		return new Promise(resolve => {
 			let status = 0;
--- a/packages/host/src/weights/weights-controller.ts
+++ b/packages/host/src/weights/weights-controller.ts
@@ -99,7 +99,7 @@
 		const {clusterState, now} = this.#options;
 		return [...clusterState.weightsTracker.targetVersions().keys()].flatMap(model => {
 			const targetVersion = clusterState.weightsTracker.latestTarget(model)?.version ?? 0;
-			const entries = clusterState.servers.listEntries().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining);
+			const entries = clusterState.servers.listEntries().map(({entry}) => entry).filter(entry => model in entry.weights && !entry.isDraining && !clusterState.serverNotices.isLeaving(entry));
 			const servers = entries.map(entry => this.#describeServer(entry, model));
 			const {due, upcoming} = this.#rollout.plan(targetVersion, servers, now());
 			return [...due, ...upcoming].map(rolloutServer => ({
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -14,6 +14,7 @@
 } from './server-loads.js';
 export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
+export {type ServerProcess, ServerNotices} from './server-notices.js';
 export {
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
 	EnginePlacer, defaultEnginePlacementOptions, estimateMemoryTokens,
