Split host.ts, and break the import circle of the engine observations

Change: retry budgets, the gauges of the cluster state and the dependencies of a host have files of their own; ObservedPause moves to the limit that uses it.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,8 +1,7 @@
-import type {Server} from 'node:http';
 import {type HostState, createLeaseTiming} from '@lacewingpoint/coordination';
-import {Quarantine, RetryBudget} from '@lacewingpoint/routing';
+import {Quarantine} from '@lacewingpoint/routing';
 import {
-	DisposableStore, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte, systemScheduler,
+	DisposableStore, type Metrics, type Milliseconds, bytesPerMebibyte, systemScheduler,
 } from '@lacewingpoint/shared';
 import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
 import {StoreWatch} from './state/store-watch.js';
@@ -15,12 +14,13 @@
 import {toStateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
-import type {
-	PlatformAdapter, HostBounds, HostSettings, ReceivedRequest,
-} from './ports.js';
+import type {HostDependencies} from './host-dependencies.js';
+import type {HostBounds, ReceivedRequest} from './ports.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
+import {RetryBudgets} from './requests/retry-budgets.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
+import {readStateGauges} from './state/state-gauges.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
 import {httpPeerClient, serveSnapshots} from './state/peer-snapshots.js';
@@ -45,20 +45,6 @@
 /** A request is quarantined while it was in flight during at least three server crashes of the last `suspicionLifetime` milliseconds. */
 const quarantineOptions = {crashThreshold: 3, domainFailureWindow: 0, suspicionLifetime: 60_000} as const;
 
-/** Settings and services that a host is created with. */
-export type HostDependencies = {
-	readonly settings: HostSettings;
-	readonly adapter: PlatformAdapter;
-	readonly log: Logger;
-	readonly metrics: Metrics;
-	readonly random: RandomSource;
-	/** Monotonic clock. */
-	readonly now: () => Milliseconds;
-	readonly wallClock: () => Milliseconds;
-	/** @returns The number of log lines dropped since the start. */
-	droppedLogLines(): number;
-};
-
 /** The router process of one host: it connects the request pipeline, the cluster state, the gossip with peers and the weights rollout. */
 export class Host {
 	readonly #dependencies: HostDependencies;
@@ -75,20 +61,19 @@
 	readonly #crashDetector: ServerCrashDetector;
 	readonly #noticeRecorder: ServerNoticeRecorder;
 	readonly #quarantine = new Quarantine(quarantineOptions);
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #retryBudgets: RetryBudgets;
 	readonly #disposables = new DisposableStore();
 	#clientListeners: readonly ClientListener[] = [];
 	#runningRequests = 0;
 	#isStopping = false;
 	#bounds: HostBounds;
-	readonly #startedAt: Milliseconds;
 
 	constructor(dependencies: HostDependencies) {
 		const {settings, adapter, log, metrics, random, now, wallClock} = dependencies;
 		this.#dependencies = dependencies;
 		this.#metrics = metrics;
-		this.#startedAt = now();
 		this.#bounds = settings.bounds;
+		this.#retryBudgets = new RetryBudgets(settings.bounds, now());
 		this.#clusterState = new ClusterState(log, now, () => this.#bounds.weightsWithin, {
 			onServersChanged: () => {
 				this.#dispatcher.dispatchQueued();
@@ -211,7 +196,8 @@
 		})));
 		const snapshotServer = await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource);
 		this.#disposables.defer(() => {
-			closeServer(snapshotServer);
+			snapshotServer.close();
+			snapshotServer.closeAllConnections();
 		});
 		this.#disposables.add(await serveEndpoints({
 			settings,
@@ -287,7 +273,7 @@
 		const afterRestart = changed.filter(name => name === 'weightsLease' || name === 'shortestLease');
 		this.#bounds = bounds;
 		if (changed.some(name => name.startsWith('retry'))) {
-			this.#retryBudgets.clear();
+			this.#retryBudgets.applyOptions(bounds);
 		}
 
 		this.#dependencies.log.info('reload', {outcome: 'applied', changed, afterRestart});
@@ -368,7 +354,7 @@
 			log,
 			metrics: this.#metrics,
 			now,
-			retryBudget: service => this.#getRetryBudget(service),
+			retryBudget: service => this.#retryBudgets.forService(service),
 			hostCount: () => this.#fleet.gossip.hostCount,
 			onRequestPlaced: (chosen, received) => {
 				this.#placementTracker.recordPlacement(chosen, received);
@@ -390,44 +376,22 @@
 		};
 	}
 
-	#getRetryBudget(service: string): RetryBudget {
-		const known = this.#retryBudgets.get(service);
-		if (known !== undefined) {
-			return known;
-		}
-
-		const {retryRatio, retrySlack, retryWindow} = this.#bounds;
-		const budget = new RetryBudget({retryRatio, retrySlack, retryWindow}, this.#startedAt);
-		this.#retryBudgets.set(service, budget);
-		return budget;
-	}
-
 	#runMaintenance(): void {
 		this.#storeWatch.checkClocks();
 		this.#fleet.review();
 		this.#clusterState.removeExpiredServers();
+		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
 	#formatMetrics(): string {
-		const gauges: Readonly<Record<string, number>> = {
+		return this.#metrics.formatSeries({
+			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
 			running: this.#runningRequests,
 			client_connections: this.#clientConnectionCount(),
-			configuration_version: this.#clusterState.configuration?.version ?? 0,
-			configuration_age_milliseconds: Math.round(this.#clusterState.configurationAge()),
-			store_revision: this.#clusterState.revision,
 			store_contact: this.#storeWatch.isConnected ? 1 : 0,
-			unreadable_entries: this.#clusterState.unreadableEntries,
-			hosts_serving: this.#clusterState.hosts.listServing(this.#dependencies.now()).length,
-			servers: this.#clusterState.servers.listEntries().length,
 			log_lines_dropped: this.#dependencies.droppedLogLines(),
-		};
-		return this.#metrics.formatSeries(gauges);
+		});
 	}
 }
-
-function closeServer(server: Server): void {
-	server.close();
-	server.closeAllConnections();
-}
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -6,6 +6,7 @@
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export type {GossipTransport} from './members/gossip-socket.js';
 export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
-export {Host, type HostDependencies} from './host.js';
+export {Host} from './host.js';
+export type {HostDependencies} from './host-dependencies.js';
 export {leaseHolderKey, leaseTermKey} from './weights/weights-lease.js';
 export type * from './ports.js';
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -200,7 +200,6 @@
 
 	/** Removes servers whose entries expired during a store outage and that have not registered again. */
 	removeExpiredServers(): void {
-		this.serverNotices.removeExpired(this.#now());
 		for (const id of this.servers.removeExpired(this.#now())) {
 			this.#removeServer(id, this.#revision, 'lapse');
 		}
--- a/packages/host/src/state/server-notice-recorder.ts
+++ b/packages/host/src/state/server-notice-recorder.ts
@@ -46,7 +46,7 @@
 		}
 
 		if (notice.isLeaving && clusterState.serverNotices.recordLeaving(target, now())) {
-			metrics.incrementCounter('servers_leaving');
+			metrics.incrementCounter('server_leavings');
 			log.info('server-leaving', {
 				server: target.id, incarnation: target.incarnation, status, source: 'response',
 			});
--- a/packages/routing/src/engine-observations.ts
+++ b/packages/routing/src/engine-observations.ts
@@ -1,14 +1,11 @@
 import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
-import {PrefillBacklogLimit} from './prefill-backlog-limit.js';
+import {type ObservedPause, PrefillBacklogLimit} from './prefill-backlog-limit.js';
 
 /** One late pause costs a response most of its value, so the limit falls quickly and recovers within tens of seconds. */
 const backlogOptions = {
 	lateShare: 0.97, reductionShare: 0.9, lowestStepShare: 0.8, growthPerSecond: 0.01, lowestLimit: 2048,
 } as const;
 
-/** A pause within a stream, the longest one that is on time, and the prompt tokens that waited for prefill at the server during it. */
-export type ObservedPause = {readonly pause: Milliseconds; readonly objective: Milliseconds; readonly backlog: Tokens};
-
 /** What this host has observed of the model servers of each service. */
 export class EngineObservations {
 	readonly #backlogLimits = new Map<string, PrefillBacklogLimit>();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -19,8 +19,8 @@
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
 	EnginePlacer, defaultEnginePlacementOptions, estimateMemoryTokens,
 } from './engine-placement.js';
-export {type ObservedPause, EngineObservations} from './engine-observations.js';
-export {type PrefillBacklogLimitOptions, PrefillBacklogLimit} from './prefill-backlog-limit.js';
+export {EngineObservations} from './engine-observations.js';
+export {type ObservedPause, type PrefillBacklogLimitOptions, PrefillBacklogLimit} from './prefill-backlog-limit.js';
 export {
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
 } from './server-placement.js';
--- a/packages/routing/src/prefill-backlog-limit.ts
+++ b/packages/routing/src/prefill-backlog-limit.ts
@@ -1,5 +1,7 @@
 import {type Milliseconds, type Tokens, millisecondsPerSecond} from '@lacewingpoint/shared';
-import type {ObservedPause} from './engine-observations.js';
+
+/** A pause within a stream, the longest one that is on time, and the prompt tokens that waited for prefill at the server during it. */
+export type ObservedPause = {readonly pause: Milliseconds; readonly objective: Milliseconds; readonly backlog: Tokens};
 
 export type PrefillBacklogLimitOptions = {
 	/** A pause counts as late from this share of the route's objective on. */
