Remove a server everywhere whose entry was kept for its grace period

What callers would see: hosts that got the entry of a gone server from a host in its grace period kept it for good and tried to reach it. Cause: the entry is kept at the revision of the listing that lacked it. Its removal after the grace period has the same revision if nothing else has changed since, and followers ignored a removal that was not newer. Change: a removal at the revision of the entry counts. No listing lacks an entry that was written at its revision.

--- a/packages/routing/__tests__/server-directory.test.ts
+++ b/packages/routing/__tests__/server-directory.test.ts
@@ -53,6 +53,20 @@
 	assert.equal(availableIds(directory), []);
 });
 
+// Guards against a gone server that stays known to hosts which got its entry during the grace period of another host.
+test('an entry that another host kept for its grace period is removed when that host removes it', () => {
+	const [keeping, following] = [create(), create()];
+	keeping.applyEntry(entry('a'), 5);
+	keeping.recordStoreLost();
+	keeping.recordStoreRecovered(0);
+	keeping.removeUnlisted(new Set(), 9, 10);
+	const [kept] = keeping.listEntries();
+	following.applyEntry(kept!.entry, kept!.revision);
+	assert.equal(keeping.removeExpired(2000), ['a']);
+	assert.ok(following.applyRemoval('a', 9, 2000));
+	assert.is(following.applyEntry(kept!.entry, kept!.revision), 'nothing');
+});
+
 test('the newest change wins whatever the order of the changes', () => {
 	const changes = fc.uniqueArray(fc.record({revision: fc.integer({min: 1, max: 50}), isRemoval: fc.boolean(), isDraining: fc.boolean()}), {
 		selector: change => change.revision, minLength: 1, maxLength: 12,
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -124,7 +124,8 @@
 	 */
 	applyRemoval(id: string, revision: number, now: Milliseconds): boolean {
 		const record = this.#records.get(id);
-		if (record === undefined || revision <= record.revision) {
+		// The same revision: the entry was kept for its grace period by the host that this one got it from.
+		if (record === undefined || revision < record.revision) {
 			return false;
 		}
 
