Restore the store of the simulated fleet

Tests: 9, 83 and 195 hosts follow a restored store within two seconds, with one read a failure domain, and no host takes a drained server for available; two restores within a second, one of them while a relay is cut off, leave all hosts with the state of the second.

--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -2,7 +2,7 @@
 import {
 	type ChangeBatch, type GossipTransport, type HostMessage, type PeerClient, type SnapshotSource, ClusterState, Fleet, decodeHostMessage, encodeHostMessage, snapshotTimeout,
 } from '@lacewingpoint/host';
-import {type Configuration, Quarantine} from '@lacewingpoint/routing';
+import {type Configuration, type ServerEntry, Quarantine} from '@lacewingpoint/routing';
 import {
 	type Bytes, Metrics, type Milliseconds, type RandomSource, createSeededRandom, silentLogger,
 } from '@lacewingpoint/shared';
@@ -23,8 +23,18 @@
 /** Promises settle after each step of this length; messages take at least as long. */
 const simulationStep: Milliseconds = 1;
 
+/** Larger than the number of changes between two restores of the store, as in the platform's adapter. */
+const revisionsPerEra = 2 ** 40;
+
 type Cut = (from: string, to: string) => boolean;
 
+/** The content of the simulated store. */
+export type SimulatedStoreCopy = {
+	readonly configuration: Configuration | undefined;
+	readonly servers: ReadonlyMap<string, {readonly entry: ServerEntry; readonly revision: number}>;
+	readonly revision: number;
+};
+
 /** A host of the simulated fleet. */
 export type SimulatedFleetHost = {
 	readonly description: HostDescription;
@@ -56,7 +66,9 @@
 	readonly #receivers = new Map<string, (message: HostMessage) => void>();
 	readonly #byAddress = new Map<string, string>();
 	#configuration: Configuration | undefined;
+	#servers = new Map<string, {readonly entry: ServerEntry; readonly revision: number}>();
 	#revision = 0;
+	#era = 0;
 	#starts = 0;
 
 	/** @param seed - Seed of the random numbers. */
@@ -99,10 +111,10 @@
 		};
 		const clusterState = new ClusterState(silentLogger, () => this.#events.now, () => 12_000, {
 			onServersChanged() {/* No requests wait here. */},
-			onServerRemoved() {/* There are no servers. */},
+			onServerRemoved() {/* There are no connections. */},
 			onLeaseHolderRead() {/* There is no lease. */},
 			onStateChanged(change) {
-				host.fleet.gossip.announceStateChange(change?.type === 'server-gone' ? change : undefined);
+				host.fleet.gossip.announceStateChange(change?.type === 'server' || change?.type === 'server-gone' ? change : undefined);
 			},
 		});
 		const host: SimulatedFleetHost = {
@@ -191,6 +203,54 @@
 		this.#notifyReaders();
 	}
 
+	/**
+	 * Writes the registration of a server to the store.
+	 *
+	 * @param entry - The registration.
+	 */
+	registerServer(entry: ServerEntry): void {
+		this.#revision++;
+		this.#servers.set(entry.id, {entry, revision: this.#revision});
+		this.#notifyReaders();
+	}
+
+	/** @returns A copy of the store. */
+	copyStore(): SimulatedStoreCopy {
+		return {configuration: this.#configuration, servers: new Map(this.#servers), revision: this.#revision};
+	}
+
+	/**
+	 * Restores the store from a copy. Revisions that were assigned since are assigned again; readers notice it and read everything.
+	 *
+	 * @param copy - The copy.
+	 */
+	restoreStore(copy: SimulatedStoreCopy): void {
+		this.#era++;
+		this.#configuration = copy.configuration;
+		this.#servers = new Map(copy.servers);
+		this.#revision = copy.revision;
+		for (const host of this.hosts.values()) {
+			if (host.isReader) {
+				host.clusterState.servers.recordStoreRestored(this.now);
+			}
+		}
+
+		this.#notifyReaders();
+	}
+
+	/**
+	 * Lists the hosts that know other servers than the store lists.
+	 *
+	 * @returns Their names.
+	 */
+	listDeviating(): string[] {
+		const describe = (entries: Iterable<ServerEntry>) => [...entries].map(entry => `${entry.id} ${entry.incarnation} ${entry.isDraining}`).toSorted().join(', ');
+		const expected = describe([...this.#servers.values()].map(({entry}) => entry));
+		return [...this.hosts.values()]
+			.filter(host => !host.isFrozen && describe(host.clusterState.servers.listEntries().map(({entry}) => entry)) !== expected)
+			.map(host => host.description.name);
+	}
+
 	/**
 	 * Runs the simulation.
 	 *
@@ -228,6 +288,7 @@
 			if (this.hosts.get(host.description.name) === host) {
 				if (!host.isFrozen) {
 					host.fleet.review();
+					host.clusterState.removeExpiredServers();
 				}
 
 				this.#scheduleReview(host);
@@ -325,11 +386,14 @@
 
 	#listState(): ChangeBatch {
 		const relays = [...this.hosts.values()].filter(host => host.fleet.role === 'relay');
+		const base = this.#era * revisionsPerEra;
+		const revision = base + this.#revision;
 		return {
-			revision: this.#revision,
+			revision,
 			changes: [
-				...(this.#configuration === undefined ? [] : [{type: 'configuration', revision: this.#revision, configuration: this.#configuration} as const]),
-				...relays.map(host => ({type: 'host', revision: this.#revision, description: host.description} as const)),
+				...(this.#configuration === undefined ? [] : [{type: 'configuration', revision, configuration: this.#configuration} as const]),
+				...[...this.#servers.values()].map(server => ({type: 'server', revision: base + server.revision, entry: server.entry} as const)),
+				...relays.map(host => ({type: 'host', revision, description: host.description} as const)),
 			],
 		};
 	}
