--- a/packages/command-line/src/explanation.ts
+++ b/packages/command-line/src/explanation.ts
@@ -13,6 +13,9 @@
 	fetched: v.optional(v.number()),
 	unread: v.optional(v.number()),
 	weights: v.optional(v.number()),
+	framing: v.optional(v.string()),
+	resetCheck: v.optional(v.string()),
+	partialEvent: v.optional(v.number()),
 });
 
 const requestSchema = v.looseObject({
@@ -134,6 +137,8 @@
 		formatDuration('predicted time to first token', attempt.predicted),
 		attempt.unread === undefined ? undefined : `prompt tokens: ${attempt.cached ?? 0} cached, ${attempt.fetched ?? 0} fetched, ${attempt.unread} uncached`,
 		attempt.weights === undefined ? undefined : `weights version ${attempt.weights}`,
+		attempt.framing === 'close' ? `the response ended with its connection, reset: ${attempt.resetCheck ?? 'not checked'}` : undefined,
+		attempt.partialEvent === undefined ? undefined : `${attempt.partialEvent} bytes of an incomplete event at its end`,
 	];
 	return details.filter(detail => detail !== undefined).join('; ');
 }
