--- a/packages/command-line/__tests__/commands.test.ts
+++ b/packages/command-line/__tests__/commands.test.ts
@@ -22,22 +22,25 @@
 	createLine(3, 'host-2', 'order', {
 		server: 's-9', model: 'm', version: 2, status: 202,
 	}),
-	createLine(3.5, 'host-3', 'server-leaving', {server: 's-1', incarnation: '1', source: 'response'}),
-	createLine(3.6, 'host-1', 'server-pause', {server: 's-1', outcome: 'applied', asked: 500}),
-	createLine(3.7, 'host-1', 'store-restored', {era: 2, before: 1}),
 	createLine(4, 'host-1', 'request', {
 		id: 'r-1', outcome: 'refused', status: 503, cause: 'too little time is left', took: 1022.6, waited: 300.1, configuration: 3, configurationAge: 4000, revision: 20,
 		sends: [{
 			server: 's-1', predicted: 356.9, cached: 0, unread: 11_945, weights: 2, at: 300.1, result: 'not run (503)', took: 722.1, status: 503,
 		}],
 	}),
-	createLine(30, 'host-1', 'request', {
+	createLine(4.5, 'host-1', 'server-unreachable', {server: 's-1', reason: 'ECONNREFUSED'}),
+	createLine(20, 'host-1', 'server-unreachable', {server: 's-1', reason: 'much later'}),
+].join('\n');
+
+const noticesLog = [
+	createLine(3.5, 'host-3', 'server-leaving', {server: 's-1', incarnation: '1', source: 'response'}),
+	createLine(3.6, 'host-1', 'server-pause', {server: 's-1', outcome: 'applied', asked: 500}),
+	createLine(3.7, 'host-1', 'store-restored', {era: 2, before: 1}),
+	createLine(4, 'host-1', 'request', {
 		id: 'r-3', outcome: 'broken-off', status: 0, cause: 'the stream ended within an event', sends: [{
-			server: 's-2', at: 0.5, result: 'the stream ended within an event', took: 80, status: 200, framing: 'close', resetCheck: 'none', partialEvent: 31,
+			server: 's-1', at: 0.5, result: 'the stream ended within an event', took: 80, status: 200, framing: 'close', resetCheck: 'none', partialEvent: 31,
 		}],
 	}),
-	createLine(4.5, 'host-1', 'server-unreachable', {server: 's-1', reason: 'ECONNREFUSED'}),
-	createLine(20, 'host-1', 'server-unreachable', {server: 's-1', reason: 'much later'}),
 ].join('\n');
 
 async function run(commandArguments: readonly string[], isJson = false): Promise<{readonly code: number; readonly output: string; readonly errors: string}> {
@@ -50,7 +53,7 @@
 				throw new Error('nowhere.log: no such file');
 			}
 
-			return log;
+			return path === 'notices.log' ? noticesLog : log;
 		},
 		print: text => output.push(text),
 		printError: text => errors.push(text),
@@ -60,15 +63,15 @@
 }
 
 test('explain names servers that leave or ask for pauses, and restores of the store', async () => {
-	const {output} = await run(['explain', 'r-1', 'a.log']);
+	const {output} = await run(['explain', 'r-3', 'notices.log']);
 	assert.match(output, /host-3 server-leaving server=s-1/v);
 	assert.match(output, /host-1 server-pause server=s-1 outcome=applied/v);
 	assert.match(output, /host-1 store-restored era=2/v);
 });
 
 test('explain says how a close-delimited response ended', async () => {
-	const {output} = await run(['explain', 'r-3', 'a.log']);
-	assert.match(output, /attempt 1: s-2, the stream ended within an event; .*the response ended with its connection, reset: none; 31 bytes of an incomplete event at its end/v);
+	const {output} = await run(['explain', 'r-3', 'notices.log']);
+	assert.match(output, /attempt 1: s-1, the stream ended within an event; .*the response ended with its connection, reset: none; 31 bytes of an incomplete event at its end/v);
 });
 
 test('explain prints the outcome of a request, its attempts, and recent events about its servers and its host', async () => {
