A soak: hosts as processes under random faults from outside

Faults overlap in series drawn from a seed: hosts killed, suspended, stopped, reloaded; links that delay, reset, fall silent or lose one direction, through loopback proxies; a store that refuses, forgets or comes back from a copy; servers that break off responses, leave or ask for pauses; new configurations and weights.

--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -20,6 +20,8 @@
 export type LocalHost = {
 	readonly name: string;
 	readonly ipAddress: string;
+	/** Address of the platform's interface for clients. */
+	readonly clientAddress: string;
 	readonly completionsAddress: string;
 	readonly readinessAddress: string;
 	readonly directoryAddress: string;
@@ -37,6 +39,12 @@
 	readonly modelHandlers: readonly RequestHandler[];
 	/** Fields that replace those of the default configuration. */
 	readonly configurationOverrides?: Readonly<Record<string, unknown>>;
+	/**
+	 * Puts something between a link's two ends, such as a proxy. Links are named `store NAME` after their host and `server ID`.
+	 *
+	 * @returns The address that is used instead of `address`.
+	 */
+	interpose?(link: string, address: string): Promise<string>;
 };
 
 /** A complete system on the loopback interface: store and backend servers in this process, hosts as child processes. */
@@ -123,7 +131,8 @@
 			const server = new PlatformServerStandIn(`${service}-${index}`, handler);
 			await server.start();
 			this.servers.push(server);
-			this.store.put(`servers/${server.id}`, server.createEntry(service, service === 'models' ? {models: [{name: 'm', version: server.weightsVersion}]} : {}));
+			const address = await this.#interpose(`server ${server.id}`, server.address);
+			this.store.put(`servers/${server.id}`, server.createEntry(service, {address, ...(service === 'models' ? {models: [{name: 'm', version: server.weightsVersion}]} : {})}));
 		}
 	}
 
@@ -131,6 +140,7 @@
 		const name = `host-${index + 1}`;
 		const ipAddress = `127.0.1.${index + 1}`;
 		const formatAddress = (port: keyof typeof portOffsets) => `${ipAddress}:${this.#firstPort + portOffsets[port]}`;
+		const storeAddress = await this.#interpose(`store ${name}`, this.store.address);
 		const firstPeerPort = this.#firstPort + portOffsets.peers;
 		await writeFile(join(this.#directory, `${name}.toml`), `
 nodeName = "${name}"
@@ -149,7 +159,7 @@
 leaseMs = 1000
 ttl_max_s = 1
 [platform]
-address = "${this.store.address}"
+address = "${storeAddress}"
 `);
 		await writeFile(join(this.#directory, `${name}.jsonc`), JSON.stringify({
 			completions: {port: this.#firstPort + portOffsets.completions}, metricsPort: this.#firstPort + portOffsets.metrics,
@@ -157,6 +167,7 @@
 		const host = {
 			name,
 			ipAddress,
+			clientAddress: formatAddress('client'),
 			completionsAddress: formatAddress('completions'),
 			readinessAddress: formatAddress('readiness'),
 			directoryAddress: formatAddress('directory'),
@@ -166,6 +177,10 @@
 		return {...host, process: this.#startProcess(host)};
 	}
 
+	async #interpose(link: string, address: string): Promise<string> {
+		return await this.#options.interpose?.(link, address) ?? address;
+	}
+
 	#startProcess({name}: {readonly name: string}): LocalProcess {
 		return new LocalProcess(name, 'lacewingpoint-host', ['--settings', join(this.#directory, `${name}.jsonc`)], {
 			LACEWINGPOINT_NODE_FILE: join(this.#directory, `${name}.toml`),
--- /dev/null
+++ b/packages-private/soak/src/fault-schedule.ts
@@ -0,0 +1,69 @@
+import type {Milliseconds, RandomSource} from '@lacewingpoint/shared';
+
+/** A kind of fault, and what it strikes. */
+export type FaultKind
+	= | 'host-kill' | 'host-suspend' | 'host-stop' | 'host-reload'
+		| 'server-link' | 'store-link' | 'store-refuse' | 'store-forget' | 'store-restore'
+		| 'server-break-off' | 'server-leave' | 'server-pause'
+		| 'configuration' | 'weights';
+
+export type ScheduledFault = {
+	readonly kind: FaultKind;
+	readonly at: Milliseconds;
+	readonly duration: Milliseconds;
+	/** Selects the host, server or link; the remainder of its division by their number. */
+	readonly target: number;
+	/** Selects a variant of the fault, likewise. */
+	readonly variant: number;
+};
+
+const kinds: readonly FaultKind[] = [
+	'host-kill',
+	'host-suspend',
+	'host-stop',
+	'host-reload',
+	'server-link',
+	'store-link',
+	'store-refuse',
+	'store-forget',
+	'store-restore',
+	'server-break-off',
+	'server-break-off',
+	'server-leave',
+	'server-pause',
+	'configuration',
+	'weights',
+];
+
+const longestSeries = 3;
+
+const durationRange = {shortest: 200, longest: 2000} as const;
+
+/**
+ * Draws faults: series of one kind, which overlap with others.
+ *
+ * @param random - Source of the random numbers.
+ * @param duration - Time in which faults begin.
+ * @param seriesCount - Number of series.
+ * @returns The faults in order of time.
+ */
+export function createFaultSchedule(random: RandomSource, duration: Milliseconds, seriesCount: number): readonly ScheduledFault[] {
+	const draw = (bound: number) => Math.floor(random.next() * bound);
+	const faults: ScheduledFault[] = [];
+	for (let series = 0; series < seriesCount; series++) {
+		const kind = kinds[draw(kinds.length)]!;
+		const start = random.next() * duration * 0.8;
+		const gap = 100 + (random.next() * 1200);
+		for (let index = 0; index <= draw(longestSeries); index++) {
+			faults.push({
+				kind,
+				at: Math.min(start + (index * gap), duration),
+				duration: durationRange.shortest + (random.next() * (durationRange.longest - durationRange.shortest)),
+				target: draw(1000),
+				variant: draw(1000),
+			});
+		}
+	}
+
+	return faults.toSorted((left, right) => left.at - right.at);
+}
