--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -1,7 +1,7 @@
 import {type ClientOutcome, createExpectedBody} from './client-traffic.js';
 
 /** A promise that was broken, and how. */
-export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery'; readonly detail: string};
+export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery'; readonly detail: string; readonly requestId?: string};
 
 /** Statuses which state that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -19,24 +19,35 @@
 		const expected = createExpectedBody(outcome);
 		const label = `${outcome.id} (${outcome.kind}) from ${outcome.host}`;
 		if (outcome.status === 200 && outcome.isComplete && outcome.body !== expected) {
-			violations.push({promise: 'whole answers', detail: `${label} is framed as complete: ${JSON.stringify(outcome.body.slice(-80))}`});
+			violations.push({promise: 'whole answers', requestId: outcome.id, detail: `${label} is framed as complete: ${JSON.stringify(outcome.body.slice(-80))}`});
 		} else if (outcome.status === 200 && !expected.startsWith(outcome.body)) {
-			violations.push({promise: 'whole answers', detail: `${label} is no part of its answer: ${JSON.stringify(outcome.body.slice(-80))}`});
+			violations.push({promise: 'whole answers', requestId: outcome.id, detail: `${label} is no part of its answer: ${JSON.stringify(outcome.body.slice(-80))}`});
 		}
 
 		const executionCount = executions.get(outcome.id) ?? 0;
 		if (executionCount > 1 && (outcome.kind === 'book' || outcome.kind === 'draft')) {
-			violations.push({promise: 'at most once', detail: `${label} ran ${executionCount} times`});
+			violations.push({promise: 'at most once', requestId: outcome.id, detail: `${label} ran ${executionCount} times`});
 		}
 
 		if (executionCount > 0 && notRunStatuses.has(outcome.status) && (outcome.kind === 'book' || outcome.kind === 'draft')) {
-			violations.push({promise: 'truthful refusals', detail: `${label} was refused with ${outcome.status} and ran`});
+			violations.push({promise: 'truthful refusals', requestId: outcome.id, detail: `${label} was refused with ${outcome.status} and ran`});
 		}
 	}
 
 	return violations;
 }
 
+/**
+ * Finds what hosts logged of a request.
+ *
+ * @param logs - The output of hosts, one JSON object a line.
+ * @param requestId - Id of the request.
+ * @returns The lines.
+ */
+export function findLogLines(logs: readonly string[], requestId: string): readonly string[] {
+	return logs.flatMap(log => log.split('\n').filter(line => line.includes(`"id":"${requestId}"`)));
+}
+
 /**
  * Checks the log of one process of a host.
  *
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -3,7 +3,9 @@
 	type Milliseconds, type RandomSource, createSeededRandom, hashText,
 } from '@lacewingpoint/shared';
 import {createConfiguration} from '@lacewingpoint/stand-ins';
-import {type Violation, checkLog, checkOutcomes} from './checks.js';
+import {
+	type Violation, checkLog, checkOutcomes, findLogLines,
+} from './checks.js';
 import {type ClientOutcome, SoakClient} from './client-traffic.js';
 import {FaultInjector} from './fault-injector.js';
 import {createFaultSchedule} from './fault-schedule.js';
@@ -83,7 +85,7 @@
 		const outcomes = clients.flatMap(client => client.outcomes);
 		return {
 			seed: options.seed,
-			violations: [...violations, ...checkOutcomes(outcomes, executions), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
+			violations: [...violations, ...checkOutcomes(outcomes, executions).map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
 			requests: countOutcomes(outcomes),
 			faults: countBy(schedule.map(({kind}) => kind)),
 		};
@@ -96,6 +98,11 @@
 	}
 }
 
+function addLogLines(violation: Violation, {logs}: FaultInjector): Violation {
+	const lines = violation.requestId === undefined ? [] : findLogLines(logs.map(({log}) => log), violation.requestId);
+	return {...violation, detail: [violation.detail, ...lines].join('\n    ')};
+}
+
 function selectAddress(cluster: LocalCluster, random: RandomSource): string {
 	const running = cluster.hosts.filter(host => host.process.isRunning);
 	const candidates = running.length === 0 ? cluster.hosts : running;
