--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -363,8 +363,8 @@
 			onPrefillEnded: (chosen, received, isPrefilled) => {
 				this.#placementTracker.recordPrefillResult(chosen, received, isPrefilled);
 			},
-			onAttemptFailed: (server, fingerprint) => {
-				this.#crashDetector.recordBrokenRequest(server, fingerprint);
+			onAttemptFailed: (server, request) => {
+				this.#crashDetector.recordBrokenRequest(server, request);
 			},
 			onServerUnreachable: server => {
 				this.#crashDetector.recordUnreachable(server);
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -3,6 +3,7 @@
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
+import type {BrokenRequest} from '../state/server-crash-detector.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
 import type {ChosenServer, Dispatcher} from './dispatcher.js';
@@ -26,8 +27,8 @@
 	onRequestPlaced(chosen: ChosenServer, received: ReceivedRequest): void;
 	/** Called when a server has prefilled a prompt (`isPrefilled`) or will not do so because the attempt has ended, so that peers learn of it. */
 	onPrefillEnded(chosen: ChosenServer, received: ReceivedRequest, isPrefilled: boolean): void;
-	/** Called when an attempt failed that the server may have executed; `fingerprint` is the hash by which a repeated request is recognized. */
-	onAttemptFailed(server: string, fingerprint: number): void;
+	/** Called when an attempt failed that the server may have executed. */
+	onAttemptFailed(server: string, request: BrokenRequest): void;
 	/** Called when a server could not be reached or has stalled. */
 	onServerUnreachable(server: string): void;
 	/** Called once the outcome of a request is final. */
--- a/packages/host/src/requests/request-admission.ts
+++ b/packages/host/src/requests/request-admission.ts
@@ -73,3 +73,13 @@
 
 	return route.services.at(-1)?.service;
 }
+
+/**
+ * Lists the parts of a prompt that other requests may share.
+ *
+ * @param request - The client's request.
+ * @returns The ids of all parts but the last, which belongs to the request or its session; empty for requests other than generations.
+ */
+export function sharedPartIds(request: ClientRequest): readonly string[] {
+	return request.generation?.parts.slice(0, -1).map(({id}) => id) ?? [];
+}
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -8,7 +8,9 @@
 import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
-import {admitRequest, quotaUnits, selectService} from './request-admission.js';
+import {
+	admitRequest, quotaUnits, selectService, sharedPartIds,
+} from './request-admission.js';
 import {StallDetector} from './stall-detector.js';
 
 /**
@@ -524,7 +526,9 @@
 		}
 
 		clusterState.health.recordOutcome(entry.id, true, now());
-		this.#context.onAttemptFailed(entry.id, this.#fingerprint);
+		this.#context.onAttemptFailed(entry.id, {
+			id: this.received.request.id, fingerprint: this.#fingerprint, sharedParts: sharedPartIds(this.received.request),
+		});
 		if (isServerStalled) {
 			clusterState.health.recordUnreachable(entry.id, now());
 			this.#context.onServerUnreachable(entry.id);
@@ -651,6 +655,8 @@
 			route,
 			workspace: this.#workspace?.name,
 			service: this.#service,
+			fingerprint: this.#fingerprint === 0 ? undefined : this.#fingerprint.toString(16),
+			parts: this.received.request.generation === undefined ? undefined : sharedPartIds(this.received.request),
 			outcome,
 			status,
 			cause,
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -6,7 +6,19 @@
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
 
-type BrokenRequest = {readonly fingerprint: number; readonly brokenAt: Milliseconds};
+/** Limit on the requests that the log event of a crash lists. */
+const maximumLoggedRequests = 8;
+
+/** A request that a server broke off. */
+export type BrokenRequest = {
+	readonly id: string;
+	/** Hash of the request's content and workspace. */
+	readonly fingerprint: number;
+	/** Ids of the prompt parts that the request may share with others. */
+	readonly sharedParts: readonly string[];
+};
+
+type RecordedBreak = BrokenRequest & {readonly brokenAt: Milliseconds};
 
 export type ServerCrashDetectorOptions = {
 	readonly clusterState: ClusterState;
@@ -19,7 +31,7 @@
 /** Finds the requests that may have crashed a server. A connection reset alone is not enough, as only the response may have been lost. */
 export class ServerCrashDetector {
 	readonly #options: ServerCrashDetectorOptions;
-	readonly #brokenRequests = new Map<string, readonly BrokenRequest[]>();
+	readonly #brokenRequests = new Map<string, readonly RecordedBreak[]>();
 
 	constructor(options: ServerCrashDetectorOptions) {
 		this.#options = options;
@@ -29,10 +41,10 @@
 	 * Records that a server broke off a request that it may have executed.
 	 *
 	 * @param server - The server's id.
-	 * @param fingerprint - Hash of the request's content and workspace.
+	 * @param request - The request.
 	 */
-	recordBrokenRequest(server: string, fingerprint: number): void {
-		this.#brokenRequests.set(server, [...this.#recentBrokenRequests(server), {fingerprint, brokenAt: this.#options.now()}]);
+	recordBrokenRequest(server: string, request: BrokenRequest): void {
+		this.#brokenRequests.set(server, [...this.#recentBrokenRequests(server), {...request, brokenAt: this.#options.now()}]);
 	}
 
 	/**
@@ -43,20 +55,28 @@
 	recordUnreachable(server: string): void {
 		const {clusterState, hostGossip, quarantine, log, now} = this.#options;
 		const entry = clusterState.servers.findEntry(server);
-		const suspects: SuspectCrash[] = this.#recentBrokenRequests(server).map(({fingerprint}) => ({
+		const brokenRequests = this.#recentBrokenRequests(server);
+		const suspects: SuspectCrash[] = brokenRequests.map(({fingerprint}) => ({
 			fingerprint, server, incarnation: entry?.incarnation ?? '', failureDomain: entry?.failureDomain ?? '', age: 0,
 		}));
 		this.#brokenRequests.delete(server);
 		if (suspects.length > 0) {
 			quarantine.mergeSuspects(suspects, now());
 			hostGossip.announceCrashes(suspects);
-			log.info('server-death', {server, suspects: suspects.length});
+			log.info('server-death', {
+				server,
+				incarnation: entry?.incarnation,
+				suspects: suspects.length,
+				requests: brokenRequests.slice(0, maximumLoggedRequests).map(({id, fingerprint, sharedParts, brokenAt}) => ({
+					id, fingerprint: fingerprint.toString(16), parts: sharedParts, brokenSince: Math.round(now() - brokenAt),
+				})),
+			});
 		}
 
 		hostGossip.announceUnreachable(server);
 	}
 
-	#recentBrokenRequests(server: string): readonly BrokenRequest[] {
+	#recentBrokenRequests(server: string): readonly RecordedBreak[] {
 		return (this.#brokenRequests.get(server) ?? []).filter(request => this.#options.now() - request.brokenAt < crashWindow);
 	}
 }
