--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -143,7 +143,7 @@
 		});
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#crashDetector = new ServerCrashDetector({
-			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, log, now,
+			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, log, now,
 		});
 		this.#noticeRecorder = new ServerNoticeRecorder({
 			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
@@ -350,6 +350,7 @@
 			connections: this.#connectionPool,
 			backend: adapter.backend,
 			quarantine: this.#quarantine,
+			promptPartGuard: this.#fleet.promptPartGuard,
 			random,
 			log,
 			metrics: this.#metrics,
@@ -382,6 +383,7 @@
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		this.#quarantine.removeExpired(this.#dependencies.now());
+		this.#fleet.promptPartGuard.review();
 	}
 
 	#formatMetrics(): string {
@@ -390,6 +392,7 @@
 			waiting: this.#dispatcher.queuedRequests,
 			running: this.#runningRequests,
 			client_connections: this.#clientConnectionCount(),
+			quarantined_parts: this.#fleet.promptPartGuard.quarantinedCount,
 			store_contact: this.#storeWatch.isConnected ? 1 : 0,
 			log_lines_dropped: this.#dependencies.droppedLogLines(),
 		});
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -5,6 +5,7 @@
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {PeerClient, SnapshotSource} from '../state/peer-snapshots.js';
+import {PromptPartGuard} from '../state/prompt-part-guard.js';
 import {PeerSynchronizer} from '../state/peer-synchronizer.js';
 import {RelayFollower} from '../state/relay-follower.js';
 import {FleetMembership} from './fleet-membership.js';
@@ -40,6 +41,7 @@
 /** This host's part in the fleet: its links to other hosts, and the state that it exchanges with them. */
 export class Fleet implements Disposable {
 	readonly gossip: HostGossip;
+	readonly promptPartGuard: PromptPartGuard;
 	readonly #options: FleetOptions;
 	readonly #membership: FleetMembership;
 	readonly #receiver: GossipReceiver;
@@ -61,10 +63,14 @@
 			hostRole: () => this.#membership.role,
 			hasStoreContact: () => options.hasStoreContact(),
 			reportDigest: kind => this.#membership.reportDigest(kind),
+			listQuarantinedParts: () => this.promptPartGuard.listQuarantined(),
 			onMessage: message => {
 				this.#onMessage(message);
 			},
 		});
+		this.promptPartGuard = new PromptPartGuard({
+			hostName: description.name, clusterState, gossip: this.gossip, log, metrics, now,
+		});
 		this.#membership = new FleetMembership({
 			description,
 			seedAddresses: options.seedAddresses.filter(address => address !== description.peerAddress),
@@ -82,7 +88,9 @@
 				options.onRoleChanged(role);
 			},
 		});
-		this.#receiver = new GossipReceiver(clusterState, this.gossip, options.quarantine, log, now);
+		this.#receiver = new GossipReceiver({
+			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, log, now,
+		});
 		this.#relayFollower = new RelayFollower(clusterState, peerClient, log, now);
 		this.#peerSynchronizer = new PeerSynchronizer({
 			clusterState,
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -1,28 +1,30 @@
 import type {HostReportChanges} from '@lacewingpoint/coordination';
-import type {SuspectCrash} from '@lacewingpoint/routing';
+import type {ExecutedPart, SuspectCrash} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage, PromptPlacement} from './host-messages.js';
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, hosts: 5, departed: 40, updates: 4,
+	placements: 12, crashes: 24, executed: 40, hosts: 5, departed: 40, updates: 4,
 } as const;
 
 /** A crash with the time at which this host learned of it. */
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'executed' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], executed: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
 export class GossipEventQueue {
 	readonly #placements: PromptPlacement[] = [];
 	readonly #crashes: RecordedCrash[] = [];
+	/** When the last response began that a server survived, by prompt part. */
+	readonly #executedAt = new Map<number, Milliseconds>();
 	#hosts: HostMessage['hosts'] = [];
 	#departed: string[] = [];
 	readonly #updates: HostMessage['updates'] = [];
@@ -64,6 +66,18 @@
 		this.#crashes.push(...crashes);
 	}
 
+	/**
+	 * Adds prompt parts that a server has executed; a later execution replaces an earlier one.
+	 *
+	 * @param executed - The parts.
+	 * @param now - Current monotonic time.
+	 */
+	addExecutedParts(executed: readonly ExecutedPart[], now: Milliseconds): void {
+		for (const {part, age} of executed) {
+			this.#executedAt.set(part, Math.max(now - age, this.#executedAt.get(part) ?? Number.NEGATIVE_INFINITY));
+		}
+	}
+
 	/**
 	 * Adds changes of the hosts that this host reports.
 	 *
@@ -99,6 +113,7 @@
 			leaving: this.#leaving,
 			emptying: [...this.#draining],
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
+			executed: this.#takeExecutedParts(now),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
 			updates: this.#updates.splice(0, limits.updates),
@@ -111,8 +126,17 @@
 		return {events, hasMore: this.#hasList};
 	}
 
+	#takeExecutedParts(now: Milliseconds): ExecutedPart[] {
+		const taken = [...this.#executedAt].slice(0, limits.executed);
+		for (const [part] of taken) {
+			this.#executedAt.delete(part);
+		}
+
+		return taken.map(([part, beganAt]) => ({part, age: now - beganAt}));
+	}
+
 	/** Whether events remain of the kinds that are split over several messages. */
 	get #hasList(): boolean {
-		return [this.#placements, this.#crashes, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
 	}
 }
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -2,26 +2,34 @@
 import type {Quarantine} from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
+import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {HostGossip, LinkSelection} from './host-gossip.js';
 import type {HostMessage} from './host-messages.js';
 
+export type GossipReceiverOptions = {
+	readonly clusterState: ClusterState;
+	readonly gossip: HostGossip;
+	readonly quarantine: Quarantine;
+	readonly promptPartGuard: PromptPartGuard;
+	readonly log: Logger;
+	readonly now: () => Milliseconds;
+};
+
 /**
  * Merges the messages of linked peers into the cluster state and forwards their events: those of a member to all other peers, those of
  * a relay to the members.
  */
 export class GossipReceiver {
+	readonly #options: GossipReceiverOptions;
 	readonly #clusterState: ClusterState;
 	readonly #gossip: HostGossip;
-	readonly #quarantine: Quarantine;
-	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
 
-	constructor(clusterState: ClusterState, gossip: HostGossip, quarantine: Quarantine, log: Logger, now: () => Milliseconds) {
-		this.#clusterState = clusterState;
-		this.#gossip = gossip;
-		this.#quarantine = quarantine;
-		this.#log = log;
-		this.#now = now;
+	constructor(options: GossipReceiverOptions) {
+		this.#options = options;
+		this.#clusterState = options.clusterState;
+		this.#gossip = options.gossip;
+		this.#now = options.now;
 	}
 
 	/**
@@ -51,7 +59,7 @@
 		for (const server of message.leaving) {
 			const isKnown = this.#clusterState.servers.findEntry(server.id)?.incarnation === server.incarnation;
 			if (isKnown && this.#clusterState.serverNotices.recordLeaving(server, now)) {
-				this.#log.info('server-leaving', {server: server.id, incarnation: server.incarnation, source: sender.name});
+				this.#options.log.info('server-leaving', {server: server.id, incarnation: server.incarnation, source: sender.name});
 			}
 		}
 
@@ -62,9 +70,12 @@
 		const recipients: LinkSelection = kind === 'member' ? 'all' : 'member';
 		this.#gossip.forwardEvents(message, sender.name, recipients);
 		if (message.deaths.length > 0) {
-			this.#quarantine.mergeSuspects(message.deaths, now);
+			this.#options.quarantine.mergeSuspects(message.deaths, now);
+			this.#options.promptPartGuard.recordCrashes(message.deaths);
 			this.#gossip.announceCrashes(message.deaths, sender.name, recipients);
 		}
+
+		this.#options.promptPartGuard.mergeReports(sender.name, message, recipients);
 	}
 
 	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -1,7 +1,9 @@
 import type {
 	FleetLink, HostDescription, HostReportChanges, HostRole, HostState,
 } from '@lacewingpoint/coordination';
-import type {ServerProcess, SuspectCrash} from '@lacewingpoint/routing';
+import type {
+	ExecutedPart, QuarantinedPart, ServerProcess, SuspectCrash,
+} from '@lacewingpoint/routing';
 import type {
 	Disposable, Milliseconds, Scheduler,
 } from '@lacewingpoint/shared';
@@ -37,6 +39,8 @@
 	hasStoreContact(): boolean;
 	/** @returns Digest of the hosts that this host reports to peers of a kind. */
 	reportDigest(kind: FleetLink['kind']): number;
+	/** @returns The prompt parts that this host keeps from the servers. */
+	listQuarantinedParts(): QuarantinedPart[];
 	/** Called with each message of another host. */
 	onMessage(message: HostMessage): void;
 };
@@ -213,6 +217,25 @@
 		this.sendNow();
 	}
 
+	/**
+	 * Announces with the next datagram that servers have executed suspected prompt parts.
+	 *
+	 * @param executed - The parts.
+	 * @param source - The peer that reported them; this host by default.
+	 * @param selection - The peers to inform.
+	 */
+	announceExecutedParts(executed: readonly ExecutedPart[], source = this.#options.description.name, selection: LinkSelection = 'all'): void {
+		if (executed.length === 0) {
+			return;
+		}
+
+		for (const link of this.#selectLinks(selection, source)) {
+			link.events.addExecutedParts(executed, this.#options.now());
+		}
+
+		this.#schedule();
+	}
+
 	/**
 	 * Forwards events of a peer's message to other peers.
 	 *
@@ -290,7 +313,7 @@
 	 */
 	sendIntroduction(introduction: 'request' | 'response', addresses: readonly string[], hosts: HostMessage['hosts']): void {
 		this.#options.transport.send({
-			...this.#createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, hosts,
+			...this.#createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, quarantined: [], hosts,
 		}, addresses);
 	}
 
@@ -391,6 +414,7 @@
 				digest: isWhole ? this.#options.reportDigest(kind) : undefined,
 				charged: link.takeChangedCharges(totals.chargesFor(link)),
 				loads: link.takeChangedLoads(totals.loadsFor(link)),
+				quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
 				deaths: isWhole ? [...taken.events.deaths, ...this.#listRepeatedCrashes(link)] : taken.events.deaths,
 			}, [host.peerAddress]);
 		} while (hasMore);
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -84,8 +84,12 @@
 	emptying: v.optional(v.array(v.string()), []),
 	/** Requests that were in flight when a server crashed; `age` is the time since the crash in milliseconds. */
 	deaths: v.optional(v.array(v.object({
-		fingerprint: v.number(), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
+		fingerprint: v.number(), parts: v.optional(v.pipe(v.array(v.number()), v.readonly()), []), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
 	})), []),
+	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
+	executed: v.optional(v.array(v.object({part: v.number(), age: v.number()})), []),
+	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
+	quarantined: v.optional(v.array(v.object({part: v.number(), age: v.number(), trialInterval: v.number()})), []),
 	/** Hosts that the sender reports: new ones, and those whose state or role has changed. */
 	hosts: v.optional(v.array(v.object({description: hostDescriptionSchema, state: hostStateSchema, role: hostRoleSchema})), []),
 	/** Names of hosts that the sender no longer reports. */
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -15,6 +15,10 @@
 	status: number;
 	isFinished: boolean;
 	hasFirstByte: boolean;
+	/** When the response body began; `undefined` before its first byte. */
+	firstDataAt: Milliseconds | undefined;
+	/** Whether the server has survived the beginning of its response. */
+	hasSurvivedResponse: boolean;
 	/** When the response last made progress; `undefined` before its first byte. */
 	lastDataAt: Milliseconds | undefined;
 	/** The longest time between two pieces of the response. */
@@ -55,6 +59,8 @@
 		status: 0,
 		isFinished: false,
 		hasFirstByte: false,
+		firstDataAt: undefined,
+		hasSurvivedResponse: false,
 		lastDataAt: undefined,
 		longestPause: 0,
 		pauseBacklog: 0,
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -3,6 +3,7 @@
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
+import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {BrokenRequest} from '../state/server-crash-detector.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
@@ -15,6 +16,7 @@
 	readonly connections: BackendConnectionPool;
 	readonly backend: BackendProtocol;
 	readonly quarantine: Quarantine;
+	readonly promptPartGuard: PromptPartGuard;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly metrics: Metrics;
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -34,6 +34,9 @@
 /** With less time than this remaining, a request is not sent to a server. */
 const minimumRemainingTime: Milliseconds = 15;
 
+/** A server that has been sending its response for this long was not crashed by the prompt. */
+const responseSurvivalTime: Milliseconds = 100;
+
 const defaultDeadline: Milliseconds = 30_000;
 
 /** Retry-after sent to the client when there is no estimate of when a server will be available. */
@@ -82,6 +85,8 @@
 	#firstByteAt: Milliseconds | undefined;
 	#firstSentAt: Milliseconds | undefined;
 	#isPaused = false;
+	/** Whether the request tries a quarantined prompt part again. */
+	#isTrial = false;
 
 	/**
 	 * @param received - The request, its body and the writer of its response.
@@ -156,6 +161,10 @@
 			return true;
 		}
 
+		if (this.#failIfPartQuarantined()) {
+			return true;
+		}
+
 		const placement = this.#place();
 		if (placement.type !== 'chosen') {
 			return false;
@@ -208,7 +217,27 @@
 		});
 	}
 
+	#failIfPartQuarantined(): boolean {
+		if (this.#isTrial && this.#attemptCount === 0) {
+			return false;
+		}
+
+		const admission = this.#context.promptPartGuard.admit(sharedPartIds(this.received.request));
+		this.#isTrial = admission.type === 'trial';
+		if (admission.type !== 'quarantined') {
+			return false;
+		}
+
+		this.#isQueued = false;
+		this.#fail(`prompt part ${admission.partId} is quarantined: servers crashed while executing requests with it`, undefined);
+		return true;
+	}
+
 	#placeOrEnqueue(): void {
+		if (this.#failIfPartQuarantined()) {
+			return;
+		}
+
 		const remainingTime = this.#remainingTime();
 		if (remainingTime < minimumRemainingTime) {
 			this.#fail('too little time is left', undefined);
@@ -397,6 +426,10 @@
 
 		this.#recordPause(attempt);
 		this.#updateStallDetector(attempt);
+		if (this.#context.now() - attempt.firstDataAt! >= responseSurvivalTime) {
+			this.#recordSurvival(attempt);
+		}
+
 		const bytes = attempt.isEventStream ? this.#eventRelay.push(chunk) : chunk;
 		if (bytes.length > 0 && !this.received.responseWriter.write(bytes)) {
 			this.#isPaused = true;
@@ -418,10 +451,19 @@
 		}
 	}
 
+	#recordSurvival(attempt: Attempt): void {
+		const isSuccess = attempt.status >= 200 && attempt.status < 300;
+		if (isSuccess && !attempt.hasSurvivedResponse && attempt.firstDataAt !== undefined) {
+			attempt.hasSurvivedResponse = true;
+			this.#context.promptPartGuard.recordExecution(sharedPartIds(this.received.request), attempt.firstDataAt);
+		}
+	}
+
 	#recordFirstByte(attempt: Attempt): void {
 		const {clusterState, metrics, now} = this.#context;
 		const {entry, engine} = attempt.chosen;
 		attempt.hasFirstByte = true;
+		attempt.firstDataAt = now();
 		const timeToFirstByte = now() - attempt.sentAt;
 		if (engine !== undefined) {
 			this.#context.onPrefillEnded(attempt.chosen, this.received, true);
@@ -463,6 +505,7 @@
 
 		this.#finishAttempt(attempt, 'whole');
 		this.#context.quarantine.clearRequest(this.#fingerprint);
+		this.#recordSurvival(attempt);
 		this.#finish('answered', attempt.status);
 		this.received.responseWriter.end();
 	}
@@ -527,7 +570,7 @@
 
 		clusterState.health.recordOutcome(entry.id, true, now());
 		this.#context.onAttemptFailed(entry.id, {
-			id: this.received.request.id, fingerprint: this.#fingerprint, sharedParts: sharedPartIds(this.received.request),
+			id: this.received.request.id, fingerprint: this.#fingerprint, sharedParts: sharedPartIds(this.received.request), hasSurvivedResponse: attempt.hasSurvivedResponse,
 		});
 		if (isServerStalled) {
 			clusterState.health.recordUnreachable(entry.id, now());
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -1,7 +1,8 @@
 import type {Quarantine, SuspectCrash} from '@lacewingpoint/routing';
-import type {Logger, Milliseconds} from '@lacewingpoint/shared';
+import {type Logger, type Milliseconds, hashText} from '@lacewingpoint/shared';
 import type {HostGossip} from '../members/host-gossip.js';
 import type {ClusterState} from './cluster-state.js';
+import type {PromptPartGuard} from './prompt-part-guard.js';
 
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
@@ -16,6 +17,8 @@
 	readonly fingerprint: number;
 	/** Ids of the prompt parts that the request may share with others. */
 	readonly sharedParts: readonly string[];
+	/** Whether the server had survived the beginning of its response, so that no part of the prompt made it crash. */
+	readonly hasSurvivedResponse: boolean;
 };
 
 type RecordedBreak = BrokenRequest & {readonly brokenAt: Milliseconds};
@@ -24,6 +27,7 @@
 	readonly clusterState: ClusterState;
 	readonly hostGossip: HostGossip;
 	readonly quarantine: Quarantine;
+	readonly promptPartGuard: PromptPartGuard;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 };
@@ -53,15 +57,25 @@
 	 * @param server - The server's id.
 	 */
 	recordUnreachable(server: string): void {
-		const {clusterState, hostGossip, quarantine, log, now} = this.#options;
+		const {
+			clusterState, hostGossip, quarantine, promptPartGuard, log, now,
+		} = this.#options;
 		const entry = clusterState.servers.findEntry(server);
 		const brokenRequests = this.#recentBrokenRequests(server);
-		const suspects: SuspectCrash[] = brokenRequests.map(({fingerprint}) => ({
-			fingerprint, server, incarnation: entry?.incarnation ?? '', failureDomain: entry?.failureDomain ?? '', age: 0,
+		// A server that has announced its end is not crashed by a prompt.
+		const isEndExpected = entry !== undefined && (entry.isDraining || clusterState.serverNotices.isLeaving(entry));
+		const suspects: SuspectCrash[] = brokenRequests.map(({fingerprint, sharedParts, hasSurvivedResponse, brokenAt}) => ({
+			fingerprint,
+			parts: isEndExpected || hasSurvivedResponse ? [] : sharedParts.map(id => hashText(id)),
+			server,
+			incarnation: entry?.incarnation ?? '',
+			failureDomain: entry?.failureDomain ?? '',
+			age: now() - brokenAt,
 		}));
 		this.#brokenRequests.delete(server);
 		if (suspects.length > 0) {
 			quarantine.mergeSuspects(suspects, now());
+			promptPartGuard.recordCrashes(suspects);
 			hostGossip.announceCrashes(suspects);
 			log.info('server-death', {
 				server,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,9 @@
 export {
 	type QuarantineOptions, type ServerCrash, type SuspectCrash, Quarantine,
 } from './quarantine.js';
+export {
+	type ExecutedPart, type PartAdmission, type PromptPartQuarantineOptions, type QuarantinedPart, PromptPartQuarantine, defaultPromptPartQuarantineOptions,
+} from './prompt-part-quarantine.js';
 export {type RetryBudgetOptions, RetryBudget} from './retry-budget.js';
 export type {
 	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, WeightedService, Workspace,
--- a/packages/routing/src/quarantine.ts
+++ b/packages/routing/src/quarantine.ts
@@ -22,6 +22,8 @@
 export type SuspectCrash = {
 	/** The hash of the request's content and workspace. */
 	readonly fingerprint: number;
+	/** Hashes of the prompt parts that other requests may share; empty if the server had begun to respond long before the crash. */
+	readonly parts: readonly number[];
 	readonly server: string;
 	readonly incarnation: string;
 	readonly failureDomain: string;
@@ -29,7 +31,7 @@
 	readonly age: Milliseconds;
 };
 
-type RecordedCrash = {readonly server: string; readonly incarnation: string; readonly failureDomain: string; readonly at: Milliseconds};
+type RecordedCrash = {readonly server: string; readonly incarnation: string; readonly failureDomain: string; readonly parts: readonly number[]; readonly at: Milliseconds};
 
 /**
  * Detects requests that crash the servers that execute them. A request in flight during a crash is a suspect, and is quarantined once
@@ -51,7 +53,7 @@
 	 */
 	recordCrash(crash: ServerCrash, now: Milliseconds): void {
 		for (const fingerprint of crash.fingerprints) {
-			this.#addCrash(fingerprint, {...crash, at: now});
+			this.#addCrash(fingerprint, {...crash, parts: [], at: now});
 		}
 	}
 
@@ -100,7 +102,7 @@
 	 */
 	listSuspects(now: Milliseconds): SuspectCrash[] {
 		return [...this.#crashes.keys()].flatMap(fingerprint => this.#recentCrashes(fingerprint, now).map(crash => ({
-			fingerprint, server: crash.server, incarnation: crash.incarnation, failureDomain: crash.failureDomain, age: now - crash.at,
+			fingerprint, parts: crash.parts, server: crash.server, incarnation: crash.incarnation, failureDomain: crash.failureDomain, age: now - crash.at,
 		})));
 	}
 
