Recognize a crash by a connection attempt, not by the next request that happens to go to the server

Callers saw: nothing yet.

Change: 20 ms after a break without other data from the server, the host opens a connection to it. A refusal is a crash, and the peers learn that the server is unreachable; an accepted connection is closed again and nothing is recorded.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -143,7 +143,7 @@
 		});
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#crashDetector = new ServerCrashDetector({
-			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, log, now,
+			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, log, now, canConnect: async server => this.#connectionPool.canConnect(server),
 		});
 		this.#noticeRecorder = new ServerNoticeRecorder({
 			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -1,4 +1,4 @@
-import type {Socket} from 'node:net';
+import {type Socket, connect} from 'node:net';
 import {type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {Client, buildConnector} from 'undici';
 import type {HeaderList} from '../ports.js';
@@ -225,6 +225,34 @@
 		}
 	}
 
+	/**
+	 * Tries to open a connection, and closes it again.
+	 *
+	 * @param target - The server to connect to.
+	 * @returns Whether the server accepted it within the connect timeout.
+	 */
+	async canConnect(target: ConnectionTarget): Promise<boolean> {
+		const separator = target.address.lastIndexOf(':');
+		const socket = connect({host: target.address.slice(0, separator), port: Number(target.address.slice(separator + 1)), timeout: this.#options.connectTimeout});
+		return new Promise(resolve => {
+			const finish = (isConnected: boolean) => {
+				socket.destroy();
+				this.#options.onConnectionOpened();
+				resolve(isConnected);
+			};
+
+			socket.once('connect', () => {
+				finish(true);
+			});
+			socket.once('timeout', () => {
+				finish(false);
+			});
+			socket.once('error', () => {
+				finish(false);
+			});
+		});
+	}
+
 	/** Closes all idle connections. */
 	dispose(): void {
 		for (const idle of this.#idleConnections.values()) {
@@ -254,14 +282,14 @@
 	}
 
 	#open(key: string, address: string): Connection {
-		const connect = buildConnector({timeout: this.#options.connectTimeout, keepAlive: true, keepAliveInitialDelay: 1000});
+		const connectSocket = buildConnector({timeout: this.#options.connectTimeout, keepAlive: true, keepAliveInitialDelay: 1000});
 		const onOpened = this.#options.onConnectionOpened;
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			keepAliveTimeout: this.#options.idleTimeout,
 			keepAliveTimeoutThreshold: 500,
 			connect(options, callback) {
-				connect(options, (...outcome) => {
+				connectSocket(options, (...outcome) => {
 					const socket = outcome[1];
 					// Runs before undici's own listener, which would end a close-delimited response as if it were complete.
 					socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -1,12 +1,16 @@
 import type {Quarantine, SuspectCrash} from '@lacewingpoint/routing';
 import {type Logger, type Milliseconds, hashText} from '@lacewingpoint/shared';
 import type {HostGossip} from '../members/host-gossip.js';
+import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from './cluster-state.js';
 import type {PromptPartGuard} from './prompt-part-guard.js';
 
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
 
+/** Time from a broken request to the connection attempt that shows whether the server crashed: a crash closes its port a moment later. */
+const probeDelay: Milliseconds = 20;
+
 /** Limit on the requests that the log event of a crash lists. */
 const maximumLoggedRequests = 8;
 
@@ -30,11 +34,18 @@
 	readonly promptPartGuard: PromptPartGuard;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
+	/** @returns Whether the server accepts a connection. */
+	canConnect(server: ConnectionTarget): Promise<boolean>;
 };
 
-/** Finds the requests that may have crashed a server. A connection reset alone is not enough, as only the response may have been lost. */
+/**
+ * Finds the requests that may have crashed a server. A connection reset alone is not enough, as only the response may have been lost; the
+ * server must also refuse connections.
+ */
 export class ServerCrashDetector {
 	readonly #options: ServerCrashDetectorOptions;
+	/** Servers that are about to be probed. */
+	readonly #probed = new Set<string>();
 	readonly #brokenRequests = new Map<string, readonly RecordedBreak[]>();
 
 	constructor(options: ServerCrashDetectorOptions) {
@@ -49,6 +60,12 @@
 	 */
 	recordBrokenRequest(server: string, request: BrokenRequest): void {
 		this.#brokenRequests.set(server, [...this.#recentBrokenRequests(server), {...request, brokenAt: this.#options.now()}]);
+		if (!this.#probed.has(server)) {
+			this.#probed.add(server);
+			setTimeout(() => {
+				void this.#probe(server);
+			}, probeDelay);
+		}
 	}
 
 	/**
@@ -90,6 +107,20 @@
 		hostGossip.announceUnreachable(server);
 	}
 
+	async #probe(server: string): Promise<void> {
+		const {clusterState, log, now, canConnect} = this.#options;
+		this.#probed.delete(server);
+		const entry = clusterState.servers.findEntry(server);
+		const [firstBroken] = this.#recentBrokenRequests(server);
+		if (entry === undefined || firstBroken === undefined || clusterState.health.hasSentSince(server, firstBroken.brokenAt) || await canConnect(entry)) {
+			return;
+		}
+
+		log.info('server-unreachable', {server, reason: 'refused a connection after it broke off a request', id: firstBroken.id});
+		clusterState.health.recordUnreachable(server, now());
+		this.recordUnreachable(server);
+	}
+
 	#recentBrokenRequests(server: string): readonly RecordedBreak[] {
 		return (this.#brokenRequests.get(server) ?? []).filter(request => this.#options.now() - request.brokenAt < crashWindow);
 	}
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -169,6 +169,17 @@
 		return waitingSince === undefined ? 0 : now - waitingSince;
 	}
 
+	/**
+	 * Tells whether a server has sent anything since some time.
+	 *
+	 * @param server - The server's id.
+	 * @param time - Monotonic time.
+	 * @returns Whether data arrived from it later.
+	 */
+	hasSentSince(server: string, time: Milliseconds): boolean {
+		return (this.#contacts.get(server)?.receivedAt ?? Number.NEGATIVE_INFINITY) > time;
+	}
+
 	/**
 	 * Evaluates whether a server may get requests.
 	 *
