Log the limits that servers name in their responses

No decision changes. One assertion was wrong with the new field: a response that says nothing is now decoded into a notice without content, compared field by field, rather than into undefined.

--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -169,10 +169,14 @@
 export type ServerNotice = {
 	/** Id of the server that responded; `undefined` if the response does not state it. */
 	readonly instanceId: string | undefined;
+	/** Whether the response has the server's stamp, which other senders at its address do not have. */
+	readonly isStamped: boolean;
 	/** Whether the server is leaving and is to get no new requests. */
 	readonly isLeaving: boolean;
 	/** How long the server wants no requests; `undefined` if it takes them, NaN if the value is unreadable. */
 	readonly pause: Milliseconds | undefined;
+	/** The rate that the server takes from all hosts together; `undefined` if it names none, NaN if the value is unreadable. */
+	readonly requestsPerSecond: number | undefined;
 };
 
 /** A model server's report of its weights. */
@@ -204,8 +208,8 @@
 	readonly orderPath: string;
 	requestHeaders(request: ClientRequest, options: ForwardingOptions): HeaderList;
 	parseResponseHead(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ResponseHead;
-	/** @returns What the server says of itself; `undefined` if it says nothing. */
-	parseServerNotice(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerNotice | undefined;
+	/** @returns What the server says of itself. */
+	parseServerNotice(status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ServerNotice;
 	/** @returns The response headers without hop-by-hop headers. */
 	responseHeaders(rawHeaders: HeaderList): HeaderList;
 	parseReport(body: unknown): Result<WeightsReport, LayerError>;
--- a/packages/host/src/state/server-notice-recorder.ts
+++ b/packages/host/src/state/server-notice-recorder.ts
@@ -2,7 +2,7 @@
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
 import type {HostGossip} from '../members/host-gossip.js';
-import type {BackendProtocol} from '../ports.js';
+import type {BackendProtocol, ServerNotice} from '../ports.js';
 import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from './cluster-state.js';
 
@@ -25,6 +25,8 @@
 /** Reads from all responses of servers whether they are leaving or want no requests for some time. */
 export class ServerNoticeRecorder {
 	readonly #options: ServerNoticeRecorderOptions;
+	/** The limit that each server named in its latest response. */
+	readonly #namedLimits = new Map<string, number>();
 
 	constructor(options: ServerNoticeRecorderOptions) {
 		this.#options = options;
@@ -41,7 +43,7 @@
 		const {backend, clusterState, gossip, log, metrics, random, now} = this.#options;
 		const notice = backend.parseServerNotice(status, headers);
 		// The response may come from another server that has taken over the address.
-		if (notice === undefined || (notice.instanceId ?? target.id) !== target.id) {
+		if ((notice.instanceId ?? target.id) !== target.id) {
 			return;
 		}
 
@@ -53,6 +55,7 @@
 			gossip.announceLeaving(target);
 		}
 
+		this.#recordLimit(target, status, notice);
 		if (notice.pause === undefined) {
 			return;
 		}
@@ -70,4 +73,22 @@
 			server: target.id, outcome: 'applied', asked: notice.pause, duration: Math.round(duration),
 		});
 	}
+
+	#recordLimit(target: ConnectionTarget, status: number, {requestsPerSecond, isStamped, instanceId}: ServerNotice): void {
+		const known = this.#namedLimits.get(target.id);
+		const isEnd = requestsPerSecond === undefined && (isStamped || instanceId === target.id);
+		if (known === requestsPerSecond || (requestsPerSecond === undefined && !isEnd)) {
+			return;
+		}
+
+		if (requestsPerSecond === undefined) {
+			this.#namedLimits.delete(target.id);
+		} else {
+			this.#namedLimits.set(target.id, requestsPerSecond);
+		}
+
+		this.#options.log.info('server-limit', {
+			server: target.id, incarnation: target.incarnation, status, limit: requestsPerSecond ?? null, before: known ?? null, source: 'response',
+		});
+	}
 }
