--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -56,7 +56,7 @@
 		loading: [],
 		unreachable: [], leaving: [],
 		emptying: [],
-		deaths: [], executed: [], quarantined: [],
+		deaths: [], limits: [], executed: [], quarantined: [],
 		hosts: [],
 		departed: [],
 		updates: [],
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -9,4 +9,7 @@
 export {
 	type RateLimiterOptions, type RateLimit, type RateLimitPeer, type UsageTotals, DistributedRateLimiter,
 } from './rate-limiter.js';
+export {
+	type LimitedServer, type NamedLimit, type ServerLimitsOptions, ServerLimits, defaultServerLimitsOptions,
+} from './server-limits.js';
 export {type StoreReaderElectionOptions, StoreReaderElection} from './store-reader-election.js';
--- a/packages/coordination/src/rate-limiter.ts
+++ b/packages/coordination/src/rate-limiter.ts
@@ -97,6 +97,51 @@
 		}
 	}
 
+	/**
+	 * Applies a single limit, in addition to others.
+	 *
+	 * @param name - What is limited.
+	 * @param limit - The limit.
+	 * @param now - Current monotonic time.
+	 * @param isEmptied - Whether the bucket is emptied, because what was used before was not charged.
+	 */
+	setLimit(name: string, limit: RateLimit, now: Milliseconds, isEmptied: boolean): void {
+		const bucket = this.#buckets.get(name) ?? {
+			limit, level: 0, refilledAt: now, charged: 0,
+		};
+		this.#refill(bucket, now);
+		bucket.limit = limit;
+		bucket.level = Math.min(bucket.level, isEmptied ? 0 : limit.burstUnits);
+		this.#buckets.set(name, bucket);
+	}
+
+	/**
+	 * Ends a limit that was applied by itself. Its name must not be used again, because peers know the totals charged under it.
+	 *
+	 * @param name - What is limited.
+	 */
+	removeLimit(name: string): void {
+		this.#buckets.delete(name);
+	}
+
+	/**
+	 * Returns what a limit allows.
+	 *
+	 * @param name - What is limited.
+	 * @param now - Current monotonic time.
+	 * @returns The available units, negative while the bucket is in debt; infinite without a limit.
+	 */
+	level(name: string, now: Milliseconds): number {
+		const bucket = this.#buckets.get(name);
+		if (bucket === undefined) {
+			return Number.POSITIVE_INFINITY;
+		}
+
+		this.#refill(bucket, now);
+		this.#chargeUnresponsivePeers(now);
+		return bucket.level;
+	}
+
 	/**
 	 * Sets the peers that share the limits.
 	 *
--- a/packages/host/__tests__/host-messages.test.ts
+++ b/packages/host/__tests__/host-messages.test.ts
@@ -5,7 +5,7 @@
 const test = suite('host messages');
 
 const message: HostMessage = {
-	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], executed: [], quarantined: [], hosts: [], departed: [], updates: [],
+	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], executed: [], quarantined: [], hosts: [], departed: [], updates: [],
 };
 
 test('decodes what was encoded', () => {
@@ -28,6 +28,11 @@
 		deaths: [{
 			fingerprint: 7, parts: [8, 4_000_000_000], server: 'i-2', incarnation: '1', failureDomain: 'a', age: 12,
 		}],
+		limits: [{
+			id: 'i-4', incarnation: '1', requestsPerSecond: 2.1, age: 0,
+		}, {
+			id: 'i-5', incarnation: '2', age: 40,
+		}],
 		executed: [{part: 9, age: 120}],
 		quarantined: [{part: 8, age: 900, trialInterval: 30_000}],
 		departed: ['edge-nbo-a-2'],
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -97,8 +97,8 @@
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
 			now,
-			onResponseHead: (target, status, headers) => {
-				this.#noticeRecorder.recordResponse(target, status, headers);
+			onResponseHead: (target, status, headers, sentAt) => {
+				this.#noticeRecorder.recordResponse(target, status, headers, sentAt);
 			},
 			onConnectionOpened: () => {
 				this.#metrics.incrementCounter('backend_connections');
@@ -382,6 +382,7 @@
 		this.#fleet.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
+		this.#clusterState.removeExpiredLimits();
 		this.#quarantine.removeExpired(this.#dependencies.now());
 		this.#fleet.promptPartGuard.review();
 	}
--- a/packages/host/src/members/fleet-membership.ts
+++ b/packages/host/src/members/fleet-membership.ts
@@ -123,7 +123,9 @@
 
 		const links = this.#topology.listLinks(now());
 		gossip.setLinks(links);
-		clusterState.rateLimiter.setPeers(links.map(link => ({name: link.host.name, hostCount: gossip.linkHostCount(link.host.name), isMember: link.kind === 'member'})), now());
+		const limitPeers = links.map(link => ({name: link.host.name, hostCount: gossip.linkHostCount(link.host.name), isMember: link.kind === 'member'}));
+		clusterState.rateLimiter.setPeers(limitPeers, now());
+		clusterState.serverLimits.setPeers(limitPeers, now());
 		this.#announceRole(links.length);
 		this.#reviewReader();
 		this.#publishReports();
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -1,28 +1,29 @@
-import type {HostReportChanges} from '@lacewingpoint/coordination';
+import type {HostReportChanges, NamedLimit} from '@lacewingpoint/coordination';
 import type {ExecutedPart, SuspectCrash} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage, PromptPlacement} from './host-messages.js';
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, executed: 40, hosts: 5, departed: 40, updates: 4,
+	placements: 12, crashes: 24, limits: 24, executed: 40, hosts: 5, departed: 40, updates: 4,
 } as const;
 
 /** A crash with the time at which this host learned of it. */
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'executed' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'executed' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], executed: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], executed: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
 export class GossipEventQueue {
 	readonly #placements: PromptPlacement[] = [];
 	readonly #crashes: RecordedCrash[] = [];
+	readonly #limits: Array<{readonly limit: NamedLimit; readonly recordedAt: Milliseconds}> = [];
 	/** When the last response began that a server survived, by prompt part. */
 	readonly #executedAt = new Map<number, Milliseconds>();
 	#hosts: HostMessage['hosts'] = [];
@@ -66,6 +67,16 @@
 		this.#crashes.push(...crashes);
 	}
 
+	/**
+	 * Adds limits that servers have named or ended.
+	 *
+	 * @param limits - The limits.
+	 * @param now - Current monotonic time.
+	 */
+	addLimits(limits: readonly NamedLimit[], now: Milliseconds): void {
+		this.#limits.push(...limits.map(limit => ({limit, recordedAt: now})));
+	}
+
 	/**
 	 * Adds prompt parts that a server has executed; a later execution replaces an earlier one.
 	 *
@@ -113,6 +124,7 @@
 			leaving: this.#leaving,
 			emptying: [...this.#draining],
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
+			limits: this.#limits.splice(0, limits.limits).map(({limit, recordedAt}) => ({...limit, age: limit.age + now - recordedAt})),
 			executed: this.#takeExecutedParts(now),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
@@ -137,6 +149,6 @@
 
 	/** Whether events remain of the kinds that are split over several messages. */
 	get #hasList(): boolean {
-		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
 	}
 }
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -40,6 +40,7 @@
 	 * @param message - The message.
 	 */
 	merge(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
+		const recipients: LinkSelection = kind === 'member' ? 'all' : 'member';
 		this.#mergeTotals(sender, kind, message);
 		this.#applyPlacements(message);
 		const {weightsTracker, health} = this.#clusterState;
@@ -63,11 +64,11 @@
 			}
 		}
 
+		this.#mergeLimits(sender, message, recipients);
 		for (const server of message.emptying) {
 			weightsTracker.recordRolloutDraining(server, now);
 		}
 
-		const recipients: LinkSelection = kind === 'member' ? 'all' : 'member';
 		this.#gossip.forwardEvents(message, sender.name, recipients);
 		if (message.deaths.length > 0) {
 			this.#options.quarantine.mergeSuspects(message.deaths, now);
@@ -79,17 +80,32 @@
 	}
 
 	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
-		const {rateLimiter, loads} = this.#clusterState;
+		const {rateLimiter, serverLimits, loads} = this.#clusterState;
 		const now = this.#now();
 		this.#gossip.recordHostCount(sender.name, message.hostCount);
-		const hasNewCharges = rateLimiter.mergePeerTotals(sender.name, sender.incarnation, new Map(Object.entries(message.charged)), now, message.isWhole);
+		const charged = new Map(Object.entries(message.charged));
+		const hasNewCharges = rateLimiter.mergePeerTotals(sender.name, sender.incarnation, charged, now, message.isWhole);
+		const hasNewRequests = serverLimits.mergePeerTotals(sender, charged, now, message.isWhole);
 		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
 		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
-		if (hasNewCharges || hasNewLoads) {
+		if (hasNewCharges || hasNewRequests || hasNewLoads) {
 			this.#gossip.recordTotalsChanged(kind === 'member' ? 'all' : 'member', sender.name);
 		}
 	}
 
+	#mergeLimits(sender: HostDescription, message: HostMessage, recipients: LinkSelection): void {
+		const {servers, serverLimits} = this.#clusterState;
+		const known = message.limits.filter(({id, incarnation}) => servers.findEntry(id)?.incarnation === incarnation);
+		const changed = serverLimits.mergeReports(known, this.#now());
+		for (const {id, incarnation, requestsPerSecond} of changed) {
+			this.#options.log.info('server-limit', {
+				server: id, incarnation, limit: requestsPerSecond, source: sender.name,
+			});
+		}
+
+		this.#gossip.announceLimits(changed, sender.name, recipients);
+	}
+
 	#applyPlacements(message: HostMessage): void {
 		const {promptCache} = this.#clusterState;
 		const now = this.#now();
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -1,5 +1,5 @@
 import type {
-	FleetLink, HostDescription, HostReportChanges, HostRole, HostState,
+	FleetLink, HostDescription, HostReportChanges, HostRole, HostState, NamedLimit,
 } from '@lacewingpoint/coordination';
 import type {
 	ExecutedPart, QuarantinedPart, ServerProcess, SuspectCrash,
@@ -236,6 +236,25 @@
 		this.#schedule();
 	}
 
+	/**
+	 * Announces at once that servers have named other limits, or none any more.
+	 *
+	 * @param limits - The changed limits.
+	 * @param source - The peer that reported them; this host by default.
+	 * @param selection - The peers to inform.
+	 */
+	announceLimits(limits: readonly NamedLimit[], source = this.#options.description.name, selection: LinkSelection = 'all'): void {
+		if (limits.length === 0) {
+			return;
+		}
+
+		for (const link of this.#selectLinks(selection, source)) {
+			link.events.addLimits(limits, this.#options.now());
+		}
+
+		this.sendNow();
+	}
+
 	/**
 	 * Forwards events of a peer's message to other peers.
 	 *
@@ -414,6 +433,7 @@
 				digest: isWhole ? this.#options.reportDigest(kind) : undefined,
 				charged: link.takeChangedCharges(totals.chargesFor(link)),
 				loads: link.takeChangedLoads(totals.loadsFor(link)),
+				limits: isWhole ? clusterState.serverLimits.listReports(now) : taken.events.limits,
 				quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
 				deaths: isWhole ? [...taken.events.deaths, ...this.#listRepeatedCrashes(link)] : taken.events.deaths,
 			}, [host.peerAddress]);
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -67,7 +67,7 @@
 	host: v.optional(hostDescriptionSchema),
 	/** Digest of the hosts that the sender reports to the recipient; present if `isWhole`. */
 	digest: v.optional(v.number()),
-	/** Units charged to rate limits since the host started, by workspace. */
+	/** Units charged to rate limits since the host started, by workspace; requests to servers with limits, by their id and incarnation. */
 	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Running requests, uncached prompt tokens that await prefill, and occupied memory tokens, by server. */
 	loads: v.optional(v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])), {}),
@@ -86,6 +86,10 @@
 	deaths: v.optional(v.array(v.object({
 		fingerprint: v.number(), parts: v.optional(v.pipe(v.array(v.number()), v.readonly()), []), server: v.string(), incarnation: v.string(), failureDomain: v.string(), age: v.number(),
 	})), []),
+	/** Limits that servers have named or ended: changes, and all that the sender knows if `isWhole`. Rates in requests per second for all hosts together, absent for none. */
+	limits: v.optional(v.array(v.object({
+		id: v.string(), incarnation: v.string(), requestsPerSecond: v.optional(v.number()), age: v.number(),
+	})), []),
 	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
 	executed: v.optional(v.array(v.object({part: v.number(), age: v.number()})), []),
 	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
@@ -120,7 +124,7 @@
  */
 export function encodeHostMessage(message: HostMessage): Uint8Array {
 	const entries = Object.entries(message) as Array<[keyof HostMessage, HostMessage[keyof HostMessage]]>;
-	return encode(Object.fromEntries(entries.filter(([field, value]) => value !== assumedValues[field] && !isEmpty(value))));
+	return encode(Object.fromEntries(entries.filter(([field, value]) => value !== assumedValues[field] && !isEmpty(value))), {ignoreUndefined: true});
 }
 
 function isEmpty(value: HostMessage[keyof HostMessage]): boolean {
--- a/packages/host/src/members/reported-totals.ts
+++ b/packages/host/src/members/reported-totals.ts
@@ -31,15 +31,16 @@
 	 * Returns the charges to be reported to a peer.
 	 *
 	 * @param link - The peer's link.
-	 * @returns Units charged since the start, by workspace.
+	 * @returns Units charged since the start, by workspace, and requests sent, by limited server.
 	 */
 	chargesFor(link: PeerLink): UsageTotals {
-		const {rateLimiter} = this.#clusterState;
+		const {rateLimiter, serverLimits} = this.#clusterState;
 		if (link.target.kind === 'member') {
-			return rateLimiter.totalsWithoutMember(link.target.host.name, link.target.host.incarnation);
+			const {name, incarnation} = link.target.host;
+			return new Map([...rateLimiter.totalsWithoutMember(name, incarnation), ...serverLimits.totalsWithoutMember(name, incarnation)]);
 		}
 
-		this.#groupCharges ??= rateLimiter.groupTotals();
+		this.#groupCharges ??= new Map([...rateLimiter.groupTotals(), ...serverLimits.groupTotals()]);
 		return this.#groupCharges;
 	}
 
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -56,7 +56,7 @@
 	readonly reuseDelay: Milliseconds;
 	readonly now: () => Milliseconds;
 	/** Called with the head of each response, before the handler of its exchange. */
-	readonly onResponseHead: (target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void;
+	readonly onResponseHead: (target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, sentAt: Milliseconds) => void;
 	/** Called after each attempt to open a connection, also after a failed one. */
 	readonly onConnectionOpened: () => void;
 };
@@ -131,7 +131,8 @@
 	 */
 	send(target: ConnectionTarget, request: OutgoingRequest, handler: ExchangeHandler): Exchange {
 		const connection = this.#acquire(target);
-		const {onResponseHead} = this.#options;
+		const {onResponseHead, now} = this.#options;
+		const sentAt = now();
 		let requestController: {pause(): void; resume(): void; abort(reason: Error): void} | undefined;
 		let isFinished = false;
 		let wasWritten = false;
@@ -172,7 +173,7 @@
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isFinished) {
-					onResponseHead(target, status, headers);
+					onResponseHead(target, status, headers, sentAt);
 					connection.isCloseDelimited = isCloseDelimited(request.method, status, headers);
 					handler.onHead(status, headers, decodeRawHeaders((controller as unknown as ControllerWithRawHeaders).rawHeaders));
 				}
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -31,7 +31,7 @@
  * The chosen server, or why there is none.
  *
  * - `full`: no server has capacity yet, or a shared part of the prompt is still being prefilled.
- * - `paused`: the servers want no requests until the end of `wait`, the shortest of their pauses.
+ * - `paused`: the servers want no requests until the end of `wait`, as they asked for pauses or named limits.
  * - `none`: no server is available.
  */
 export type PlacementResult
@@ -122,9 +122,10 @@
 	place(placementRequest: PlacementRequest): PlacementResult {
 		const service = this.#clusterState.configuration?.services.find(candidate => candidate.name === placementRequest.service);
 		const usableEntries = this.#findUsableEntries(placementRequest, service);
-		const entries = usableEntries.filter(entry => this.#clusterState.serverNotices.pausedUntil(entry, this.#now()) === undefined);
+		const waits = new Map(usableEntries.map(entry => [entry, this.#waitTime(entry)]));
+		const entries = usableEntries.filter(entry => waits.get(entry) === 0);
 		if (entries.length === 0) {
-			return this.#describePause(usableEntries);
+			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: Math.min(...waits.values())};
 		}
 
 		const {generation} = placementRequest.request;
@@ -196,10 +197,11 @@
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, this.#now())));
 	}
 
-	#describePause(entries: readonly ServerEntry[]): PlacementResult {
+	// How long a server wants no request, because it asked for a pause or named a limit.
+	#waitTime(entry: ServerEntry): Milliseconds {
 		const now = this.#now();
-		const ends = entries.map(entry => this.#clusterState.serverNotices.pausedUntil(entry, now) ?? now);
-		return ends.length === 0 ? {type: 'none'} : {type: 'paused', wait: Math.min(...ends) - now};
+		const pausedUntil = this.#clusterState.serverNotices.pausedUntil(entry, now);
+		return pausedUntil === undefined ? this.#clusterState.serverLimits.waitTime(entry, now, this.#random) : pausedUntil - now;
 	}
 
 	// Parts are owned by servers with the newest weights, which the others will have soon.
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -309,6 +309,7 @@
 		this.#firstSentAt ??= attempt.sentAt;
 		this.#triedServers.add(entry.id);
 		clusterState.loads.addRequest(entry.id, attempt.load);
+		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
 		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
 		this.#context.onRequestPlaced(chosen, this.received);
 		const headers = backend.requestHeaders(request, {
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -1,4 +1,6 @@
-import {HostDirectory, DistributedRateLimiter, type RateLimit} from '@lacewingpoint/coordination';
+import {
+	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
+} from '@lacewingpoint/coordination';
 import {
 	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, ServerNotices, WeightsTracker,
 } from '@lacewingpoint/routing';
@@ -63,6 +65,7 @@
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
+	readonly serverLimits = new ServerLimits(defaultServerLimitsOptions);
 	readonly weightsTracker = new WeightsTracker(weightsTrackerOptions);
 	readonly #listener: ClusterStateListener;
 	readonly #maxWeightsStaleness: () => Milliseconds;
@@ -114,6 +117,11 @@
 		return this.#unreadableEntries;
 	}
 
+	/** Ends the limits that servers have not confirmed for long. Called periodically. */
+	removeExpiredLimits(): void {
+		this.serverLimits.removeExpired(this.#now(), ({id, incarnation}) => this.servers.findEntry(id)?.incarnation === incarnation);
+	}
+
 	/** @returns Time since the current configuration was applied; the reading of the monotonic clock while there is none. */
 	configurationAge(): Milliseconds {
 		return this.#now() - this.#configurationAppliedAt;
--- a/packages/host/src/state/server-notice-recorder.ts
+++ b/packages/host/src/state/server-notice-recorder.ts
@@ -22,11 +22,9 @@
 	readonly now: () => Milliseconds;
 };
 
-/** Reads from all responses of servers whether they are leaving or want no requests for some time. */
+/** Reads from all responses of servers whether they are leaving, want no requests for some time, or limit their rate. */
 export class ServerNoticeRecorder {
 	readonly #options: ServerNoticeRecorderOptions;
-	/** The limit that each server named in its latest response. */
-	readonly #namedLimits = new Map<string, number>();
 
 	constructor(options: ServerNoticeRecorderOptions) {
 		this.#options = options;
@@ -38,8 +36,9 @@
 	 * @param target - The server that the request was sent to.
 	 * @param status - Status of the response.
 	 * @param headers - Headers of the response.
+	 * @param sentAt - Monotonic time at which the request was sent.
 	 */
-	recordResponse(target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+	recordResponse(target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, sentAt: Milliseconds): void {
 		const {backend, clusterState, gossip, log, metrics, random, now} = this.#options;
 		const notice = backend.parseServerNotice(status, headers);
 		// The response may come from another server that has taken over the address.
@@ -55,7 +54,7 @@
 			gossip.announceLeaving(target);
 		}
 
-		this.#recordLimit(target, status, notice);
+		this.#recordLimit(target, notice, sentAt);
 		if (notice.pause === undefined) {
 			return;
 		}
@@ -74,21 +73,26 @@
 		});
 	}
 
-	#recordLimit(target: ConnectionTarget, status: number, {requestsPerSecond, isStamped, instanceId}: ServerNotice): void {
-		const known = this.#namedLimits.get(target.id);
-		const isEnd = requestsPerSecond === undefined && (isStamped || instanceId === target.id);
-		if (known === requestsPerSecond || (requestsPerSecond === undefined && !isEnd)) {
+	#recordLimit(target: ConnectionTarget, {requestsPerSecond, isStamped, instanceId}: ServerNotice, sentAt: Milliseconds): void {
+		const {clusterState, gossip, log, now} = this.#options;
+		if (Number.isNaN(requestsPerSecond)) {
+			log.warn('server-limit', {server: target.id, outcome: 'ignored'});
 			return;
 		}
 
-		if (requestsPerSecond === undefined) {
-			this.#namedLimits.delete(target.id);
-		} else {
-			this.#namedLimits.set(target.id, requestsPerSecond);
+		// The absence of a limit counts only in a response that is known to come from the server.
+		if (requestsPerSecond === undefined && !isStamped && instanceId !== target.id) {
+			return;
 		}
 
-		this.#options.log.info('server-limit', {
-			server: target.id, incarnation: target.incarnation, status, limit: requestsPerSecond ?? null, before: known ?? null, source: 'response',
-		});
+		const {id, incarnation} = target;
+		const before = clusterState.serverLimits.findRequestsPerSecond(target);
+		const report = clusterState.serverLimits.recordResponse({id, incarnation}, requestsPerSecond, {sentAt, now: now()});
+		if (report !== undefined) {
+			log.info('server-limit', {
+				server: id, incarnation, limit: report.requestsPerSecond, before: before ?? null, source: 'response',
+			});
+			gossip.announceLimits([report]);
+		}
 	}
 }
--- a/packages/host/src/state/state-gauges.ts
+++ b/packages/host/src/state/state-gauges.ts
@@ -18,6 +18,7 @@
 		hosts_serving: clusterState.hosts.listServing(now).length,
 		servers: entries.length,
 		servers_leaving: entries.filter(entry => clusterState.serverNotices.isLeaving(entry)).length,
+		servers_limited: entries.filter(entry => clusterState.serverLimits.findRequestsPerSecond(entry) !== undefined).length,
 		servers_paused: entries.filter(entry => clusterState.serverNotices.pausedUntil(entry, now) !== undefined).length,
 	};
 }
