--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -384,7 +384,6 @@
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		this.#clusterState.removeExpiredLimits();
 		this.#quarantine.removeExpired(this.#dependencies.now());
-		this.#fleet.promptPartGuard.review();
 	}
 
 	#formatMetrics(): string {
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -126,9 +126,10 @@
 		this.#membership.review();
 	}
 
-	/** Reviews the links to other hosts and requests missing state. Called periodically. */
+	/** Reviews the links to other hosts and the crashes of servers, and requests missing state. Called periodically. */
 	review(): void {
 		this.#membership.review();
+		this.promptPartGuard.review();
 		if (this.role === 'relay') {
 			this.#peerSynchronizer.requestMissingState();
 		}
