--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -12,35 +12,18 @@
 import {type GossipEvents, noEvents} from './gossip-events.js';
 import type {GossipTransport} from './gossip-socket.js';
 import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
+import {type MessageSources, HostMessageComposer} from './host-message-composer.js';
+import {computeSendInterval, findDueTime, timerResolution} from './link-timing.js';
 import {PeerLink} from './peer-link.js';
 import {ReportedTotals} from './reported-totals.js';
 
-/** Shortest interval at which pending updates are sent: nine hosts rarely place the same prompt twice within it. */
-const minimumSendInterval: Milliseconds = 25;
-
-/** The send interval of a host with many links is this long for each of them, which bounds the messages that it sends. */
-const sendIntervalPerLink: Milliseconds = 3;
-
-/** Time between heartbeats of a host without updates. */
-const heartbeatInterval: Milliseconds = 200;
-
 /** Links of one kind, or all. */
 export type LinkSelection = FleetLink['kind'] | 'all';
 
-export type HostGossipOptions = {
+export type HostGossipOptions = MessageSources & {
 	readonly transport: GossipTransport;
-	readonly description: HostDescription;
-	readonly clusterState: ClusterState;
 	readonly scheduler: Scheduler;
 	readonly now: () => Milliseconds;
-	hostState(): HostState;
-	hostRole(): HostRole;
-	/** @returns Whether this host reads the store and has contact to it. */
-	hasStoreContact(): boolean;
-	/** @returns Digest of the hosts that this host reports to peers of a kind. */
-	reportDigest(kind: FleetLink['kind']): number;
-	/** @returns The prompt parts that this host keeps from the servers. */
-	listQuarantinedParts(): QuarantinedPart[];
 	/** Called with each message of another host. */
 	onMessage(message: HostMessage): void;
 };
@@ -53,22 +36,19 @@
 	readonly #options: HostGossipOptions;
 	#links = new Map<string, PeerLink>();
 	readonly #crashLog = new CrashLog();
+	readonly #composer: HostMessageComposer;
 	#isClosed = false;
 	#cancelTimer: (() => void) | undefined;
 	#timerDueAt = Number.POSITIVE_INFINITY;
 
 	constructor(options: HostGossipOptions) {
 		this.#options = options;
+		this.#composer = new HostMessageComposer({...options, crashLog: this.#crashLog, links: () => [...this.#links.values()]});
 	}
 
 	/** The number of hosts in the fleet, as far as the linked peers report them, this one included. */
 	get hostCount(): number {
-		let count = 1;
-		for (const link of this.#links.values()) {
-			count += link.hostCount;
-		}
-
-		return count;
+		return this.#composer.hostCount;
 	}
 
 	/** Starts to receive messages, and to send them to peers once there are some. */
@@ -299,7 +279,7 @@
 	 * @param change - The change; `undefined` if it is too large for a datagram, so that the peers have to request it.
 	 */
 	announceStateChange(change: StateUpdate | undefined): void {
-		for (const link of this.#selectLinks('all').filter(({target}) => this.#isFollower(target))) {
+		for (const link of this.#selectLinks('all').filter(({target}) => this.#composer.isFollower(target))) {
 			link.hasNewTotals = true;
 			if (change !== undefined) {
 				link.events.addUpdate({version: this.#options.clusterState.stateVersion, change});
@@ -332,7 +312,7 @@
 	 */
 	sendIntroduction(introduction: 'request' | 'response', addresses: readonly string[], hosts: HostMessage['hosts']): void {
 		this.#options.transport.send({
-			...this.#createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, quarantined: [], hosts,
+			...this.#composer.createHeader(), ...noEvents, introduction, isWhole: true, host: this.#options.description, charged: {}, loads: {}, quarantined: [], hosts,
 		}, addresses);
 	}
 
@@ -364,13 +344,8 @@
 		return [...this.#links.values()].filter(({target}) => target.host.name !== source && (selection === 'all' || target.kind === selection));
 	}
 
-	// State changes cross failure domains only through the store.
-	#isFollower({kind, host}: FleetLink): boolean {
-		return this.#options.hostRole() === 'relay' && (kind === 'member' || host.failureDomain === this.#options.description.failureDomain);
-	}
-
 	get #sendInterval(): Milliseconds {
-		return Math.max(minimumSendInterval, sendIntervalPerLink * this.#links.size);
+		return computeSendInterval(this.#links.size);
 	}
 
 	// Sets the timer for the link that is due first.
@@ -381,7 +356,7 @@
 
 		let dueAt = Number.POSITIVE_INFINITY;
 		for (const link of this.#links.values()) {
-			dueAt = Math.min(dueAt, link.lastSentAt + (link.hasPendingUpdates ? this.#sendInterval : heartbeatInterval));
+			dueAt = Math.min(dueAt, findDueTime(link, this.#sendInterval));
 		}
 
 		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#cancelTimer !== undefined)) {
@@ -404,9 +379,7 @@
 		const now = this.#options.now();
 		const totals = new ReportedTotals(this.#options.clusterState, peer => this.linkKind(peer) === 'member', now);
 		for (const link of this.#links.values()) {
-			// Links that are due within the resolution of the timer are sent together.
-			const elapsed = now - link.lastSentAt + 1;
-			if (elapsed >= heartbeatInterval || (link.hasPendingUpdates && elapsed >= interval)) {
+			if (findDueTime(link, interval) <= now + timerResolution) {
 				this.#sendTo(link, totals, now);
 			}
 		}
@@ -415,55 +388,11 @@
 	}
 
 	#sendTo(link: PeerLink, totals: ReportedTotals, now: Milliseconds): void {
-		const {clusterState} = this.#options;
 		let hasMore: boolean;
 		do {
-			const isWhole = link.beginMessage(now);
-			const taken = link.events.take(now);
-			hasMore = taken.hasMore;
-			const {host, kind} = link.target;
-			link.sentStateVersion = hasMore ? taken.events.updates.at(-1)?.version ?? link.sentStateVersion : clusterState.stateVersion;
-			this.#options.transport.send({
-				...this.#createHeader(),
-				...taken.events,
-				hostCount: this.#hostCountFor(link),
-				stateVersion: this.#isFollower(link.target) ? link.sentStateVersion : undefined,
-				isWhole,
-				host: isWhole ? this.#options.description : undefined,
-				digest: isWhole ? this.#options.reportDigest(kind) : undefined,
-				charged: link.takeChangedCharges(totals.chargesFor(link)),
-				loads: link.takeChangedLoads(totals.loadsFor(link)),
-				limits: isWhole ? clusterState.serverLimits.listReports(now) : taken.events.limits,
-				quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
-				deaths: isWhole ? [...taken.events.deaths, ...this.#listRepeatedCrashes(link)] : taken.events.deaths,
-			}, [host.peerAddress]);
+			const composed = this.#composer.compose(link, totals, now);
+			hasMore = composed.hasMore;
+			this.#options.transport.send(composed.message, [link.target.host.peerAddress]);
 		} while (hasMore);
 	}
-
-	#createHeader(): Pick<HostMessage, 'name' | 'incarnation' | 'state' | 'role' | 'hostCount' | 'hasStoreContact' | 'configuration' | 'revision'> {
-		const {description, clusterState} = this.#options;
-		return {
-			name: description.name,
-			incarnation: description.incarnation,
-			state: this.#options.hostState(),
-			role: this.#options.hostRole(),
-			hostCount: 1,
-			hasStoreContact: this.#options.hasStoreContact(),
-			configuration: clusterState.configuration?.version ?? 0,
-			revision: clusterState.revision,
-		};
-	}
-
-	#hostCountFor(link: PeerLink): number {
-		if (link.target.kind === 'member') {
-			return this.hostCount - 1;
-		}
-
-		return 1 + this.#selectLinks('member').length;
-	}
-
-	// Each relay informs the others itself.
-	#listRepeatedCrashes({target}: PeerLink): SuspectCrash[] {
-		return this.#crashLog.listRepeated(source => source !== target.host.name && !(target.kind === 'relay' && this.linkKind(source) === 'relay'), this.#options.now());
-	}
 }
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -8,40 +8,24 @@
 import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
 import {EventRelay} from './event-relay.js';
 import type {PipelineContext} from './pipeline-context.js';
-import {
-	admitRequest, quotaUnits, selectService, sharedPartIds,
-} from './request-admission.js';
+import {QuotaCharge} from './quota-charge.js';
+import {admitRequest, selectService, sharedPartIds} from './request-admission.js';
+import {reportRequest} from './request-report.js';
+import {ResponseObserver} from './response-observer.js';
+import {RetryAllowance} from './retry-allowance.js';
 import {StallDetector} from './stall-detector.js';
-
-/**
- * Attempts allowed beyond the route's `maxServers`, which bounds the servers that may execute a request: some attempts are rejected
- * without being executed. When a server could not be reached, two more are allowed.
- */
-const extraAttempts = 2;
+import {
+	decideWait, defaultRetryAfter, limitRetryAfter, maximumWaitAfterRejections,
+} from './wait-decision.js';
 
 /** Subtracted from the deadline sent to the server, so that the response still reaches the client in time. */
 const responseTransitTime: Milliseconds = 10;
 
-/**
- * The share of its remaining time that a request may spend in the queue. A request dispatched later could hardly be served in time,
- * while a client refused now can still retry.
- */
-const queueTimeShare = 0.4;
-
-/** Clients follow a retry-after of at most this share of their remaining time. */
-const retryAfterShare = 0.33;
-
 /** With less time than this remaining, a request is not sent to a server. */
 const minimumRemainingTime: Milliseconds = 15;
 
-/** A server that has been sending its response for this long was not crashed by the prompt. */
-const responseSurvivalTime: Milliseconds = 100;
-
 const defaultDeadline: Milliseconds = 30_000;
 
-/** Retry-after sent to the client when there is no estimate of when a server will be available. */
-const defaultRetryAfter: Milliseconds = 300;
-
 /** A server that has requests in flight and has sent no data for this long is considered crashed. */
 const serverStallTimeout: Milliseconds = 350;
 
@@ -61,6 +45,7 @@
 	readonly #triedServers = new Set<string>();
 	readonly #eventRelay = new EventRelay();
 	readonly #attemptRecords: AttemptRecord[] = [];
+	readonly #quotaCharge: QuotaCharge;
 	readonly #stallDetector = new StallDetector((duration, isFinal) => {
 		this.#onStall(duration, isFinal);
 	});
@@ -68,12 +53,10 @@
 	#route: Route | undefined;
 	#workspace: Workspace | undefined;
 	#service = '';
-	#chargedUnits = 0;
 	#fingerprint = 0;
+	#retries = new RetryAllowance(0, () => false);
+	#responseObserver: ResponseObserver | undefined;
 	#attempt: Attempt | undefined;
-	/** Attempts that a server has executed or may have executed. */
-	#executions = 0;
-	#attemptCount = 0;
 	/** The version of the weights expected at the server whose response head was forwarded. */
 	#weightsVersion: number | undefined;
 	#hasResponseStarted = false;
@@ -82,7 +65,6 @@
 	#isQueued = false;
 	#isFinished = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
-	#firstByteAt: Milliseconds | undefined;
 	#firstSentAt: Milliseconds | undefined;
 	#isPaused = false;
 	/** Whether the request tries a quarantined prompt part again. */
@@ -95,6 +77,7 @@
 	constructor(received: ReceivedRequest, context: PipelineContext) {
 		this.received = received;
 		this.#context = context;
+		this.#quotaCharge = new QuotaCharge(context.clusterState.rateLimiter);
 	}
 
 	get #isStream(): boolean {
@@ -135,11 +118,17 @@
 			return;
 		}
 
-		if (!this.#chargeQuota()) {
+		const quotaWait = this.#quotaCharge.charge(request, admission.workspace, now());
+		if (quotaWait > 0) {
+			this.#refuse(429, `workspace ${admission.workspace!.name} is over its quota`, limitRetryAfter(quotaWait, this.#remainingTime()));
 			return;
 		}
 
 		this.#service = selectService(admission.route, this.#context.random.next()) ?? '';
+		this.#retries = new RetryAllowance(admission.route.maxServers, () => this.#acquireRetryBudget());
+		this.#responseObserver = new ResponseObserver({
+			context: this.#context, received: this.received, route: admission.route, service: this.#service, isStream: this.#isStream,
+		});
 		this.#context.retryBudget(this.#service).recordRequest(now());
 		responseWriter.onDisconnect(() => {
 			this.#onClientDisconnect();
@@ -177,24 +166,7 @@
 
 	onQueueTimeout(): void {
 		this.#isQueued = false;
-		this.#fail('no server had capacity before the queue time-out', this.#remainingTime() * retryAfterShare);
-	}
-
-	#chargeQuota(): boolean {
-		const units = quotaUnits(this.received.request, this.#workspace);
-		if (units === 0) {
-			return true;
-		}
-
-		const {name} = this.#workspace!;
-		const waitTime = this.#context.clusterState.rateLimiter.charge(name, units, this.#context.now());
-		if (waitTime > 0) {
-			this.#refuse(429, `workspace ${name} is over its quota`, Math.min(waitTime, this.#remainingTime() * retryAfterShare));
-			return false;
-		}
-
-		this.#chargedUnits = units;
-		return true;
+		this.#fail('no server had capacity before the queue time-out', limitRetryAfter(Number.POSITIVE_INFINITY, this.#remainingTime()));
 	}
 
 	#remainingTime(): Milliseconds {
@@ -218,7 +190,7 @@
 	}
 
 	#failIfPartQuarantined(): boolean {
-		if (this.#isTrial && this.#attemptCount === 0) {
+		if (this.#isTrial && this.#retries.attempts === 0) {
 			return false;
 		}
 
@@ -250,41 +222,22 @@
 			return;
 		}
 
-		if (placement.type === 'none' && this.#triedServers.size > 0 && this.#executions === 0) {
+		if (placement.type === 'none' && this.#triedServers.size > 0 && this.#retries.executions === 0) {
 			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
 			this.#triedServers.clear();
 			placement = this.#place();
 			if (placement.type !== 'paused') {
-				this.#enqueue(Math.min(remainingTime * queueTimeShare, defaultRetryAfter));
+				this.#enqueue(maximumWaitAfterRejections(remainingTime));
 				return;
 			}
 		}
 
-		this.#waitOrRefuse(placement, remainingTime);
-	}
-
-	#waitOrRefuse(placement: Exclude<PlacementResult, {readonly type: 'chosen'}>, remainingTime: Milliseconds): void {
-		if (placement.type === 'none') {
-			this.#fail('no server is available', Math.min(defaultRetryAfter, remainingTime * retryAfterShare));
-			return;
-		}
-
-		if (placement.type === 'paused') {
-			if (placement.wait > remainingTime * queueTimeShare) {
-				this.#fail('the servers want no requests for a time', placement.wait);
-			} else {
-				this.#enqueue(remainingTime * queueTimeShare);
-			}
-
-			return;
-		}
-
-		if (placement.estimatedWait > remainingTime * queueTimeShare) {
-			this.#fail('the queue is too long for the remaining time', Math.min(placement.estimatedWait, remainingTime * retryAfterShare));
-			return;
+		const decision = decideWait(placement, remainingTime);
+		if (decision.type === 'enqueue') {
+			this.#enqueue(decision.maximumQueueTime);
+		} else {
+			this.#fail(decision.reason, decision.retryAfter);
 		}
-
-		this.#enqueue(remainingTime * queueTimeShare);
 	}
 
 	#enqueue(maximumQueueTime: Milliseconds): void {
@@ -305,7 +258,7 @@
 		const {entry, engine} = chosen;
 		const attempt = createAttempt(chosen, request, now());
 		this.#attempt = attempt;
-		this.#attemptCount++;
+		this.#retries.attempts++;
 		this.#firstSentAt ??= attempt.sentAt;
 		this.#triedServers.add(entry.id);
 		clusterState.loads.addRequest(entry.id, attempt.load);
@@ -345,7 +298,7 @@
 	}
 
 	#updateStallDetector(attempt: Attempt): void {
-		if (!this.#isRetryable || !this.#canBeContinued || this.#executions + 1 >= this.#route!.maxServers) {
+		if (!this.#isRetryable || !this.#canBeContinued || this.#retries.isLastExecution) {
 			this.#stallDetector.stop();
 		} else if (!attempt.hasFirstByte) {
 			this.#stallDetector.awaitFirstByte(this.#route!.objective, attempt.chosen.engine?.predictedTimeToFirstToken ?? 0);
@@ -391,9 +344,9 @@
 			return;
 		}
 
-		this.#executions++;
+		this.#retries.executions++;
 		if (status >= 500 && this.#route!.repeatability === 'idempotent' && this.#claimRetry()) {
-			this.#executions--;
+			this.#retries.executions--;
 			this.#onAttemptFailed({wasWritten: true, reason: `server responded with status ${status}`});
 			return;
 		}
@@ -420,17 +373,8 @@
 			return;
 		}
 
-		this.#context.clusterState.health.recordDataReceived(attempt.chosen.entry.id, this.#context.now());
-		if (!attempt.hasFirstByte) {
-			this.#recordFirstByte(attempt);
-		}
-
-		this.#recordPause(attempt);
+		this.#responseObserver!.recordData(attempt);
 		this.#updateStallDetector(attempt);
-		if (this.#context.now() - attempt.firstDataAt! >= responseSurvivalTime) {
-			this.#recordSurvival(attempt);
-		}
-
 		const bytes = attempt.isEventStream ? this.#eventRelay.push(chunk) : chunk;
 		if (bytes.length > 0 && !this.received.responseWriter.write(bytes)) {
 			this.#isPaused = true;
@@ -438,49 +382,6 @@
 		}
 	}
 
-	#recordPause(attempt: Attempt): void {
-		const {clusterState, now} = this.#context;
-		const pause = now() - (attempt.lastDataAt ?? now());
-		attempt.lastDataAt = now();
-		if (this.#isStream && pause > attempt.longestPause) {
-			attempt.longestPause = pause;
-			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now()).prefillTokens;
-			const objective = this.#route!.pauseObjective;
-			if (objective !== undefined && attempt.chosen.engine !== undefined) {
-				clusterState.engineObservations.recordPause(this.#service, {pause, objective, backlog: attempt.pauseBacklog}, now());
-			}
-		}
-	}
-
-	#recordSurvival(attempt: Attempt): void {
-		const isSuccess = attempt.status >= 200 && attempt.status < 300;
-		if (isSuccess && !attempt.hasSurvivedResponse && attempt.firstDataAt !== undefined) {
-			attempt.hasSurvivedResponse = true;
-			this.#context.promptPartGuard.recordExecution(sharedPartIds(this.received.request), attempt.firstDataAt);
-		}
-	}
-
-	#recordFirstByte(attempt: Attempt): void {
-		const {clusterState, metrics, now} = this.#context;
-		const {entry, engine} = attempt.chosen;
-		attempt.hasFirstByte = true;
-		attempt.firstDataAt = now();
-		const timeToFirstByte = now() - attempt.sentAt;
-		if (engine !== undefined) {
-			this.#context.onPrefillEnded(attempt.chosen, this.received, true);
-			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
-			attempt.load = {...attempt.load, prefillTokens: 0};
-			// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
-			const unscaledTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
-			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(unscaledTime, 1), now());
-		}
-
-		if (this.#firstByteAt === undefined) {
-			this.#firstByteAt = now();
-			metrics.recordDuration('first_byte', this.#firstByteAt - this.received.receivedAt, {route: this.#route!.name});
-		}
-	}
-
 	#onEnd(attempt: Attempt, ending: ResponseEnding): void {
 		if (attempt.isFinished || attempt !== this.#attempt) {
 			return;
@@ -506,7 +407,7 @@
 
 		this.#finishAttempt(attempt, 'whole');
 		this.#context.quarantine.clearRequest(this.#fingerprint);
-		this.#recordSurvival(attempt);
+		this.#responseObserver!.recordSurvival(attempt);
 		this.#finish('answered', attempt.status);
 		this.received.responseWriter.end();
 	}
@@ -524,10 +425,10 @@
 
 		this.#finishAttempt(attempt, `not run (${attempt.status})`);
 		attempt.exchange?.abort();
-		if (this.#attemptCount < this.#route!.maxServers + extraAttempts && this.#acquireRetryBudget()) {
+		if (this.#retries.claimAfterRejection()) {
 			this.#placeOrEnqueue();
 		} else {
-			this.#fail('servers refused the request', Math.min(defaultRetryAfter, this.#remainingTime() * retryAfterShare));
+			this.#fail('servers refused the request', limitRetryAfter(defaultRetryAfter, this.#remainingTime()));
 		}
 	}
 
@@ -540,10 +441,8 @@
 	#claimRetry(): boolean {
 		return this.#isRetryable
 			&& this.#canBeContinued
-			&& this.#executions < this.#route!.maxServers
-			&& this.#attemptCount < this.#route!.maxServers + extraAttempts
 			&& this.#remainingTime() > minimumRemainingTime
-			&& this.#acquireRetryBudget();
+			&& this.#retries.claimAfterFailure();
 	}
 
 	#onAttemptFailed(failure: ExchangeFailure, isServerStalled = false): void {
@@ -560,12 +459,12 @@
 			clusterState.health.recordUnreachable(entry.id, now());
 			this.#context.onServerUnreachable(entry.id);
 			this.#context.log.info('server-unreachable', {server: entry.id, reason: failure.reason, id: this.received.request.id});
-			if (this.#attemptCount < this.#route!.maxServers + extraAttempts + 2) {
+			if (this.#retries.mayRetryUnreachable) {
 				this.#placeOrEnqueue();
 				return;
 			}
 
-			this.#fail('servers could not be reached', Math.min(defaultRetryAfter, this.#remainingTime() * retryAfterShare));
+			this.#fail('servers could not be reached', limitRetryAfter(defaultRetryAfter, this.#remainingTime()));
 			return;
 		}
 
@@ -580,7 +479,7 @@
 
 		const countsAsExecution = attempt.head === undefined || !this.#hasResponseStarted || attempt.status === 0;
 		if (countsAsExecution) {
-			this.#executions++;
+			this.#retries.executions++;
 		}
 
 		this.#eventRelay.discardPartialEvent();
@@ -621,7 +520,7 @@
 		if (attempt !== undefined && !attempt.isFinished) {
 			attempt.exchange?.abort();
 			this.#finishAttempt(attempt, 'out of time');
-			this.#executions++;
+			this.#retries.executions++;
 		}
 
 		this.#fail('out of time', undefined);
@@ -636,13 +535,13 @@
 			return;
 		}
 
-		if (this.#executions > 0) {
+		if (this.#retries.executions > 0) {
 			this.#finish('failed', reason === 'out of time' ? 504 : 502, reason);
 			this.received.responseWriter.sendError(reason === 'out of time' ? 504 : 502, reason, undefined);
 			return;
 		}
 
-		this.#refundCharge();
+		this.#quotaCharge.refund();
 		this.#refuse(503, reason, retryAfter);
 	}
 
@@ -651,13 +550,6 @@
 		this.received.responseWriter.sendError(status, reason, retryAfter);
 	}
 
-	#refundCharge(): void {
-		if (this.#workspace !== undefined && this.#chargedUnits > 0) {
-			this.#context.clusterState.rateLimiter.refund(this.#workspace.name, this.#chargedUnits);
-			this.#chargedUnits = 0;
-		}
-	}
-
 	#onClientDisconnect(): void {
 		if (this.#isFinished) {
 			return;
@@ -685,35 +577,20 @@
 			this.#context.dispatcher.removeFromQueue(this.#service, this);
 		}
 
-		const {clusterState, log, metrics, now} = this.#context;
-		const took = now() - this.received.receivedAt;
-		const route = this.#route?.name ?? 'none';
-		metrics.incrementCounter('requests', {route, outcome, status: String(status)});
-		metrics.recordDuration('request', took, {route});
-		if (this.#firstSentAt !== undefined) {
-			metrics.recordDuration('wait', this.#firstSentAt - this.received.receivedAt, {route});
-		}
-
-		log.info('request', {
-			id: this.received.request.id,
-			route,
-			workspace: this.#workspace?.name,
+		reportRequest(this.#context, {
+			received: this.received,
+			route: this.#route,
+			workspace: this.#workspace,
 			service: this.#service,
-			fingerprint: this.#fingerprint === 0 ? undefined : this.#fingerprint.toString(16),
-			parts: this.received.request.generation === undefined ? undefined : sharedPartIds(this.received.request),
+			fingerprint: this.#fingerprint,
 			outcome,
 			status,
 			cause,
-			retryAfter: roundTime(retryAfter),
-			took: roundTime(took),
-			firstByte: roundTime(this.#firstByteAt === undefined ? undefined : this.#firstByteAt - this.received.receivedAt),
-			waited: roundTime(this.#firstSentAt === undefined ? undefined : this.#firstSentAt - this.received.receivedAt),
-			deadline: this.received.request.deadline,
-			configuration: clusterState.configuration?.version,
-			configurationAge: roundTime(clusterState.configurationAge()),
-			revision: clusterState.revision,
-			weights: this.#weightsVersion,
-			sends: this.#attemptRecords,
+			retryAfter,
+			firstByteAt: this.#responseObserver?.firstByteAt,
+			firstSentAt: this.#firstSentAt,
+			weightsVersion: this.#weightsVersion,
+			attempts: this.#attemptRecords,
 		});
 		this.#context.onRequestFinished();
 	}
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -6,14 +6,14 @@
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
+import {
+	healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
+} from './cluster-state-options.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
 const reregistrationGrace: Milliseconds = 2000;
 
-/** A peer without a heartbeat for this long is not offered to clients: more than three heartbeat intervals, so that the loss of a datagram is tolerated. */
-const heartbeatTimeout: Milliseconds = 750;
-
 /** Hosts reported by a peer that has stopped sending are kept this long: they link to another peer, which reports them again. */
 const reportTimeout: Milliseconds = 3000;
 
@@ -33,17 +33,6 @@
  */
 const assumedRemainingUse: Milliseconds = 3300;
 
-/** Crashed servers are back after a few seconds without announcing it; the limits on backoff and stalls follow from that. */
-const healthOptions = {
-	initialBackoff: 300, maximumBackoff: 3000, smoothingFactor: 0.15, failureRateThreshold: 0.3, stallTimeout: 700, recentContactWindow: 400, statisticsExpiry: 5000,
-} as const;
-
-/** Nine hosts that start together may each use the startup share before they receive each other's heartbeats. */
-const rateLimiterOptions = {heartbeatTimeout, startupShare: 0.25, unresponsivePeerShare: 0.5} as const;
-
-/** The lease holder announces every 100 ms which servers are draining for a rollout. */
-const weightsTrackerOptions = {retainedVersions: 16, rolloutDrainingExpiry: 500} as const;
-
 /** Called for changes that other components react to. */
 export type ClusterStateListener = {
 	/** A server that accepts requests may have been added, changed or removed. */
