Tell hosts that start which weights their peers have observed at servers

Cause: a host that starts gets the servers' entries and the published target versions from its peers, but not what these have observed of the servers' weights. Where the entries lag behind the orders, it takes every server for outdated, sends nothing, and so never learns better. Ruled out: the quarantine and the limits of servers (no such event in the logs), a lost lease (the rollout was complete).

The new test failed before (1 instead of 4).

--- a/packages/host/__tests__/cluster-state.test.ts
+++ b/packages/host/__tests__/cluster-state.test.ts
@@ -71,4 +71,25 @@
 	assert.is(clusterState.configuration?.version, 7);
 });
 
+// Guards against seed 39 of the soak: a host that started late in a rollout knew only the weights in the servers' entries. It took all servers
+// for outdated, sent them nothing, and so never learned of their new weights.
+test('a host that starts learns the weights that its peers have observed at servers whose entries are old', () => {
+	const entry = {
+		id: 'i-1', incarnation: '1', sequence: 1, service: 'models', address: '10.0.0.1:80', failureDomain: 'a', slots: 8, isDraining: false, weights: {m: 1},
+	};
+	const {clusterState: running} = create();
+	running.apply({changes: [{type: 'server', revision: 5, entry}, weightsChange(4, 6, 12_000)], revision: 9}, true, 'store');
+	running.recordObservedVersion('i-1', 'm', 4);
+	for (const changes of [running.snapshot(), running.changesSince({configuration: 0, stateVersion: 0})]) {
+		const {clusterState: started} = create();
+		started.apply(changes, false, 'peer');
+		assert.is(started.observedVersion(entry, 'm'), 4);
+	}
+
+	const {clusterState: other} = create();
+	other.apply({changes: [{type: 'server', revision: 7, entry: {...entry, incarnation: '2'}}], revision: 9}, true, 'store');
+	other.apply({changes: running.snapshot().changes.filter(({type}) => type === 'observed-weights'), revision: 9}, false, 'peer');
+	assert.is(other.observedVersion(entry, 'm'), 1, 'the next process of the server may run other weights');
+});
+
 test.run();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -382,7 +382,6 @@
 		this.#fleet.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
-		this.#clusterState.removeExpiredLimits();
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -126,10 +126,12 @@
 		this.#membership.review();
 	}
 
-	/** Reviews the links to other hosts and the crashes of servers, and requests missing state. Called periodically. */
+	/** Reviews the links to other hosts, the crashes and the limits of servers, and requests missing state. Called periodically. */
 	review(): void {
 		this.#membership.review();
 		this.promptPartGuard.review();
+		const {clusterState, now} = this.#options;
+		clusterState.serverLimits.removeExpired(now(), ({id, incarnation}) => clusterState.servers.findEntry(id)?.incarnation === incarnation);
 		if (this.role === 'relay') {
 			this.#peerSynchronizer.requestMissingState();
 		}
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -40,6 +40,8 @@
 		| {readonly type: 'server-gone'; readonly revision: number; readonly id: string}
 		/** A target version of a model's weights; a peer adds how long ago it was published, and whether that age is only assumed. */
 		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number; readonly age?: Milliseconds | undefined; readonly isAgeAssumed?: boolean | undefined}
+		/** The versions that a server was observed to run by a peer, where its entry lists older ones. */
+		| {readonly type: 'observed-weights'; readonly revision: number; readonly server: string; readonly incarnation: string; readonly weights: Readonly<Record<string, number>>}
 		| {readonly type: 'host'; readonly revision: number; readonly description: HostDescription}
 		| {readonly type: 'host-gone'; readonly revision: number; readonly name: string}
 		| {readonly type: 'holder'; readonly revision: number; readonly holder?: string | undefined}
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -9,6 +9,7 @@
 import {
 	healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
 } from './cluster-state-options.js';
+import {applyObservedWeights, listObservedWeights} from './observed-weights.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
@@ -106,11 +107,6 @@
 		return this.#unreadableEntries;
 	}
 
-	/** Ends the limits that servers have not confirmed for long. Called periodically. */
-	removeExpiredLimits(): void {
-		this.serverLimits.removeExpired(this.#now(), ({id, incarnation}) => this.servers.findEntry(id)?.incarnation === incarnation);
-	}
-
 	/** @returns Time since the current configuration was applied; the reading of the monotonic clock while there is none. */
 	configurationAge(): Milliseconds {
 		return this.#now() - this.#configurationAppliedAt;
@@ -171,6 +167,7 @@
 			changes: [
 				...(configuration !== undefined && configuration.version > known.configuration ? [{type: 'configuration', revision: this.#configurationRevision, configuration} as const] : []),
 				...changedServers.map(({entry, revision}) => ({type: 'server', revision, entry} as const)),
+				...listObservedWeights(this, changedServers),
 				...this.#describeTargetVersions(),
 			],
 			revision: this.#revision,
@@ -187,7 +184,7 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		changes.push(...this.#describeTargetVersions());
+		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#describeTargetVersions());
 		for (const description of this.hosts.listRelays(this.#now())) {
 			changes.push({type: 'host', revision: 0, description});
 		}
@@ -262,6 +259,11 @@
 				break;
 			}
 
+			case 'observed-weights': {
+				applyObservedWeights(this, change);
+				break;
+			}
+
 			case 'server-gone': {
 				if (this.servers.applyRemoval(change.id, change.revision, this.#now())) {
 					this.#removeServer(change.id, change.revision, source);
