--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -1,7 +1,7 @@
 import {type ClientOutcome, createExpectedBody} from './client-traffic.js';
 
 /** A promise that was broken, and how. */
-export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery'; readonly detail: string; readonly requestId?: string};
+export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery'; readonly detail: string; readonly requestId?: string | undefined};
 
 /** Statuses which state that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages-private/soak/src/main.ts
+++ b/packages-private/soak/src/main.ts
@@ -1,3 +1,5 @@
+import {mkdir, writeFile} from 'node:fs/promises';
+import {join} from 'node:path';
 import meow from 'meow';
 import {runSoak} from './soak.js';
 
@@ -12,6 +14,7 @@
 	  --hosts    Number of hosts (3)
 	  --clients  Number of clients (12)
 	  --series   Number of series of faults (10)
+	  --logs     Folder for the logs of hosts of seeds with violations
 	  --json     Print one JSON object a seed
 `, {
 	importMeta: import.meta,
@@ -22,19 +25,28 @@
 		hosts: {type: 'number', default: 3},
 		clients: {type: 'number', default: 12},
 		series: {type: 'number', default: 10},
+		logs: {type: 'string'},
 		json: {type: 'boolean', default: false},
 	},
 });
 
-const {first, seeds, seconds, hosts, clients, series, json} = cli.flags;
+const {
+	first, seeds, seconds, hosts, clients, series, json, logs: logFolder,
+} = cli.flags;
 let failedSeeds = 0;
 for (let seed = first; seed < first + seeds; seed++) {
 	const report = await runSoak({
 		seed, duration: seconds * 1000, hostCount: hosts, clientCount: clients, seriesCount: series,
 	});
+	const {logs, ...printed} = report;
+	if (logFolder !== undefined && report.violations.length > 0) {
+		await mkdir(logFolder, {recursive: true});
+		await Promise.all(logs.map(async ({host, log}, index) => writeFile(join(logFolder, `seed-${seed}-${host}-process-${index}.log`), log)));
+	}
+
 	failedSeeds += report.violations.length === 0 ? 0 : 1;
 	if (json) {
-		process.stdout.write(`${JSON.stringify(report)}\n`);
+		process.stdout.write(`${JSON.stringify(printed)}\n`);
 	} else {
 		const counts = Object.entries(report.requests).map(([name, count]) => `${count} ${name}`).join(', ');
 		process.stdout.write(`seed ${seed}: ${report.violations.length === 0 ? 'ok' : `${report.violations.length} violations`}; ${counts}\n`);
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -30,6 +30,8 @@
 	readonly requests: Readonly<Record<'served' | 'refused' | 'failed' | 'broken off', number>>;
 	/** Number of faults by kind. */
 	readonly faults: Readonly<Record<string, number>>;
+	/** The log of each process of a host. */
+	readonly logs: ReadonlyArray<{readonly host: string; readonly log: string}>;
 };
 
 const plainServerCount = 2;
@@ -85,9 +87,10 @@
 		const outcomes = clients.flatMap(client => client.outcomes);
 		return {
 			seed: options.seed,
-			violations: [...violations, ...checkOutcomes(outcomes, executions).map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
+			violations: [...[...violations, ...checkOutcomes(outcomes, executions)].map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
 			requests: countOutcomes(outcomes),
 			faults: countBy(schedule.map(({kind}) => kind)),
+			logs: injector.logs,
 		};
 	} finally {
 		await Promise.all(clients.map(async client => client.dispose()));
@@ -117,14 +120,18 @@
 		const deadline = performance.now() + recoveryTime;
 		let successes = 0;
 		let lastStatus = 0;
+		let lastFailedId: string | undefined;
 		for (let index = 0; successes < requiredSuccesses || !host.process.standardOutput.includes(`"event":"configuration","version":${version},`); index++) {
 			if (performance.now() > deadline) {
-				return [{promise: 'recovery', detail: `${host.name} does not serve with configuration ${version}: ${successes} successes in a row, last status ${lastStatus}`} as const];
+				return [{promise: 'recovery', requestId: lastFailedId, detail: `${host.name} does not serve with configuration ${version}: ${successes} successes in a row, last status ${lastStatus}`} as const];
 			}
 
-			const outcome = await client.send(host.clientAddress, index % 2 === 0 ? 'look' : 'check', `recovery-${host.name}-${index}`);
+			const requestId = `recovery-${host.name}-${index}`;
+			const outcome = await client.send(host.clientAddress, index % 2 === 0 ? 'look' : 'check', requestId);
 			lastStatus = outcome.status;
-			successes = outcome.status === 200 && outcome.isComplete ? successes + 1 : 0;
+			const isServed = outcome.status === 200 && outcome.isComplete;
+			successes = isServed ? successes + 1 : 0;
+			lastFailedId = isServed ? lastFailedId : requestId;
 			await pause(20);
 		}
 
