--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -122,10 +122,14 @@
 	place(placementRequest: PlacementRequest): PlacementResult {
 		const service = this.#clusterState.configuration?.services.find(candidate => candidate.name === placementRequest.service);
 		const usableEntries = this.#findUsableEntries(placementRequest, service);
-		const waits = new Map(usableEntries.map(entry => [entry, this.#waitTime(entry)]));
-		const entries = usableEntries.filter(entry => waits.get(entry) === 0);
+		let shortestWait = Number.POSITIVE_INFINITY;
+		const entries = usableEntries.filter(entry => {
+			const wait = this.#waitTime(entry);
+			shortestWait = Math.min(shortestWait, wait);
+			return wait === 0;
+		});
 		if (entries.length === 0) {
-			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: Math.min(...waits.values())};
+			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: shortestWait};
 		}
 
 		const {generation} = placementRequest.request;
