--- a/packages/coordination/src/server-limits.ts
+++ b/packages/coordination/src/server-limits.ts
@@ -291,7 +291,7 @@
 	}
 }
 
-// Workspaces and servers share a field of the messages between hosts; names of workspaces contain no space.
+// Workspaces and servers share a field of the messages between hosts. The name of a workspace is sent in a header, so it has no line break.
 function bucketName({id, incarnation}: LimitedServer): string {
-	return `${id} ${incarnation}`;
+	return `${id}\n${incarnation}`;
 }
