--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -80,7 +80,7 @@
  * @returns The log entry; times are in milliseconds.
  */
 export function describeAttempt(attempt: Attempt, receivedAt: Milliseconds, outcome: {readonly result: string; readonly endedAt: Milliseconds}): AttemptRecord {
-	const {entry, engine} = attempt.chosen;
+	const {entry, engine, outdatedTime} = attempt.chosen;
 	return {
 		server: entry.id,
 		predicted: roundTime(engine?.predictedTimeToFirstToken),
@@ -91,6 +91,7 @@
 		unread: engine?.uncachedTokens,
 		from: engine?.fetchFrom,
 		weights: engine?.weightsVersion,
+		outdated: outdatedTime === 0 ? undefined : roundTime(outdatedTime),
 		at: roundTime(attempt.sentAt - receivedAt),
 		result: outcome.result,
 		took: roundTime(outcome.endedAt - attempt.sentAt),
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -25,6 +25,8 @@
 	readonly entry: ServerEntry;
 	/** The placement on a model server; `undefined` for requests other than generations. */
 	readonly engine: EnginePlacement | undefined;
+	/** How long the server's weights had been outdated, as far as this host knows; `undefined` for requests other than generations. */
+	readonly outdatedTime?: Milliseconds;
 };
 
 /**
@@ -289,7 +291,8 @@
 			return {type: 'full', estimatedWait: placement.dispatchNotBefore - now};
 		}
 
-		return {type: 'chosen', chosen: {entry: entries.find(entry => entry.id === placement.server)!, engine: placement}};
+		const entry = entries.find(({id}) => id === placement.server)!;
+		return {type: 'chosen', chosen: {entry, engine: placement, outdatedTime: this.#clusterState.weightsTracker.outdatedTime(generation.model, placement.weightsVersion, now)}};
 	}
 
 	#queueFor(service: string): RequestQueue<PendingRequest> {
