--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -2,6 +2,7 @@
 export {
 	type KnownState, type MissingChanges, type PeerClient, type SnapshotSource, snapshotTimeout,
 } from './state/peer-snapshots.js';
+export {StoreWatch, type StoreWatchOptions} from './state/store-watch.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export type {GossipTransport} from './members/gossip-socket.js';
