--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -16,6 +16,7 @@
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {HostDependencies} from './host-dependencies.js';
 import type {HostBounds, ReceivedRequest} from './ports.js';
+import {addressTimeToLive, computeStopTimes} from './stop-timing.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {RetryBudgets} from './requests/retry-budgets.js';
@@ -27,15 +28,6 @@
 import {WeightsController} from './weights/weights-controller.js';
 import {WeightsLease} from './weights/weights-lease.js';
 
-/** How long clients may cache an address. Short, because some cache it three times as long and a stop has to wait for them. */
-const addressTimeToLive: Milliseconds = 1000;
-
-/** Clients cache an address for up to this many times the time to live sent with it. */
-const addressRetentionFactor = 3;
-
-/** Part of the grace period of a stop that is reserved for ending the process. */
-const shutdownReserve: Milliseconds = 700;
-
 /** Time between reviews of the links to other hosts, removals of expired state and requests for missing state. */
 const maintenanceInterval: Milliseconds = 100;
 
@@ -295,8 +287,7 @@
 		this.#fleet.gossip.broadcastState();
 		this.#weightsLease.stopCampaigning();
 		await this.#registration.release();
-		const deadline = startedAt + this.#bounds.stopGrace - shutdownReserve;
-		const addressesExpireAt = startedAt + Math.min(addressTimeToLive * addressRetentionFactor, this.#bounds.longestKeep) + 400;
+		const {deadline, addressesExpireAt} = computeStopTimes(startedAt, this.#bounds);
 		while (now() < deadline && (now() < addressesExpireAt || this.#runningRequests > 0 || this.#weightsController.hasPendingUpdates)) {
 			await new Promise(resolve => {
 				setTimeout(resolve, 50);
