--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -151,7 +151,7 @@
 				},
 				log: silentLogger,
 				metrics: new Metrics(),
-				now: () => this.#events.now,
+				now: () => this.#events.now, earliestArrival: () => this.#events.now,
 				hostState: () => clusterState.configuration === undefined ? 'starting' : 'serving',
 				hasStoreContact: () => host.isReader,
 				mustBeRelay: () => false,
--- a/packages/host/__tests__/cluster-state.test.ts
+++ b/packages/host/__tests__/cluster-state.test.ts
@@ -28,8 +28,9 @@
 test('counts the age of a target version from its publication if the host was running then', () => {
 	const {clock, clusterState} = create();
 	clusterState.apply({changes: [], revision: 9}, true, 'store');
-	clusterState.apply({changes: [weightsChange(2, 10)], revision: 10}, false, 'store');
+	clusterState.apply({changes: [weightsChange(2, 10)], revision: 10}, false, 'store', clock.now);
 	assert.is(clusterState.weightsTracker.outdatedTime('m', 1, clock.now + 500), 500);
+	assert.not.ok(clusterState.weightsTracker.hasAssumedAges);
 });
 
 test('adopts the age from a peer that has known the target version for longer', () => {
--- a/packages/host/__tests__/store-watch.test.ts
+++ b/packages/host/__tests__/store-watch.test.ts
@@ -4,7 +4,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type ChangeBatch, type ControlStore, ClusterState, StoreWatch,
+	type ChangeBatch, type ControlStore, ClockMonitor, ClusterState, StoreWatch,
 } from '../src/index.js';
 
 const test = suite('StoreWatch');
@@ -33,25 +33,29 @@
 	} as unknown as ControlStore;
 	const now = () => clock.now;
 	const clusterState = new ClusterState(silentLogger, now, () => maxWeightsStaleness, listener);
-	const watch = new StoreWatch({
-		store: controlStore, clusterState, log: silentLogger, random: createSeededRandom(1), now, wallClock: () => clock.wall, onSuspended(time) {
-			clusterState.weightsTracker.addSuspendedTime(time);
+	const clockMonitor = new ClockMonitor({
+		log: silentLogger, now, wallClock: () => clock.wall, onClockJump(uncountedTime) {
+			clusterState.weightsTracker.addSuspendedTime(uncountedTime);
+			watch.requestFullRead();
 		},
 	});
+	const watch = new StoreWatch({
+		store: controlStore, clusterState, log: silentLogger, random: createSeededRandom(1), now, earliestArrival: () => clockMonitor.earliestArrival(),
+	});
 	const advance = (time: number) => {
 		clock.now += time;
 		clock.wall += time;
 	};
 
 	return {
-		clock, clusterState, watch, advance,
+		clock, clockMonitor, clusterState, watch, advance,
 		store(batch: ChangeBatch) {
 			stored = batch;
 		},
 		async run(time: number) {
 			for (let elapsed = 0; elapsed < time; elapsed += checkInterval) {
 				advance(checkInterval);
-				watch.checkClocks();
+				clockMonitor.check();
 				await turn();
 			}
 		},
@@ -72,14 +76,14 @@
 // and used the replaced ones for as long as it had been suspended beyond the limit.
 for (const order of ['before', 'after'] as const) {
 	test(`counts the age of weights from the beginning of a suspension if the change is read ${order} the clocks are checked`, async () => {
-		const {clock, clusterState, watch, store, advance, run, respond} = create();
+		const {clock, clockMonitor, clusterState, watch, store, advance, run, respond} = create();
 		watch.start();
 		await run(1000);
 		const suspendedAt = clock.now;
 		advance(4000);
 		store(newWeights);
 		if (order === 'after') {
-			watch.checkClocks();
+			clockMonitor.check();
 		}
 
 		await respond(Result.ok(newWeights));
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -4,6 +4,7 @@
 	DisposableStore, type Metrics, type Milliseconds, bytesPerMebibyte, systemScheduler,
 } from '@lacewingpoint/shared';
 import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
+import {ClockMonitor} from './state/clock-monitor.js';
 import {StoreWatch} from './state/store-watch.js';
 import {ClusterState} from './state/cluster-state.js';
 import {type ClientListener, serveClients} from './requests/client-listener.js';
@@ -45,6 +46,7 @@
 	readonly #dispatcher: Dispatcher;
 	readonly #connectionPool: BackendConnectionPool;
 	readonly #fleet: Fleet;
+	readonly #clockMonitor: ClockMonitor;
 	readonly #storeWatch: StoreWatch;
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
@@ -96,6 +98,14 @@
 				this.#metrics.incrementCounter('backend_connections');
 			},
 		});
+		this.#clockMonitor = new ClockMonitor({
+			log, now, wallClock, onClockJump: uncountedTime => {
+				this.#clusterState.weightsTracker.addSuspendedTime(uncountedTime);
+				this.#storeWatch.requestFullRead();
+				this.#fleet.requestFullState();
+			},
+		});
+		const earliestArrival = () => this.#clockMonitor.earliestArrival();
 		this.#fleet = new Fleet({
 			description: settings.description,
 			seedAddresses: settings.seedDatagramAddresses,
@@ -108,6 +118,7 @@
 			log,
 			metrics: this.#metrics,
 			now,
+			earliestArrival,
 			hostState: () => this.#hostState(),
 			hasStoreContact: () => this.#storeWatch.isConnected,
 			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#fleet.role === 'relay'),
@@ -128,10 +139,7 @@
 		});
 		const {gossip} = this.#fleet;
 		this.#storeWatch = new StoreWatch({
-			store: adapter.store, clusterState: this.#clusterState, log, random, now, wallClock, onSuspended: time => {
-				this.#clusterState.weightsTracker.addSuspendedTime(time);
-				this.#fleet.requestFullState();
-			},
+			store: adapter.store, clusterState: this.#clusterState, log, random, now, earliestArrival,
 		});
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#crashDetector = new ServerCrashDetector({
@@ -369,7 +377,7 @@
 	}
 
 	#runMaintenance(): void {
-		this.#storeWatch.checkClocks();
+		this.#clockMonitor.check();
 		this.#fleet.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -2,6 +2,8 @@
 export {
 	type KnownState, type MissingChanges, type PeerClient, type SnapshotSource, snapshotTimeout,
 } from './state/peer-snapshots.js';
+export {RelayFollower, type RelayFollowerOptions} from './state/relay-follower.js';
+export {ClockMonitor, type ClockMonitorOptions} from './state/clock-monitor.js';
 export {StoreWatch, type StoreWatchOptions} from './state/store-watch.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -28,6 +28,8 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
+	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
+	earliestArrival(): Milliseconds;
 	hostState(): HostState;
 	/** @returns Whether this host reads the store and has contact to it. */
 	hasStoreContact(): boolean;
@@ -91,7 +93,9 @@
 		this.#receiver = new GossipReceiver({
 			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, log, now,
 		});
-		this.#relayFollower = new RelayFollower(clusterState, peerClient, log, now);
+		this.#relayFollower = new RelayFollower({
+			clusterState, peerClient, log, now, earliestArrival: () => options.earliestArrival(),
+		});
 		this.#peerSynchronizer = new PeerSynchronizer({
 			clusterState,
 			peerClient,
--- a/packages/host/src/state/cluster-state-options.ts
+++ b/packages/host/src/state/cluster-state-options.ts
@@ -13,3 +13,16 @@
 
 /** The lease holder announces every 100 ms which servers are draining for a rollout. */
 export const weightsTrackerOptions = {retainedVersions: 16, rolloutDrainingExpiry: 500} as const;
+
+/** Share of an engine's memory that is assumed to hold cached prompt parts; running requests use the rest. */
+export const cacheMemoryShare = 0.8;
+
+/** The age of a target version is assumed rather than known if it may be wrong by more than this. */
+export const ageTolerance: Milliseconds = 500;
+
+/**
+ * How much of the allowed staleness is assumed to remain at least for target versions found at a start or after an interruption, because
+ * possibly no host knows when they were published. The limit applies to a restarted host again three seconds after its process began, of which the start itself takes up
+ * to one. The dispatcher stops using outdated weights 1.5 s before the limit, that is 1.8 s after the target versions were found.
+ */
+export const assumedRemainingUse: Milliseconds = 3300;
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -7,7 +7,7 @@
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
 import {
-	healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
+	ageTolerance, assumedRemainingUse, cacheMemoryShare, healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
 } from './cluster-state-options.js';
 import {applyObservedWeights, listObservedWeights} from './observed-weights.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
@@ -24,16 +24,6 @@
 /** Loads reported by a peer that has stopped sending count for this long: its requests end within seconds. */
 const peerLoadExpiry: Milliseconds = 1500;
 
-/** Share of an engine's memory that is assumed to hold cached prompt parts; running requests use the rest. */
-const cacheMemoryShare = 0.8;
-
-/**
- * How much of the allowed staleness is assumed to remain for target versions found at a start, because possibly no host knows when they
- * were published. The limit applies to a restarted host again three seconds after its process began, of which the start itself takes up
- * to one. The dispatcher stops using outdated weights 1.5 s before the limit, that is 1.8 s after the target versions were found.
- */
-const assumedRemainingUse: Milliseconds = 3300;
-
 /** Called for changes that other components react to. */
 export type ClusterStateListener = {
 	/** A server that accepts requests may have been added, changed or removed. */
@@ -118,10 +108,11 @@
 	 * @param batch - The changes and the store revision that they lead to.
 	 * @param isComplete - Whether the batch lists every server, so that unlisted ones are removed.
 	 * @param source - Origin of the changes for the log: `store` or a peer's name.
+	 * @param unchangedUntil - For changes from the store: monotonic time at which they certainly had not been made; `undefined` if it is not known.
 	 */
-	apply(batch: ChangeBatch, isComplete: boolean, source: string): void {
+	apply(batch: ChangeBatch, isComplete: boolean, source: string, unchangedUntil = Number.NEGATIVE_INFINITY): void {
 		for (const change of batch.changes) {
-			this.#applyChange(change, source);
+			this.#applyChange(change, source, unchangedUntil);
 		}
 
 		if (isComplete) {
@@ -247,7 +238,7 @@
 		this.#listener.onStateChanged(change);
 	}
 
-	#applyChange(change: StateChange, source: string): void {
+	#applyChange(change: StateChange, source: string, unchangedUntil: Milliseconds): void {
 		switch (change.type) {
 			case 'configuration': {
 				this.#applyConfiguration(change.configuration, change.revision, source);
@@ -273,7 +264,7 @@
 			}
 
 			case 'weights': {
-				this.#applyTargetVersion(change, source);
+				this.#applyTargetVersion(change, source, unchangedUntil);
 				break;
 			}
 
@@ -327,12 +318,12 @@
 		this.#recordStateChange(undefined);
 	}
 
-	#applyTargetVersion(change: StateChange & {readonly type: 'weights'}, source: string): void {
+	#applyTargetVersion(change: StateChange & {readonly type: 'weights'}, source: string, unchangedUntil: Milliseconds): void {
 		const {model, version, revision} = change;
-		// Target versions in the first read were published at an unknown time before; only a peer may know their age.
-		const isFoundAtStart = change.age === undefined && this.#revision === 0;
-		const age = change.age ?? (isFoundAtStart ? Math.max(this.#maxWeightsStaleness() - assumedRemainingUse, 0) : 0);
-		const isAssumed = change.isAgeAssumed ?? isFoundAtStart;
+		// The store does not tell when a version was published. It counts as old as it can be.
+		const possibleAge = this.#now() - unchangedUntil;
+		const age = change.age ?? Math.min(possibleAge, Math.max(this.#maxWeightsStaleness() - assumedRemainingUse, 0));
+		const isAssumed = change.isAgeAssumed ?? (change.age === undefined && possibleAge > ageTolerance);
 		const target = {
 			version, revision, knownSince: this.#now() - age, isAssumed,
 		};
--- a/packages/host/src/state/peer-synchronizer.ts
+++ b/packages/host/src/state/peer-synchronizer.ts
@@ -40,6 +40,8 @@
 	readonly #options: PeerSynchronizerOptions;
 	/** Peers that were asked for the ages of target versions, by name and incarnation. */
 	readonly #peersAskedForAges = new Set<string>();
+	/** The target versions of which these peers were asked for the ages. */
+	#assumedTargets = '';
 	#lastRequestAt = Number.NEGATIVE_INFINITY;
 	#isRequesting = false;
 	#nextSeedIndex = 0;
@@ -97,7 +99,13 @@
 	// The store holds the target versions but not their ages; a peer that has run for longer knows those.
 	#requestTargetAges(): void {
 		const {clusterState, now} = this.#options;
-		if (!clusterState.weightsTracker.hasAssumedAges || now() - this.#lastRequestAt < minimumSnapshotInterval) {
+		const assumedTargets = clusterState.weightsTracker.listAssumedTargets().join(' ');
+		if (assumedTargets !== this.#assumedTargets) {
+			this.#assumedTargets = assumedTargets;
+			this.#peersAskedForAges.clear();
+		}
+
+		if (assumedTargets === '' || now() - this.#lastRequestAt < minimumSnapshotInterval) {
 			return;
 		}
 
--- a/packages/host/src/state/relay-follower.ts
+++ b/packages/host/src/state/relay-follower.ts
@@ -1,21 +1,28 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {HostMessage} from '../members/host-messages.js';
+import type {HostMessage, StateUpdate} from '../members/host-messages.js';
 import type {ClusterState} from './cluster-state.js';
+import {ageTolerance} from './cluster-state-options.js';
 import type {PeerClient} from './peer-snapshots.js';
 
 /** Time between two requests to the relay; it doubles with each failed one. */
 const requestInterval = {shortest: 100, longest: 1600} as const;
 
+export type RelayFollowerOptions = {
+	readonly clusterState: ClusterState;
+	readonly peerClient: PeerClient;
+	readonly log: Logger;
+	readonly now: () => Milliseconds;
+	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
+	earliestArrival(): Milliseconds;
+};
+
 /**
  * Keeps the cluster state of a member up to date. The relay pushes small changes, each with the state version to which it leads; the
  * member requests the others, and whatever it has missed.
  */
 export class RelayFollower {
-	readonly #clusterState: ClusterState;
-	readonly #peerClient: PeerClient;
-	readonly #log: Logger;
-	readonly #now: () => Milliseconds;
+	readonly #options: RelayFollowerOptions;
 	#relay = '';
 	#stateVersion: number | undefined;
 	#isRequesting = false;
@@ -24,11 +31,8 @@
 	/** The versions in the latest message of the relay. */
 	#announced = {configuration: 0, revision: 0};
 
-	constructor(clusterState: ClusterState, peerClient: PeerClient, log: Logger, now: () => Milliseconds) {
-		this.#clusterState = clusterState;
-		this.#peerClient = peerClient;
-		this.#log = log;
-		this.#now = now;
+	constructor(options: RelayFollowerOptions) {
+		this.#options = options;
 	}
 
 	/**
@@ -62,10 +66,11 @@
 			this.#consecutiveFailures = 0;
 		}
 
+		const {clusterState, now} = this.#options;
 		this.#announced = {configuration: message.configuration, revision: message.revision};
 		for (const {version, change} of message.updates) {
 			if (this.#stateVersion !== undefined && version === this.#stateVersion + 1) {
-				this.#clusterState.apply({changes: [change], revision: change.revision}, false, relay.name);
+				clusterState.apply({changes: [this.#addTransferTime(change)], revision: change.revision}, false, relay.name);
 				this.#stateVersion = version;
 			}
 		}
@@ -76,32 +81,43 @@
 
 		if (this.#stateVersion === message.stateVersion) {
 			// Revisions also count changes that are not part of the cluster state.
-			this.#clusterState.confirmRevision(message.revision);
+			clusterState.confirmRevision(message.revision);
 			return;
 		}
 
 		const isOutdated = this.#stateVersion === undefined || this.#stateVersion < message.stateVersion;
 		const interval = Math.min(requestInterval.shortest * (2 ** this.#consecutiveFailures), requestInterval.longest);
-		if (isOutdated && !this.#isRequesting && this.#now() - this.#lastRequestAt >= interval) {
+		if (isOutdated && !this.#isRequesting && now() - this.#lastRequestAt >= interval) {
 			void this.#requestChanges(relay, relayKey);
 		}
 	}
 
+	// The relay stated the age when it sent the message, which may have waited here while the process was suspended.
+	#addTransferTime(change: StateUpdate): StateUpdate {
+		if (change.type !== 'weights') {
+			return change;
+		}
+
+		const transferTime = this.#options.now() - this.#options.earliestArrival();
+		return {...change, age: change.age + transferTime, isAgeAssumed: change.isAgeAssumed || transferTime > ageTolerance};
+	}
+
 	async #requestChanges(relay: HostDescription, relayKey: string): Promise<void> {
+		const {clusterState, peerClient, log, now} = this.#options;
 		this.#isRequesting = true;
-		this.#lastRequestAt = this.#now();
-		const response = await this.#peerClient.fetchChanges(relay.snapshotAddress, {
-			configuration: this.#clusterState.configuration?.version ?? 0, stateVersion: this.#stateVersion ?? 0,
+		this.#lastRequestAt = now();
+		const response = await peerClient.fetchChanges(relay.snapshotAddress, {
+			configuration: clusterState.configuration?.version ?? 0, stateVersion: this.#stateVersion ?? 0,
 		});
 		this.#isRequesting = false;
 		this.#consecutiveFailures = response.isErr ? this.#consecutiveFailures + 1 : 0;
 		if (response.isErr) {
-			this.#log.info('snapshot-failed', {peer: relay.name, reason: response.error.message});
+			log.info('snapshot-failed', {peer: relay.name, reason: response.error.message});
 			return;
 		}
 
 		if (relayKey === this.#relay) {
-			this.#clusterState.applyMissing(response.value, relay.name);
+			clusterState.applyMissing(response.value, relay.name);
 			this.#stateVersion = response.value.stateVersion;
 		}
 	}
--- a/packages/host/src/state/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -11,27 +11,14 @@
 /** Bounds of the exponential backoff between attempts while the store does not respond, in milliseconds. */
 const retryDelay = {minimum: 50, maximum: 400} as const;
 
-/**
- * If the monotonic clock advances by more than this between two checks, which are made every 100 ms, or the wall clock deviates from it by more than this,
- * the process was suspended or the wall clock was set.
- */
-const clockJumpThreshold: Milliseconds = 700;
-
-/**
- * A suspension cannot be told from a wall clock that was set forward. Of a longer step, only this much is counted as a suspension; the
- * rest is assumed to come from setting the clock.
- */
-const maximumSuspension: Milliseconds = 20_000;
-
 export type StoreWatchOptions = {
 	readonly store: ControlStore;
 	readonly clusterState: ClusterState;
 	readonly log: Logger;
 	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
-	readonly wallClock: () => Milliseconds;
-	/** Called with the time by which the wall clock advanced further than the monotonic clock, at most `maximumSuspension`. */
-	onSuspended(time: Milliseconds): void;
+	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
+	earliestArrival(): Milliseconds;
 };
 
 /** Keeps the cluster state synchronized with the store by a full read and a watch. Reads everything again whenever changes may have been missed. */
@@ -47,7 +34,8 @@
 	/** Whether the store was restored from a copy since the last full read. */
 	#wasRestored = false;
 	#interruptWatch: (() => void) | undefined;
-	#previousClocks: {readonly monotonic: Milliseconds; readonly wall: Milliseconds} | undefined;
+	/** Monotonic time up to which all changes have been read; `undefined` before the first read. */
+	#readUntil: Milliseconds | undefined;
 
 	constructor(options: StoreWatchOptions) {
 		this.#options = options;
@@ -73,23 +61,6 @@
 		this.#isFollowingWanted = false;
 	}
 
-	/** Checks whether the process was suspended or the wall clock was set. Called periodically. */
-	checkClocks(): void {
-		const clocks = {monotonic: this.#options.now(), wall: this.#options.wallClock()};
-		const previous = this.#previousClocks ?? clocks;
-		this.#previousClocks = clocks;
-		const monotonicElapsed = clocks.monotonic - previous.monotonic;
-		const wallElapsed = clocks.wall - previous.wall;
-		if (monotonicElapsed > clockJumpThreshold || Math.abs(wallElapsed - monotonicElapsed) > clockJumpThreshold) {
-			this.#options.log.info('clock-jump', {steady: monotonicElapsed, wall: wallElapsed});
-			if (wallElapsed > monotonicElapsed) {
-				this.#options.onSuspended(Math.min(wallElapsed - monotonicElapsed, maximumSuspension));
-			}
-
-			this.requestFullRead();
-		}
-	}
-
 	/** Reads everything again at once, because the store was restored from a copy. A watch under way is abandoned. */
 	handleRestore(): void {
 		this.#wasRestored = true;
@@ -136,8 +107,9 @@
 
 		this.#recordSuccess();
 		this.#wasRestored = false;
-		clusterState.apply(batch.value, true, 'store');
+		clusterState.apply(batch.value, true, 'store', this.#readUntil);
 		this.#revision = batch.value.revision;
+		this.#readUntil = this.#options.earliestArrival();
 		return true;
 	}
 
@@ -167,8 +139,10 @@
 		}
 
 		this.#recordSuccess();
+		// An open watch reports a change at once.
+		this.#readUntil = this.#options.earliestArrival();
 		if (batch.value.changes.length > 0 || batch.value.revision > this.#revision) {
-			clusterState.apply(batch.value, false, 'store');
+			clusterState.apply(batch.value, false, 'store', this.#readUntil);
 			this.#revision = Math.max(this.#revision, batch.value.revision);
 		}
 
--- a/packages/routing/src/weights-tracker.ts
+++ b/packages/routing/src/weights-tracker.ts
@@ -14,7 +14,7 @@
 	readonly revision: number;
 	/** The monotonic time of the publication, as far as it is known. */
 	readonly knownSince: Milliseconds;
-	/** The time is an assumption: the version was found at startup, and no peer that observed its publication has reported it yet. */
+	/** The time is an assumption: the version was found at startup, or after a suspension or an interruption, and no peer that observed its publication has reported it yet. */
 	readonly isAssumed: boolean;
 };
 
@@ -59,7 +59,12 @@
 
 	/** Whether the age of any target version is assumed. */
 	get hasAssumedAges(): boolean {
-		return [...this.#targetVersions.values()].some(targets => targets.some(({isAssumed}) => isAssumed));
+		return this.listAssumedTargets().length > 0;
+	}
+
+	/** @returns The target versions with an assumed age, each as model and version. */
+	listAssumedTargets(): string[] {
+		return [...this.#targetVersions].flatMap(([model, targets]) => targets.filter(({isAssumed}) => isAssumed).map(({version}) => `${model}@${version}`));
 	}
 
 	/**
