Do not take a version of weights for new when the store is read again

A host that starts assumes an age for the versions that it finds. If it read the store again before a peer had told the measured age (after a clock jump, a failed watch or lost history), the version counted as measured with age 0, and the replaced weights were used for the whole limit again.

--- a/packages/host/__tests__/cluster-state.test.ts
+++ b/packages/host/__tests__/cluster-state.test.ts
@@ -33,6 +33,15 @@
 	assert.not.ok(clusterState.weightsTracker.hasAssumedAges);
 });
 
+test('does not take a target version for new when the store is read again', () => {
+	const {clock, clusterState} = create();
+	clusterState.apply({changes: [weightsChange(2, 5)], revision: 9}, true, 'store');
+	const assumedAge = clusterState.weightsTracker.outdatedTime('m', 1, clock.now);
+	clusterState.apply({changes: [weightsChange(2, 5)], revision: 9}, true, 'store', clock.now);
+	assert.is(clusterState.weightsTracker.outdatedTime('m', 1, clock.now), assumedAge);
+	assert.ok(clusterState.weightsTracker.hasAssumedAges);
+});
+
 test('adopts the age from a peer that has known the target version for longer', () => {
 	const {clock, clusterState} = create();
 	clusterState.apply({changes: [weightsChange(2, 5)], revision: 9}, true, 'store');
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -320,6 +320,10 @@
 
 	#applyTargetVersion(change: StateChange & {readonly type: 'weights'}, source: string, unchangedUntil: Milliseconds): void {
 		const {model, version, revision} = change;
+		if (change.age === undefined && this.weightsTracker.isTargetVersion(model, version)) {
+			return;
+		}
+
 		// The store does not tell when a version was published. It counts as old as it can be.
 		const possibleAge = this.#now() - unchangedUntil;
 		const age = change.age ?? Math.min(possibleAge, Math.max(this.#maxWeightsStaleness() - assumedRemainingUse, 0));
--- a/packages/routing/src/weights-tracker.ts
+++ b/packages/routing/src/weights-tracker.ts
@@ -57,6 +57,17 @@
 		return previous === undefined;
 	}
 
+	/**
+	 * Tells whether a version is known as a target version.
+	 *
+	 * @param model - The model's name.
+	 * @param version - The version of its weights.
+	 * @returns Whether it was added and is still kept.
+	 */
+	isTargetVersion(model: string, version: number): boolean {
+		return this.#targetVersions.get(model)?.some(target => target.version === version) === true;
+	}
+
 	/** Whether the age of any target version is assumed. */
 	get hasAssumedAges(): boolean {
 		return this.listAssumedTargets().length > 0;
