Count the age of weights from the first newer version that is known

If a host learned of a version after the one that followed it, for example from a store that was restored from a copy, servers of earlier versions counted as outdated since the later time only. Found by reading; the new test failed before (1000 where 4000 ms are right).

--- a/packages/routing/__tests__/weights-tracker.test.ts
+++ b/packages/routing/__tests__/weights-tracker.test.ts
@@ -71,4 +71,11 @@
 	assert.is(tracker.isRolloutDraining('a', 100), false);
 });
 
+test('counts the age from the first newer version, also if an older one becomes known later', () => {
+	const tracker = new WeightsTracker({retainedVersions: 16, rolloutDrainingExpiry: 500});
+	tracker.addTargetVersion('m', targetVersion(3, 5000));
+	tracker.addTargetVersion('m', targetVersion(2, 8000));
+	assert.is(tracker.outdatedTime('m', 1, 9000), 4000);
+});
+
 test.run();
--- a/packages/routing/src/weights-tracker.ts
+++ b/packages/routing/src/weights-tracker.ts
@@ -110,11 +110,11 @@
 	 * @param model - The model's name.
 	 * @param version - The version that a server runs.
 	 * @param now - Current monotonic time.
-	 * @returns The time since the next newer version was published; 0 when there is none.
+	 * @returns The longest time since a newer version was published; 0 when there is none.
 	 */
 	outdatedTime(model: string, version: number, now: Milliseconds): Milliseconds {
-		const newer = this.#targetVersions.get(model)?.find(target => target.version > version);
-		return newer === undefined ? 0 : now - newer.knownSince;
+		const newer = this.#targetVersions.get(model)?.filter(target => target.version > version) ?? [];
+		return newer.length === 0 ? 0 : now - Math.min(...newer.map(target => target.knownSince));
 	}
 
 	/**
