--- /dev/null
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -0,0 +1,383 @@
+import type {Route} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {HeaderList, ResponseHead} from '../ports.js';
+import {
+	type Attempt, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming,
+} from './attempt.js';
+import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
+import type {ChosenServer} from './dispatcher.js';
+import type {PipelineContext} from './pipeline-context.js';
+import type {RelayedResponse} from './relayed-response.js';
+import {sharedPartIds} from './request-admission.js';
+import type {AttemptProgress} from './request-completion.js';
+import {ResponseObserver} from './response-observer.js';
+import type {RetryAllowance} from './retry-allowance.js';
+import type {RoutedRequest} from './routed-request.js';
+import {StallDetector} from './stall-detector.js';
+import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
+
+/** Subtracted from the deadline sent to the server, so that the response still reaches the client in time. */
+const responseTransitTime: Milliseconds = 10;
+
+/** A server that has requests in flight and has sent no data for this long is considered crashed. */
+const serverStallTimeout: Milliseconds = 350;
+
+/**
+ * A model server that rejects a request while a newer target version of its weights is known is assumed to be loading that version.
+ * It gets no requests for this long, unless the holder of the weights lease announces its state earlier.
+ */
+const assumedLoadingTime: Milliseconds = 300;
+
+/** Called when an attempt has ended. */
+export type AttemptListener = {
+	/** The response was forwarded completely. */
+	onAnswered(status: number): void;
+	/** Another attempt is to be made. */
+	onRetry(): void;
+	/** No other attempt is allowed. */
+	onExhausted(reason: string, retryAfter: Milliseconds | undefined): void;
+};
+
+export type AttemptRunnerOptions = {
+	readonly context: PipelineContext;
+	readonly request: RoutedRequest;
+	readonly route: Route;
+	readonly response: RelayedResponse;
+	readonly retries: RetryAllowance;
+	readonly listener: AttemptListener;
+};
+
+/** Makes the attempts of one request, one at a time: sends it to a server, relays the response and decides whether a failure allows another. */
+export class AttemptRunner implements AttemptProgress {
+	readonly #options: AttemptRunnerOptions;
+	readonly #context: PipelineContext;
+	readonly #request: RoutedRequest;
+	readonly #response: RelayedResponse;
+	readonly #retries: RetryAllowance;
+	readonly #responseObserver: ResponseObserver;
+	readonly #records: AttemptRecord[] = [];
+	readonly #stallDetector = new StallDetector((duration, isFinal) => {
+		this.#onStall(duration, isFinal);
+	});
+
+	#attempt: Attempt | undefined;
+	#firstSentAt: Milliseconds | undefined;
+	#isPaused = false;
+
+	constructor(options: AttemptRunnerOptions) {
+		this.#options = options;
+		this.#context = options.context;
+		this.#request = options.request;
+		this.#response = options.response;
+		this.#retries = options.retries;
+		this.#responseObserver = new ResponseObserver({
+			context: options.context, received: options.request.received, route: options.route, service: options.request.service, isStream: options.request.isStream,
+		});
+	}
+
+	get executions(): number {
+		return this.#retries.executions;
+	}
+
+	get firstSentAt(): Milliseconds | undefined {
+		return this.#firstSentAt;
+	}
+
+	get firstByteAt(): Milliseconds | undefined {
+		return this.#responseObserver.firstByteAt;
+	}
+
+	get records(): readonly AttemptRecord[] {
+		return this.#records;
+	}
+
+	/**
+	 * Sends the request to a server. No other attempt may be running.
+	 *
+	 * @param chosen - The server.
+	 */
+	run(chosen: ChosenServer): void {
+		const {now, backend, connections, clusterState} = this.#context;
+		const {received, workspace, rank} = this.#request;
+		const {request, body} = received;
+		const {entry, engine} = chosen;
+		const attempt = createAttempt(chosen, request, now());
+		this.#attempt = attempt;
+		this.#retries.attempts++;
+		this.#firstSentAt ??= attempt.sentAt;
+		clusterState.loads.addRequest(entry.id, attempt.load);
+		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
+		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
+		this.#context.onRequestPlaced(chosen, received);
+		const headers = backend.requestHeaders(request, {
+			server: entry.id,
+			workspace: workspace?.name,
+			remainingTime: Math.max(Math.floor(this.#request.remainingTime() - responseTransitTime), 1),
+			urgency: engine === undefined ? undefined : Math.min(rank, 9),
+			lastEventId: this.#response.lastEventId ?? request.lastEventId,
+			cacheSalt: engine?.cacheSalt,
+			weightsVersion: engine?.weightsVersion,
+			fetchFrom: engine?.fetchFrom,
+			saveTo: engine?.saveTo,
+		});
+		attempt.exchange = connections.send(entry, {
+			method: request.method, target: request.target, headers, body,
+		}, {
+			onHead: (status, responseHeaders, rawHeaders) => {
+				this.#onHead(attempt, status, responseHeaders, rawHeaders);
+			},
+			onData: chunk => {
+				this.#onData(attempt, chunk);
+			},
+			onEnd: ending => {
+				this.#onEnd(attempt, ending);
+			},
+			onFailure: failure => {
+				if (attempt === this.#attempt) {
+					this.#onFailure(failure);
+				}
+			},
+		});
+		this.#updateStallDetector(attempt);
+	}
+
+	/** Continues to read the response after the client has caught up. */
+	resume(): void {
+		if (this.#isPaused) {
+			this.#isPaused = false;
+			this.#attempt?.exchange?.resume();
+		}
+	}
+
+	/**
+	 * Ends the running attempt, if there is one. The listener is not called.
+	 *
+	 * @param result - How the attempt ended, for the log.
+	 * @returns Whether an attempt was running.
+	 */
+	abort(result: string): boolean {
+		const attempt = this.#attempt;
+		if (attempt === undefined || attempt.isFinished) {
+			return false;
+		}
+
+		attempt.exchange?.abort();
+		this.#endAttempt(attempt, result);
+		return true;
+	}
+
+	/** Stops watching for stalls. */
+	stopDetector(): void {
+		this.#stallDetector.stop();
+	}
+
+	#updateStallDetector(attempt: Attempt): void {
+		const {isRetryable, isStream} = this.#request;
+		if (!isRetryable || !this.#response.canBeContinued || this.#retries.isLastExecution) {
+			this.#stallDetector.stop();
+		} else if (!attempt.hasFirstByte) {
+			this.#stallDetector.awaitFirstByte(this.#options.route.objective, attempt.chosen.engine?.predictedTimeToFirstToken ?? 0);
+		} else if (isStream) {
+			this.#stallDetector.awaitNextEvent();
+		} else {
+			this.#stallDetector.stop();
+		}
+	}
+
+	#onStall(duration: Milliseconds, isFinal: boolean): void {
+		const attempt = this.#attempt;
+		if (attempt === undefined || attempt.isFinished || this.#isPaused || this.#request.remainingTime() < this.#options.route.objective / 2) {
+			return;
+		}
+
+		const {clusterState, now} = this.#context;
+		const isServerStalled = clusterState.health.stallDuration(attempt.chosen.entry.id, now()) >= serverStallTimeout;
+		if (isServerStalled || isFinal) {
+			this.#onFailure({wasWritten: true, reason: `no data for ${Math.round(duration)} ms`}, isServerStalled);
+		}
+	}
+
+	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
+		const {backend, clusterState, now} = this.#context;
+		const {request} = this.#request.received;
+		const head = backend.parseResponseHead(status, headers);
+		const {entry} = attempt.chosen;
+		clusterState.health.recordDataReceived(entry.id, now());
+		attempt.head = head;
+		attempt.status = status;
+		attempt.isEventStream = this.#request.isStream && status === 200 && isEventStream(headers);
+		if (head.weightsVersion !== undefined && request.generation !== undefined && (head.instanceId ?? entry.id) === entry.id) {
+			clusterState.recordObservedVersion(entry.id, request.generation.model, head.weightsVersion);
+		}
+
+		if (head.isNotExecuted) {
+			this.#onNotExecuted(attempt, head);
+			return;
+		}
+
+		if (head.requestId !== request.id || !head.hasServerStamp) {
+			this.#onFailure({wasWritten: true, reason: head.hasServerStamp ? 'response to another request' : `response ${status} without a server stamp`});
+			return;
+		}
+
+		this.#retries.executions++;
+		if (status >= 500 && this.#options.route.repeatability === 'idempotent' && this.#claimRetry()) {
+			this.#retries.executions--;
+			this.#onFailure({wasWritten: true, reason: `server responded with status ${status}`});
+			return;
+		}
+
+		if (this.#response.hasStarted) {
+			// The client already has the response head of the first server; only the resumed events are relayed.
+			if (!attempt.isEventStream) {
+				this.#onFailure({wasWritten: true, reason: `the stream was not continued: status ${status}, ${String(headers['content-type'])}`});
+			}
+
+			return;
+		}
+
+		clusterState.health.recordOutcome(entry.id, false, now());
+		attempt.framing = responseFraming(headers);
+		this.#response.start(attempt, backend.responseHeaders(rawHeaders));
+	}
+
+	#onData(attempt: Attempt, chunk: Uint8Array): void {
+		if (attempt.isFinished || attempt.head === undefined || attempt !== this.#attempt) {
+			return;
+		}
+
+		this.#responseObserver.recordData(attempt);
+		this.#updateStallDetector(attempt);
+		if (!this.#response.write(attempt, chunk)) {
+			this.#isPaused = true;
+			attempt.exchange?.pause();
+		}
+	}
+
+	#onEnd(attempt: Attempt, ending: ResponseEnding): void {
+		if (attempt.isFinished || attempt !== this.#attempt) {
+			return;
+		}
+
+		attempt.resetCheck = ending.resetCheck;
+		if (ending.resetCheck !== undefined) {
+			this.#context.metrics.incrementCounter('close_delimited_responses', {reset_check: ending.resetCheck});
+		}
+
+		if (attempt.isEventStream) {
+			attempt.partialEventBytes = this.#response.flushEvents();
+			if (attempt.partialEventBytes > 0) {
+				this.#onFailure({wasWritten: true, reason: 'the stream ended within an event'});
+				return;
+			}
+		}
+
+		this.#endAttempt(attempt, 'whole');
+		this.#context.quarantine.clearRequest(this.#request.fingerprint);
+		this.#responseObserver.recordSurvival(attempt);
+		this.#options.listener.onAnswered(attempt.status);
+	}
+
+	#onNotExecuted(attempt: Attempt, head: ResponseHead): void {
+		const {clusterState, now} = this.#context;
+		const {entry, engine} = attempt.chosen;
+		if (head.isMisdirected && head.instanceId !== undefined && head.instanceId !== entry.id) {
+			clusterState.health.recordUnreachable(entry.id, now());
+		}
+
+		if (engine !== undefined && clusterState.weightsTracker.outdatedTime(this.#request.received.request.generation!.model, engine.weightsVersion, now()) > 0) {
+			clusterState.weightsTracker.recordLoading(entry.id, now() + assumedLoadingTime, now());
+		}
+
+		this.#endAttempt(attempt, `not run (${attempt.status})`);
+		attempt.exchange?.abort();
+		if (this.#retries.claimAfterRejection()) {
+			this.#options.listener.onRetry();
+		} else {
+			this.#options.listener.onExhausted('servers refused the request', limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
+		}
+	}
+
+	// Checks whether another attempt is allowed; if so, takes it from the retry budget.
+	#claimRetry(): boolean {
+		return this.#request.isRetryable
+			&& this.#response.canBeContinued
+			&& this.#request.remainingTime() > minimumRemainingTime
+			&& this.#retries.claimAfterFailure();
+	}
+
+	#onFailure(failure: ExchangeFailure, isServerStalled = false): void {
+		const attempt = this.#attempt;
+		if (attempt === undefined || !this.abort(failure.reason)) {
+			return;
+		}
+
+		if (failure.wasWritten) {
+			this.#onExecutionFailed(attempt, failure.reason, isServerStalled);
+		} else {
+			this.#onUnreachable(attempt, failure.reason);
+		}
+	}
+
+	#onUnreachable(attempt: Attempt, reason: string): void {
+		const server = attempt.chosen.entry.id;
+		this.#recordUnreachable(server);
+		this.#context.log.info('server-unreachable', {server, reason, id: this.#request.received.request.id});
+		if (this.#retries.mayRetryUnreachable) {
+			this.#options.listener.onRetry();
+		} else {
+			this.#options.listener.onExhausted('servers could not be reached', limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
+		}
+	}
+
+	#onExecutionFailed(attempt: Attempt, reason: string, isServerStalled: boolean): void {
+		const {clusterState, now} = this.#context;
+		const {received, fingerprint} = this.#request;
+		const server = attempt.chosen.entry.id;
+		clusterState.health.recordOutcome(server, true, now());
+		this.#context.onAttemptFailed(server, {
+			id: received.request.id, fingerprint, sharedParts: sharedPartIds(received.request), hasSurvivedResponse: attempt.hasSurvivedResponse,
+		});
+		if (isServerStalled) {
+			this.#recordUnreachable(server);
+		}
+
+		const countsAsExecution = attempt.head === undefined || !this.#response.hasStarted || attempt.status === 0;
+		if (countsAsExecution) {
+			this.#retries.executions++;
+		}
+
+		this.#response.discardPartialEvent();
+		if (this.#claimRetry()) {
+			this.#options.listener.onRetry();
+		} else {
+			this.#options.listener.onExhausted(reason, undefined);
+		}
+	}
+
+	#recordUnreachable(server: string): void {
+		this.#context.clusterState.health.recordUnreachable(server, this.#context.now());
+		this.#context.onServerUnreachable(server);
+	}
+
+	#endAttempt(attempt: Attempt, result: string): void {
+		if (attempt.isFinished) {
+			return;
+		}
+
+		const {clusterState, now, dispatcher} = this.#context;
+		const {received} = this.#request;
+		attempt.isFinished = true;
+		this.#stallDetector.stop();
+		if (!attempt.hasFirstByte && attempt.chosen.engine !== undefined) {
+			this.#context.onPrefillEnded(attempt.chosen, received, false);
+		}
+
+		clusterState.loads.removeRequest(attempt.chosen.entry.id, attempt.load);
+		clusterState.health.recordRequestEnded(attempt.chosen.entry.id);
+		this.#records.push(describeAttempt(attempt, received.receivedAt, {result, endedAt: now()}));
+		queueMicrotask(() => {
+			dispatcher.dispatchQueued();
+		});
+	}
+}
--- /dev/null
+++ b/packages/host/src/requests/routed-request.ts
@@ -0,0 +1,88 @@
+import type {Route, Workspace} from '@lacewingpoint/routing';
+import {type Milliseconds, hashText} from '@lacewingpoint/shared';
+import type {ReceivedRequest} from '../ports.js';
+import {type Admission, selectService} from './request-admission.js';
+
+const defaultDeadline: Milliseconds = 30_000;
+
+/** A request and what its admission has determined so far. */
+export class RoutedRequest {
+	readonly received: ReceivedRequest;
+	readonly #now: () => Milliseconds;
+	#route: Route | undefined;
+	#workspace: Workspace | undefined;
+	#service = '';
+	#fingerprint = 0;
+
+	/**
+	 * @param received - The request, its body and the writer of its response.
+	 * @param now - Monotonic clock.
+	 */
+	constructor(received: ReceivedRequest, now: () => Milliseconds) {
+		this.received = received;
+		this.#now = now;
+	}
+
+	get route(): Route | undefined {
+		return this.#route;
+	}
+
+	get workspace(): Workspace | undefined {
+		return this.#workspace;
+	}
+
+	/** The service selected for the request; empty before. */
+	get service(): string {
+		return this.#service;
+	}
+
+	/** Hash of the request's content and workspace; 0 before it is computed. */
+	get fingerprint(): number {
+		return this.#fingerprint;
+	}
+
+	get isStream(): boolean {
+		return this.#route?.repeatability === 'stream' || this.#route?.repeatability === 'resumable-stream';
+	}
+
+	get isRetryable(): boolean {
+		return this.#route?.repeatability === 'idempotent' || this.#route?.repeatability === 'resumable-stream';
+	}
+
+	get rank(): number {
+		return this.#workspace?.rank ?? this.#route?.rank ?? 0;
+	}
+
+	/** @returns Time until the deadline of the client or the time-out of the route, whichever is first; negative after it. */
+	remainingTime(): Milliseconds {
+		const allowed = Math.min(this.received.request.deadline ?? defaultDeadline, this.#route?.timeout ?? defaultDeadline);
+		return this.received.receivedAt + allowed - this.#now();
+	}
+
+	/**
+	 * Records the route and the workspace that the request was admitted to, or the route that refused it.
+	 *
+	 * @param admission - The result of the admission.
+	 */
+	recordAdmission(admission: Admission): void {
+		this.#route = admission.route;
+		this.#workspace = admission.type === 'admitted' ? admission.workspace : undefined;
+	}
+
+	/** Computes the fingerprint of the request. */
+	computeFingerprint(): void {
+		const {request, body} = this.received;
+		const bodyHash = hashText(Buffer.from(body.buffer, body.byteOffset, body.length).toString('latin1'));
+		this.#fingerprint = hashText(`${request.method} ${request.target} ${request.credential ?? ''}`, bodyHash);
+	}
+
+	/**
+	 * Selects one of the services of the route.
+	 *
+	 * @param route - The route.
+	 * @param randomValue - A random number, from 0 inclusive to 1 exclusive.
+	 */
+	selectService(route: Route, randomValue: number): void {
+		this.#service = selectService(route, randomValue) ?? '';
+	}
+}
--- a/packages/host/src/requests/wait-decision.ts
+++ b/packages/host/src/requests/wait-decision.ts
@@ -10,6 +10,9 @@
 /** Clients follow a retry-after of at most this share of their remaining time. */
 const retryAfterShare = 0.33;
 
+/** With less time than this remaining, a request is not sent to a server. */
+export const minimumRemainingTime: Milliseconds = 15;
+
 /** Retry-after sent to the client when there is no estimate of when a server will be available. */
 export const defaultRetryAfter: Milliseconds = 300;
 
