--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -7,6 +7,7 @@
 export {StoreWatch, type StoreWatchOptions} from './state/store-watch.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
+export {GossipEventQueue} from './members/gossip-events.js';
 export type {GossipTransport} from './members/gossip-socket.js';
 export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
 export {Host} from './host.js';
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -11,6 +11,8 @@
 /** A crash with the time at which this host learned of it. */
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
+type StateVersionUpdate = HostMessage['updates'][number];
+
 /** The events of a message; unlike charges and loads, each is sent once. */
 export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'executed' | 'hosts' | 'departed' | 'updates'>;
 
@@ -28,7 +30,7 @@
 	readonly #executedAt = new Map<number, Milliseconds>();
 	#hosts: HostMessage['hosts'] = [];
 	#departed: string[] = [];
-	readonly #updates: HostMessage['updates'] = [];
+	readonly #updates: Array<{readonly update: StateVersionUpdate; readonly recordedAt: Milliseconds}> = [];
 	#weights: HostMessage['weights'] = [];
 	#loading: HostMessage['loading'] = [];
 	readonly #draining = new Set<string>();
@@ -104,9 +106,10 @@
 	 * Adds a change of the cluster state.
 	 *
 	 * @param update - The change and the state version to which it leads.
+	 * @param now - Current monotonic time.
 	 */
-	addUpdate(update: HostMessage['updates'][number]): void {
-		this.#updates.push(update);
+	addUpdate(update: StateVersionUpdate, now: Milliseconds): void {
+		this.#updates.push({update, recordedAt: now});
 	}
 
 	/**
@@ -128,7 +131,7 @@
 			executed: this.#takeExecutedParts(now),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
-			updates: this.#updates.splice(0, limits.updates),
+			updates: this.#updates.splice(0, limits.updates).map(({update}) => update),
 		};
 		this.#weights = [];
 		this.#loading = [];
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -282,7 +282,7 @@
 		for (const link of this.#selectLinks('all').filter(({target}) => this.#composer.isFollower(target))) {
 			link.hasNewTotals = true;
 			if (change !== undefined) {
-				link.events.addUpdate({version: this.#options.clusterState.stateVersion, change});
+				link.events.addUpdate({version: this.#options.clusterState.stateVersion, change}, this.#options.now());
 			}
 		}
 
