Add the time for which an update waited to be sent to the age of weights

A relay computed the age when it learned of a version and sent it with the next datagram. If it was suspended in between, up to 25 ms or 3 ms for each link, its members took the version for as young as it was before the suspension, as a measured age, and had no reason to ask again. The limits, crashes and executed parts of the same datagram were aged already.

--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -131,7 +131,7 @@
 			executed: this.#takeExecutedParts(now),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
-			updates: this.#updates.splice(0, limits.updates).map(({update}) => update),
+			updates: this.#updates.splice(0, limits.updates).map(({update, recordedAt}) => addWaitingTime(update, now - recordedAt)),
 		};
 		this.#weights = [];
 		this.#loading = [];
@@ -155,3 +155,8 @@
 		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
 	}
 }
+
+function addWaitingTime(update: StateVersionUpdate, waitingTime: Milliseconds): StateVersionUpdate {
+	const {version, change} = update;
+	return change.type === 'weights' ? {version, change: {...change, age: change.age + waitingTime}} : update;
+}
