--- a/packages/host/__tests__/cluster-state.test.ts
+++ b/packages/host/__tests__/cluster-state.test.ts
@@ -67,6 +67,21 @@
 	assert.ok(clusterState.weightsTracker.hasAssumedAges);
 });
 
+// Guards against members of a relay that keep an assumed age, and refuse requests, after the relay has learned the measured one.
+test('announces the measured age of each target version, also while those of others are assumed', () => {
+	const announced: string[] = [];
+	const clusterState = new ClusterState(silentLogger, () => 1000, () => maxWeightsStaleness, {
+		...listener, onStateChanged(change) {
+			if (change?.type === 'weights' && change.isAgeAssumed === false) {
+				announced.push(`${change.version} ${change.age}`);
+			}
+		},
+	});
+	clusterState.apply({changes: [weightsChange(2, 5), weightsChange(3, 6)], revision: 9}, true, 'store');
+	clusterState.apply({changes: [weightsChange(2, 5, 4000, false), weightsChange(3, 6, 2000, false)], revision: 9}, true, 'peer');
+	assert.equal(announced, ['2 4000', '3 2000']);
+});
+
 test('never replaces a configuration by an older one', () => {
 	const {clusterState} = create();
 	const configuration = (version: number): StateChange => ({
