Announce the measured age of each target version to members, not only that of the last one

Found by reading; no caller is known to have seen it. A relay that read several versions of assumed age told its members about the measured ages only when no assumption was left, and then only about the version that ended the last one. Members saw a matching state version, did not ask, and kept the assumed ages of the others, up to 11.7 s on a limit of 15 s: they refuse requests while replaced weights are still allowed.

--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -331,7 +331,7 @@
 		const target = {
 			version, revision, knownSince: this.#now() - age, isAssumed,
 		};
-		const wasAssumed = this.weightsTracker.hasAssumedAges;
+		const wasAssumed = this.weightsTracker.isAgeAssumed(model, version);
 		const isNew = this.weightsTracker.addTargetVersion(model, target);
 		if (isNew) {
 			this.#log.info('weights-named', {
@@ -339,7 +339,7 @@
 			});
 		}
 
-		if (isNew || wasAssumed !== this.weightsTracker.hasAssumedAges) {
+		if (isNew || wasAssumed !== this.weightsTracker.isAgeAssumed(model, version)) {
 			this.#recordStateChange({...change, age, isAgeAssumed: isAssumed});
 		}
 	}
--- a/packages/routing/src/weights-tracker.ts
+++ b/packages/routing/src/weights-tracker.ts
@@ -68,6 +68,17 @@
 		return this.#targetVersions.get(model)?.some(target => target.version === version) === true;
 	}
 
+	/**
+	 * Tells whether the age of a target version is assumed.
+	 *
+	 * @param model - The model's name.
+	 * @param version - The version of its weights.
+	 * @returns Whether it is known and its age is assumed.
+	 */
+	isAgeAssumed(model: string, version: number): boolean {
+		return this.#targetVersions.get(model)?.some(target => target.version === version && target.isAssumed) === true;
+	}
+
 	/** Whether the age of any target version is assumed. */
 	get hasAssumedAges(): boolean {
 		return this.listAssumedTargets().length > 0;
