Reproduce weights that count as new after a slow full read of the store

The first watch after a full read of 2 s reports a version: age 100 ms where 2100 ms are right, and counted as measured.

--- a/packages/host/__tests__/store-watch.test.ts
+++ b/packages/host/__tests__/store-watch.test.ts
@@ -21,8 +21,10 @@
 	const clock = {now: 50_000, wall: 1_700_000_000_000};
 	let stored: ChangeBatch = {changes: [], revision: 9};
 	let respond: ((result: WatchResult) => void) | undefined;
+	let fullReadHeld: Promise<void> | undefined;
 	const controlStore = {
 		async readAll() {
+			await fullReadHeld;
 			return Result.ok(stored);
 		},
 		async watch() {
@@ -49,6 +51,13 @@
 
 	return {
 		clock, clockMonitor, clusterState, watch, advance,
+		holdFullReads() {
+			let complete!: () => void;
+			fullReadHeld = new Promise<void>(resolve => {
+				complete = resolve;
+			});
+			return complete;
+		},
 		store(batch: ChangeBatch) {
 			stored = batch;
 		},
@@ -109,6 +118,22 @@
 	watch.dispose();
 });
 
+// The pages of a full read are not one snapshot: what changes after its page was read is reported by the watch that follows.
+test('counts the age of weights from the beginning of the full read during which they may have been published', async () => {
+	const {clock, clusterState, watch, store, run, respond, holdFullReads} = create();
+	const completeFullRead = holdFullReads();
+	watch.start();
+	await run(2000);
+	completeFullRead();
+	await run(100);
+	store(newWeights);
+	await respond(Result.ok(newWeights));
+	const age = clusterState.weightsTracker.outdatedTime('m', 2, clock.now);
+	assert.ok(age >= 2100, `age ${age} ms, 2100 ms after the full read began`);
+	assert.ok(clusterState.weightsTracker.hasAssumedAges);
+	watch.dispose();
+});
+
 test('takes weights for new if the watch of a running host reports them', async () => {
 	const {clock, clusterState, watch, run, respond} = create();
 	watch.start();
