Count the age of weights from the beginning of a full read of the store

It counted as new, with a measured age, though it could be as old as the full read and the time until the watch was opened. A later full read also counted from the end of the last one.

Change: a full read is complete up to its beginning. A watch that was opened after the earliest arrival reports changes since the last read, one that was open longer reports a change at once, as before.

--- a/packages/host/src/state/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -92,8 +92,9 @@
 
 	/** @returns Whether the next call may follow without a delay. */
 	async #readAll(): Promise<boolean> {
-		const {store, clusterState} = this.#options;
+		const {store, clusterState, now} = this.#options;
 		this.#needsFullRead = false;
+		const startedAt = now();
 		const batch = await store.readAll();
 		if (batch.isErr) {
 			this.#needsFullRead = true;
@@ -109,13 +110,14 @@
 		this.#wasRestored = false;
 		clusterState.apply(batch.value, true, 'store', this.#readUntil);
 		this.#revision = batch.value.revision;
-		this.#readUntil = this.#options.earliestArrival();
+		this.#readUntil = startedAt;
 		return true;
 	}
 
 	/** @returns Whether the next call may follow without a delay. */
 	async #readChanges(): Promise<boolean> {
-		const {store, clusterState} = this.#options;
+		const {store, clusterState, now} = this.#options;
+		const openedAt = now();
 		const interrupted = new Promise<undefined>(resolve => {
 			this.#interruptWatch = () => {
 				resolve(undefined);
@@ -139,10 +141,12 @@
 		}
 
 		this.#recordSuccess();
-		// An open watch reports a change at once.
-		this.#readUntil = this.#options.earliestArrival();
+		// An open watch reports a change at once; one that was opened just before may report an earlier change.
+		const arrivedAfter = this.#options.earliestArrival();
+		const unchangedUntil = arrivedAfter > openedAt ? arrivedAfter : this.#readUntil;
+		this.#readUntil = Math.max(arrivedAfter, openedAt);
 		if (batch.value.changes.length > 0 || batch.value.revision > this.#revision) {
-			clusterState.apply(batch.value, false, 'store', this.#readUntil);
+			clusterState.apply(batch.value, false, 'store', unchangedUntil);
 			this.#revision = Math.max(this.#revision, batch.value.revision);
 		}
 
