--- /dev/null
+++ b/packages/host/__tests__/backend-connection-pool.test.ts
@@ -0,0 +1,121 @@
+import {type AddressInfo, type Socket, createServer} from 'node:net';
+import {suite} from 'uvu';
+import * as assert from 'uvu/assert';
+import {BackendConnectionPool} from '../src/requests/backend-connection-pool.js';
+
+const test = suite('BackendConnectionPool');
+
+const reuseDelay = 4;
+const head = 'HTTP/1.1 200 OK\r\n\r\n';
+
+type Ending = {readonly body: string; readonly result: string};
+
+type PoolFixture = {
+	readonly connectionCount: () => number;
+	/** Lets time pass for the pool within the current turn of the event loop. */
+	readonly passTime: (milliseconds: number) => void;
+	/** Sends a request; `onEnding` runs in the turn in which its response ends. */
+	readonly send: (target: string, onEnding?: () => void) => Promise<Ending>;
+};
+
+async function withPool(respond: (target: string, socket: Socket) => void, check: (fixture: PoolFixture) => Promise<void>): Promise<void> {
+	let [connectionCount, now] = [0, 1000];
+	const server = createServer({noDelay: true}, socket => {
+		connectionCount++;
+		socket.on('error', () => {/* The pool closes connections. */});
+		socket.on('data', chunk => {
+			const target = /^GET (?<target>\S+) /v.exec(String(chunk))?.groups?.target;
+			if (target !== undefined) {
+				respond(target, socket);
+			}
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const pool = new BackendConnectionPool({
+		connectTimeout: 1000, idleTimeout: 4000, maxIdleConnections: 4, reuseDelay, now: () => now, onResponseHead() {/* Not tested here. */}, onConnectionOpened() {/* Not tested here. */},
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const send: PoolFixture['send'] = async (target, onEnding) => new Promise(resolve => {
+		let body = '';
+		const end = (result: string) => {
+			resolve({body, result});
+			onEnding?.();
+		};
+
+		pool.send({id: 's', incarnation: '1', address}, {
+			method: 'GET', target, headers: ['host', 'h.example'], body: undefined,
+		}, {
+			onHead() {/* Not tested here. */},
+			onData(chunk) {
+				body += Buffer.from(chunk).toString();
+			},
+			onEnd({resetCheck}) {
+				end(`complete, reset check ${resetCheck}`);
+			},
+			onFailure({reason}) {
+				end(reason);
+			},
+		});
+	});
+	try {
+		await check({
+			send, connectionCount: () => connectionCount, passTime(milliseconds) {
+				now += milliseconds;
+			},
+		});
+	} finally {
+		pool.dispose();
+		server.close();
+	}
+}
+
+function respondWithoutLength(target: string, socket: Socket): void {
+	if (target === '/whole') {
+		socket.end(`${head}done whole`);
+	} else {
+		socket.write(`${head}done r`, () => {
+			socket.resetAndDestroy();
+		});
+	}
+}
+
+test('a close-delimited response is complete if its connection ends in an orderly way', async () => {
+	await withPool(respondWithoutLength, async ({send}) => {
+		assert.equal(await send('/whole'), {body: 'done whole', result: 'complete, reset check none'});
+	});
+});
+
+test('a close-delimited response whose connection is reset is not complete', async () => {
+	await withPool(respondWithoutLength, async ({send}) => {
+		assert.equal(await send('/reset'), {body: 'done r', result: 'connection reset before the response was complete'});
+	});
+});
+
+// Seed 39 of the soak. A host that was suspended handles many events in one turn, so that the time to reuse a connection passes within it.
+test('a reset is recognized if the request was sent in the turn in which a close-delimited response before it ended', async () => {
+	await withPool(respondWithoutLength, async ({send, passTime}) => {
+		let next: Promise<Ending> | undefined;
+		await send('/whole', () => {
+			passTime(reuseDelay);
+			next = send('/reset');
+		});
+		assert.equal(await next, {body: 'done r', result: 'connection reset before the response was complete'});
+	});
+});
+
+test('a connection is reused after a response with a length', async () => {
+	await withPool((_target, socket) => {
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone');
+	}, async ({send, passTime, connectionCount}) => {
+		for (let index = 0; index < 3; index++) {
+			assert.equal(await send('/length'), {body: 'done', result: 'complete, reset check undefined'});
+			passTime(reuseDelay);
+		}
+
+		assert.is(connectionCount(), 1);
+	});
+});
+
+test.run();
