Judge the end of a close-delimited response by its own socket

Cause: after a close-delimited response the pool kept the connection as idle until undici reported the disconnect, at the end of the turn of the event loop. A request that was sent in the same turn, at least `reuseDelay` later, took the connection; undici opened another socket for it, and the result `none` of the previous check still stood, so that the end of the new response was not held back until its own check. Ruled out: an orderly end sent by `resetAndDestroy` (Node.js 20.20 closes the handle with a reset). Change: the result of the check, errors and framing belong to one socket; a connection whose response was close-delimited is not reused.

--- a/packages/host/__tests__/backend-connection-pool.test.ts
+++ b/packages/host/__tests__/backend-connection-pool.test.ts
@@ -105,6 +105,28 @@
 	});
 });
 
+// Undici opens another connection for a request that is sent before it reports that the previous one was closed.
+test('a response on a connection that was opened again is judged by that connection only', async () => {
+	const results: Ending[] = [];
+	await withPool((target, socket) => {
+		if (target === '/last') {
+			socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone');
+		} else {
+			respondWithoutLength(target, socket);
+		}
+	}, async ({send, passTime}) => {
+		for (const target of ['/whole', '/reset']) {
+			let next: Promise<Ending> | undefined;
+			await send('/last', () => {
+				passTime(reuseDelay);
+				next = send(target);
+			});
+			results.push(await next!);
+		}
+	});
+	assert.equal(results, [{body: 'done whole', result: 'complete, reset check none'}, {body: 'done r', result: 'connection reset before the response was complete'}]);
+});
+
 test('a connection is reused after a response with a length', async () => {
 	await withPool((_target, socket) => {
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone');
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -73,11 +73,8 @@
 	reuseDelay: 4,
 } as const satisfies Partial<BackendConnectionPoolOptions>;
 
-type Connection = {
-	readonly client: Client;
-	readonly key: string;
-	idleSince: Milliseconds;
-	isClosed: boolean;
+/** What is known of one socket. Undici may open another one for the same client, of which none of this holds. */
+type SocketState = {
 	/** Whether the socket reported an error. Undici reports a reset during a close-delimited response as its end. */
 	hasSocketError: boolean;
 	resetCheck: ResetCheck;
@@ -89,14 +86,29 @@
 	isCloseDelimited: boolean;
 };
 
+type Connection = {
+	readonly client: Client;
+	readonly key: string;
+	idleSince: Milliseconds;
+	isClosed: boolean;
+	/** State of the socket that was opened last. */
+	socketState: SocketState;
+};
+
+function createSocketState(): SocketState {
+	return {
+		hasSocketError: false, resetCheck: 'pending', isEndReceived: false, onResetChecked: undefined, isCloseDelimited: false,
+	};
+}
+
 /**
  * Distinguishes a connection reset from an ordinary end. When data and a reset arrive in one turn of the event loop, Node.js reports an
  * ordinary end; only a write fails then. The write does no harm: servers ignore an empty line before a request (RFC 9112, section 2.2).
  */
-function detectReset(socket: Socket, connection: Connection): void {
+function detectReset(socket: Socket, state: SocketState): void {
 	socket.write('\r\n', error => {
-		connection.resetCheck = error instanceof Error ? ('code' in error ? String(error.code) : error.message) : 'none';
-		connection.onResetChecked?.();
+		state.resetCheck = error instanceof Error ? ('code' in error ? String(error.code) : error.message) : 'none';
+		state.onResetChecked?.();
 	});
 }
 
@@ -146,12 +158,19 @@
 		};
 
 		const finish = () => {
-			if (connection.hasSocketError || (connection.isCloseDelimited && connection.resetCheck !== 'none')) {
+			const {hasSocketError, isCloseDelimited, resetCheck} = connection.socketState;
+			if (hasSocketError || (isCloseDelimited && resetCheck !== 'none')) {
 				fail('connection reset before the response was complete');
 			} else if (!isFinished) {
 				isFinished = true;
-				this.#release(connection);
-				handler.onEnd({resetCheck: connection.isCloseDelimited ? connection.resetCheck : undefined});
+				if (isCloseDelimited) {
+					// Undici reports the disconnect later, and would open another connection for a request that is sent before that.
+					this.#discard(connection);
+				} else {
+					this.#release(connection);
+				}
+
+				handler.onEnd({resetCheck: isCloseDelimited ? resetCheck : undefined});
 			}
 		};
 
@@ -174,7 +193,7 @@
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isFinished) {
 					onResponseHead(target, status, headers, sentAt);
-					connection.isCloseDelimited = isCloseDelimited(request.method, status, headers);
+					connection.socketState.isCloseDelimited = isCloseDelimited(request.method, status, headers);
 					handler.onHead(status, headers, decodeRawHeaders((controller as unknown as ControllerWithRawHeaders).rawHeaders));
 				}
 			},
@@ -184,8 +203,9 @@
 				}
 			},
 			onResponseEnd() {
-				if (connection.isCloseDelimited && connection.isEndReceived && connection.resetCheck === 'pending') {
-					connection.onResetChecked = finish;
+				const {socketState} = connection;
+				if (socketState.isCloseDelimited && socketState.isEndReceived && socketState.resetCheck === 'pending') {
+					socketState.onResetChecked = finish;
 				} else {
 					finish();
 				}
@@ -292,15 +312,17 @@
 			connect(options, callback) {
 				connectSocket(options, (...outcome) => {
 					const socket = outcome[1];
+					const state = createSocketState();
+					connection.socketState = state;
 					// Runs before undici's own listener, which would end a close-delimited response as if it were complete.
 					socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
 						// After a close-delimited response, undici destroys the socket with this error of its own.
-						connection.hasSocketError ||= error.code !== 'UND_ERR_INFO';
+						state.hasSocketError ||= error.code !== 'UND_ERR_INFO';
 					});
 					socket?.prependListener('end', () => {
-						connection.isEndReceived = true;
-						if (connection.isCloseDelimited) {
-							detectReset(socket, connection);
+						state.isEndReceived = true;
+						if (state.isCloseDelimited) {
+							detectReset(socket, state);
 						}
 					});
 					onOpened();
@@ -309,7 +331,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, key, idleSince: 0, isClosed: false, hasSocketError: false, isEndReceived: false, resetCheck: 'pending', onResetChecked: undefined, isCloseDelimited: false,
+			client, key, idleSince: 0, isClosed: false, socketState: createSocketState(),
 		};
 		client.on('disconnect', () => {
 			connection.isClosed = true;
