--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -5,6 +5,7 @@
 export {RelayFollower, type RelayFollowerOptions} from './state/relay-follower.js';
 export {ClockMonitor, type ClockMonitorOptions} from './state/clock-monitor.js';
 export {StoreWatch, type StoreWatchOptions} from './state/store-watch.js';
+export {addTransferTime} from './state/transfer-time.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export {GossipEventQueue} from './members/gossip-events.js';
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -8,6 +8,7 @@
 import * as v from 'valibot';
 import type {ChangeBatch} from '../ports.js';
 import {listen} from '../requests/client-listener.js';
+import {addTransferTime} from './transfer-time.js';
 
 /** What a host knows already. */
 export type KnownState = {
@@ -114,7 +115,7 @@
 	const transferTime = performance.now() - requestedAt;
 	return batch.map(value => ({
 		...value,
-		changes: value.changes.map(change => change.type === 'weights' && change.age !== undefined ? {...change, age: change.age + transferTime} : change),
+		changes: value.changes.map(change => addTransferTime(change, transferTime)),
 	}));
 }
 
--- a/packages/host/src/state/relay-follower.ts
+++ b/packages/host/src/state/relay-follower.ts
@@ -1,9 +1,9 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
-import type {HostMessage, StateUpdate} from '../members/host-messages.js';
+import type {HostMessage} from '../members/host-messages.js';
 import type {ClusterState} from './cluster-state.js';
-import {ageTolerance} from './cluster-state-options.js';
 import type {PeerClient} from './peer-snapshots.js';
+import {addTransferTime} from './transfer-time.js';
 
 /** Time between two requests to the relay; it doubles with each failed one. */
 const requestInterval = {shortest: 100, longest: 1600} as const;
@@ -14,7 +14,7 @@
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
-	earliestArrival(): Milliseconds;
+	readonly earliestArrival: () => Milliseconds;
 };
 
 /**
@@ -66,11 +66,11 @@
 			this.#consecutiveFailures = 0;
 		}
 
-		const {clusterState, now} = this.#options;
+		const {clusterState, now, earliestArrival} = this.#options;
 		this.#announced = {configuration: message.configuration, revision: message.revision};
 		for (const {version, change} of message.updates) {
 			if (this.#stateVersion !== undefined && version === this.#stateVersion + 1) {
-				clusterState.apply({changes: [this.#addTransferTime(change)], revision: change.revision}, false, relay.name);
+				clusterState.apply({changes: [addTransferTime(change, now() - earliestArrival())], revision: change.revision}, false, relay.name);
 				this.#stateVersion = version;
 			}
 		}
@@ -92,16 +92,6 @@
 		}
 	}
 
-	// The relay stated the age when it sent the message, which may have waited here while the process was suspended.
-	#addTransferTime(change: StateUpdate): StateUpdate {
-		if (change.type !== 'weights') {
-			return change;
-		}
-
-		const transferTime = this.#options.now() - this.#options.earliestArrival();
-		return {...change, age: change.age + transferTime, isAgeAssumed: change.isAgeAssumed || transferTime > ageTolerance};
-	}
-
 	async #requestChanges(relay: HostDescription, relayKey: string): Promise<void> {
 		const {clusterState, peerClient, log, now} = this.#options;
 		this.#isRequesting = true;
