Decode and log the software version of servers and the request that a caller takes up

The version is decoded into the server's entry, passed on between hosts (absent in messages of earlier versions), and logged by `server` and the `sends` of `request`; `request` logs `resumes` and `lastEvent`. No decision changes.

--- a/packages/completions/src/completion-protocol.ts
+++ b/packages/completions/src/completion-protocol.ts
@@ -75,6 +75,7 @@
 				generation: undefined,
 				deadline: undefined,
 				lastEventId: findHeader(head, 'last-event-id'),
+				resumedRequestId: undefined,
 				headers: filterHeaders(head.rawHeaders, forwardedRequestHeaders),
 				hasBackendHeaders: false,
 			};
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -30,6 +30,8 @@
 	/** Absent in messages of earlier versions. */
 	sequence: v.optional(v.number(), 0),
 	service: v.string(),
+	/** Absent in messages of earlier versions. */
+	softwareVersion: v.optional(v.string()),
 	address: v.string(),
 	failureDomain: v.string(),
 	slots: v.number(),
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -123,6 +123,8 @@
 	readonly deadline: Milliseconds | undefined;
 	/** Id of the last event that the client received of a stream to be resumed. */
 	readonly lastEventId: string | undefined;
+	/** Id of the client's request that brought the first event of a stream to be resumed; `undefined` if the client does not name it. */
+	readonly resumedRequestId: string | undefined;
 	/** Headers to forward, without hop-by-hop headers and those that the router sets. */
 	readonly headers: HeaderList;
 	/** Whether the headers already contain the request's id, model and prompt parts in the form that the servers expect. */
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -83,6 +83,7 @@
 	const {entry, engine, outdatedTime} = attempt.chosen;
 	return {
 		server: entry.id,
+		version: entry.softwareVersion,
 		predicted: roundTime(engine?.predictedTimeToFirstToken),
 		cost: roundTime(engine?.cost),
 		nextBest: roundTime(engine?.nextBestCost),
--- a/packages/host/src/requests/request-report.ts
+++ b/packages/host/src/requests/request-report.ts
@@ -45,6 +45,8 @@
 
 	log.info('request', {
 		id: request.id,
+		resumes: request.resumedRequestId,
+		lastEvent: request.lastEventId,
 		route,
 		workspace: result.workspace?.name,
 		service: result.service,
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -364,7 +364,7 @@
 		}
 
 		this.#log.info('server', {
-			id: entry.id, service: entry.service, incarnation: entry.incarnation, draining: entry.isDraining, weights: entry.weights, revision, change, source,
+			id: entry.id, service: entry.service, version: entry.softwareVersion, incarnation: entry.incarnation, draining: entry.isDraining, weights: entry.weights, revision, change, source,
 		});
 		this.#serverVersions.set(entry.id, this.#stateVersion + 1);
 		this.#recordStateChange({type: 'server', revision, entry});
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -8,6 +8,8 @@
 	/** Rises within an incarnation with each registration that the server writes; 0 if it is not known. */
 	readonly sequence: number;
 	readonly service: string;
+	/** Version of the server's software, not of its weights; absent if it is not known, as in messages of earlier versions of this program. */
+	readonly softwareVersion?: string | undefined;
 	readonly address: string;
 	readonly failureDomain: string;
 	readonly slots: number;
