Let a stream go on only at the software version that began it

Cause: the choice of a server knew neither its software version nor the request that a caller takes up. StreamOrigins records which version began a stream; the first event binds the stream to it, the dispatcher filters by it, and hosts tell up to eight relays while a service has or had within 20 s more than one version. A stream of unknown origin is refused with 503 then. With one version nothing is sent.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -70,6 +70,7 @@
 		this.#retryBudgets = new RetryBudgets(settings.bounds, now());
 		this.#clusterState = new ClusterState(log, now, () => this.#bounds.weightsWithin, {
 			onServersChanged: () => {
+				this.#fleet.reviewStreamOrigins();
 				this.#dispatcher.dispatchQueued();
 				for (const listener of this.#clientListeners) {
 					listener.applyLimits();
@@ -366,6 +367,9 @@
 			onAttemptFailed: (server, request) => {
 				this.#crashDetector.recordBrokenRequest(server, request);
 			},
+			onStreamBegun: origin => {
+				this.#fleet.gossip.announceOrigins([origin]);
+			},
 			onServerUnreachable: server => {
 				this.#crashDetector.recordUnreachable(server);
 			},
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -134,6 +134,7 @@
 	review(): void {
 		this.#membership.review();
 		this.promptPartGuard.review();
+		this.reviewStreamOrigins();
 		const {clusterState, now} = this.#options;
 		clusterState.serverLimits.removeExpired(now(), ({id, incarnation}) => clusterState.servers.findEntry(id)?.incarnation === incarnation);
 		if (this.role === 'relay') {
@@ -141,6 +142,15 @@
 		}
 	}
 
+	/** Records the software versions of the servers, and informs relays of recent streams once a service has got a second version. */
+	reviewStreamOrigins(): void {
+		const {clusterState, now} = this.#options;
+		const reports = clusterState.streamOrigins.observeServers(clusterState.servers.listEntries().map(({entry}) => entry), now());
+		if (reports.length > 0) {
+			this.gossip.announceOrigins(reports);
+		}
+	}
+
 	/** Requests the whole state from the relay that this host follows, because messages may have been missed. */
 	requestFullState(): void {
 		this.#relayFollower.requestFullState();
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -1,11 +1,11 @@
 import type {HostReportChanges, NamedLimit} from '@lacewingpoint/coordination';
-import type {ExecutedPart, SuspectCrash} from '@lacewingpoint/routing';
+import type {ExecutedPart, StreamOriginReport, SuspectCrash} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage, PromptPlacement} from './host-messages.js';
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, limits: 24, executed: 40, hosts: 5, departed: 40, updates: 4,
+	placements: 12, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4,
 } as const;
 
 /** A crash with the time at which this host learned of it. */
@@ -14,11 +14,11 @@
 type StateVersionUpdate = HostMessage['updates'][number];
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'executed' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'origins' | 'executed' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], executed: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
@@ -26,6 +26,7 @@
 	readonly #placements: PromptPlacement[] = [];
 	readonly #crashes: RecordedCrash[] = [];
 	readonly #limits: Array<{readonly limit: NamedLimit; readonly recordedAt: Milliseconds}> = [];
+	readonly #origins: Array<{readonly service: string; readonly version: string; readonly stream: number}> = [];
 	/** When the last response began that a server survived, by prompt part. */
 	readonly #executedAt = new Map<number, Milliseconds>();
 	#hosts: HostMessage['hosts'] = [];
@@ -79,6 +80,15 @@
 		this.#limits.push(...limits.map(limit => ({limit, recordedAt: now})));
 	}
 
+	/**
+	 * Adds the software versions at which streams began.
+	 *
+	 * @param reports - The streams.
+	 */
+	addOrigins(reports: readonly StreamOriginReport[]): void {
+		this.#origins.push(...reports.flatMap(({service, version, streams}) => streams.map(stream => ({service, version, stream}))));
+	}
+
 	/**
 	 * Adds prompt parts that a server has executed; a later execution replaces an earlier one.
 	 *
@@ -128,6 +138,7 @@
 			emptying: [...this.#draining],
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
 			limits: this.#limits.splice(0, limits.limits).map(({limit, recordedAt}) => ({...limit, age: limit.age + now - recordedAt})),
+			origins: this.#takeOrigins(),
 			executed: this.#takeExecutedParts(now),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
@@ -141,6 +152,18 @@
 		return {events, hasMore: this.#hasList};
 	}
 
+	#takeOrigins(): HostMessage['origins'] {
+		const reports = new Map<string, {service: string; version: string; streams: number[]}>();
+		for (const {service, version, stream} of this.#origins.splice(0, limits.origins)) {
+			const key = JSON.stringify([service, version]);
+			const report = reports.get(key) ?? {service, version, streams: []};
+			report.streams.push(stream);
+			reports.set(key, report);
+		}
+
+		return [...reports.values()];
+	}
+
 	#takeExecutedParts(now: Milliseconds): ExecutedPart[] {
 		const taken = [...this.#executedAt].slice(0, limits.executed);
 		for (const [part] of taken) {
@@ -152,7 +175,7 @@
 
 	/** Whether events remain of the kinds that are split over several messages. */
 	get #hasList(): boolean {
-		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
 	}
 }
 
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -65,6 +65,7 @@
 		}
 
 		this.#mergeLimits(sender, message, recipients);
+		this.#clusterState.streamOrigins.merge(message.origins, now);
 		for (const server of message.emptying) {
 			weightsTracker.recordRolloutDraining(server, now);
 		}
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -2,7 +2,7 @@
 	FleetLink, HostDescription, HostReportChanges, HostRole, HostState, NamedLimit,
 } from '@lacewingpoint/coordination';
 import type {
-	ExecutedPart, QuarantinedPart, ServerProcess, SuspectCrash,
+	ExecutedPart, QuarantinedPart, ServerProcess, StreamOriginReport, SuspectCrash,
 } from '@lacewingpoint/routing';
 import type {
 	Disposable, Milliseconds, Scheduler,
@@ -17,6 +17,9 @@
 import {PeerLink} from './peer-link.js';
 import {ReportedTotals} from './reported-totals.js';
 
+/** The number of relays that a host tells at which software versions its streams began, which bounds the bytes that it sends. */
+const originRecipients = 8;
+
 /** Links of one kind, or all. */
 export type LinkSelection = FleetLink['kind'] | 'all';
 
@@ -235,6 +238,21 @@
 		this.sendNow();
 	}
 
+	/**
+	 * Announces the software versions at which streams began to some relays with the next datagram, those of this host's failure domain first.
+	 *
+	 * @param reports - The streams.
+	 */
+	announceOrigins(reports: readonly StreamOriginReport[]): void {
+		const {failureDomain} = this.#options.description;
+		const isRemote = (link: PeerLink) => link.target.host.failureDomain === failureDomain ? 0 : 1;
+		for (const link of this.#selectLinks('relay').toSorted((left, right) => isRemote(left) - isRemote(right)).slice(0, originRecipients)) {
+			link.events.addOrigins(reports);
+		}
+
+		this.#schedule();
+	}
+
 	/**
 	 * Forwards events of a peer's message to other peers.
 	 *
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -92,6 +92,8 @@
 	limits: v.optional(v.array(v.object({
 		id: v.string(), incarnation: v.string(), requestsPerSecond: v.optional(v.number()), age: v.number(),
 	})), []),
+	/** The software versions at which streams began, by hashes of their requests' ids. */
+	origins: v.optional(v.array(v.object({service: v.string(), version: v.string(), streams: v.array(v.number())})), []),
 	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
 	executed: v.optional(v.array(v.object({part: v.number(), age: v.number()})), []),
 	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -18,6 +18,8 @@
 	readonly isIsolated: boolean;
 	/** Ids of the servers that were tried already. */
 	readonly excludedServers: ReadonlySet<string>;
+	/** The software version that began the stream; `undefined` if any server may execute the request. */
+	readonly requiredVersion: string | undefined;
 };
 
 /** The server chosen for a request. */
@@ -198,6 +200,7 @@
 		const now = this.#now();
 		return this.#clusterState.servers.listAvailable(placementRequest.service).filter(entry =>
 			!placementRequest.excludedServers.has(entry.id)
+			&& (placementRequest.requiredVersion === undefined || (entry.softwareVersion ?? '') === placementRequest.requiredVersion)
 			&& !this.#clusterState.serverNotices.isLeaving(entry)
 			&& this.#clusterState.health.evaluateStatus(entry.id, now) !== 'paused'
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, this.#now())));
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -1,4 +1,4 @@
-import type {Quarantine, RetryBudget} from '@lacewingpoint/routing';
+import type {Quarantine, RetryBudget, StreamOriginReport} from '@lacewingpoint/routing';
 import type {
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
@@ -31,6 +31,8 @@
 	onPrefillEnded(chosen: ChosenServer, received: ReceivedRequest, isPrefilled: boolean): void;
 	/** Called when an attempt failed that the server may have executed. */
 	onAttemptFailed(server: string, request: BrokenRequest): void;
+	/** Called with the first event of a stream while servers of several software versions serve, so that other hosts learn of its origin. */
+	onStreamBegun(origin: StreamOriginReport): void;
 	/** Called when a server could not be reached or has stalled. */
 	onServerUnreachable(server: string): void;
 	/** Called once the outcome of a request is final. */
--- a/packages/host/src/requests/relayed-response.ts
+++ b/packages/host/src/requests/relayed-response.ts
@@ -7,14 +7,20 @@
 export class RelayedResponse {
 	readonly #writer: ResponseWriter;
 	readonly #eventRelay = new EventRelay();
+	readonly #onFirstEvent: (softwareVersion: string) => void;
 	#hasStarted = false;
+	#softwareVersion: string | undefined;
 	/** Whether the response head that was forwarded began a stream of events. */
 	#isEventStream = false;
 	#weightsVersion: number | undefined;
 
-	/** @param writer - Writes to the client. */
-	constructor(writer: ResponseWriter) {
+	/**
+	 * @param writer - Writes to the client.
+	 * @param onFirstEvent - Called before the first event is forwarded, with the software version of its server.
+	 */
+	constructor(writer: ResponseWriter, onFirstEvent: (softwareVersion: string) => void) {
 		this.#writer = writer;
+		this.#onFirstEvent = onFirstEvent;
 	}
 
 	/** Whether a response head was forwarded. */
@@ -32,6 +38,11 @@
 		return this.#eventRelay.lastEventId;
 	}
 
+	/** The software version of the server whose events were forwarded; `undefined` before the first event. */
+	get softwareVersion(): string | undefined {
+		return this.#softwareVersion;
+	}
+
 	/** The version of the weights expected at the server whose response head was forwarded. */
 	get weightsVersion(): number | undefined {
 		return this.#weightsVersion;
@@ -59,7 +70,16 @@
 	 */
 	write(attempt: Attempt, chunk: Uint8Array): boolean {
 		const bytes = attempt.isEventStream ? this.#eventRelay.push(chunk) : chunk;
-		return bytes.length === 0 || this.#writer.write(bytes);
+		if (bytes.length === 0) {
+			return true;
+		}
+
+		if (attempt.isEventStream && this.#softwareVersion === undefined) {
+			this.#softwareVersion = attempt.chosen.entry.softwareVersion ?? '';
+			this.#onFirstEvent(this.#softwareVersion);
+		}
+
+		return this.#writer.write(bytes);
 	}
 
 	/**
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -1,4 +1,4 @@
-import type {Route} from '@lacewingpoint/routing';
+import type {Route, StreamOrigin} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ReceivedRequest} from '../ports.js';
 import {type AttemptListener, AttemptRunner} from './attempt-runner.js';
@@ -30,6 +30,8 @@
 	#attempts: AttemptRunner | undefined;
 	#isQueued = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
+	/** Where a stream that the client takes up may go on. */
+	#origin: StreamOrigin = {type: 'any'};
 	/** Whether the request tries a quarantined prompt part again. */
 	#isTrial = false;
 
@@ -40,7 +42,9 @@
 	constructor(received: ReceivedRequest, context: PipelineContext) {
 		this.#context = context;
 		this.#request = new RoutedRequest(received, context.now);
-		this.#response = new RelayedResponse(received.responseWriter);
+		this.#response = new RelayedResponse(received.responseWriter, version => {
+			this.#recordOrigin(version);
+		});
 		this.#quotaCharge = new QuotaCharge(context.clusterState.rateLimiter);
 		this.#completion = new RequestCompletion({
 			context,
@@ -76,6 +80,12 @@
 		responseWriter.onDrain(() => {
 			attempts.resume();
 		});
+		this.#origin = this.#findOrigin();
+		if (this.#origin.type === 'unknown') {
+			this.#completion.fail('the server version that began the stream is not known', limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
+			return;
+		}
+
 		this.#deadlineTimer = setTimeout(() => {
 			this.#onDeadline();
 		}, Math.max(this.#request.remainingTime(), 0));
@@ -164,9 +174,28 @@
 			workspace: workspace?.name,
 			isIsolated: workspace?.isIsolated === true,
 			excludedServers: this.#triedServers,
+			requiredVersion: this.#response.softwareVersion ?? (this.#origin.type === 'version' ? this.#origin.version : undefined),
 		});
 	}
 
+	#findOrigin(): StreamOrigin {
+		const {request} = this.#request.received;
+		const isTakenUp = request.lastEventId !== undefined || request.resumedRequestId !== undefined;
+		return this.#request.isStream && isTakenUp
+			? this.#context.clusterState.streamOrigins.find(this.#request.service, request.resumedRequestId, this.#context.now())
+			: {type: 'any'};
+	}
+
+	// A client that takes the stream up again goes on naming the request that brought the first event.
+	#recordOrigin(version: string): void {
+		const {clusterState, onStreamBegun, now} = this.#context;
+		const {request} = this.#request.received;
+		const report = clusterState.streamOrigins.record(this.#request.service, request.resumedRequestId ?? request.id, version, now());
+		if (report !== undefined) {
+			onStreamBegun(report);
+		}
+	}
+
 	#send(chosen: ChosenServer): void {
 		this.#triedServers.add(chosen.entry.id);
 		this.#attempts!.run(chosen);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,5 +31,8 @@
 export {
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
 } from './weights-rollout.js';
+export {
+	type StreamOrigin, type StreamOriginReport, StreamOrigins, originRetention,
+} from './stream-origins.js';
 export {type ClientLocation, selectNearbyHosts} from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
