Ask the relays what began a stream that a client takes up

A clock jump restarts the observation. Records are also sent until a host has observed the servers for 20 s.

--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -343,7 +343,7 @@
 		return {
 			fetchSnapshot: async address => call(address, source => source.snapshot()),
 			fetchChanges: async (address, known) => call(address, source => source.changesSince(known)),
-			fetchHosts: async (address, kind) => call(address, source => [...source.hosts(kind)]),
+			fetchHosts: async (address, kind) => call(address, source => [...source.hosts(kind)]), fetchStreamOrigin: async (address, question) => call(address, source => source.streamOrigin(question)),
 		};
 	}
 
--- a/packages/host/__tests__/restored-store-simulation.ts
+++ b/packages/host/__tests__/restored-store-simulation.ts
@@ -379,11 +379,22 @@
 	}
 }
 
-/** Lets `setTimeout` of `node:timers/promises` follow the monotonic clock of the simulated host that calls it. */
+/** Lets `setTimeout` of `node:timers/promises` follow the monotonic clock of the simulated host that calls it; other callers, such as other tests, get real timers. */
 export function simulateTimers(): void {
-	const pause = async (delay = 0) => new Promise<void>(resolve => {
-		runningHost.getStore()!.runAfter(delay, resolve);
-	});
+	const realPause = timers.setTimeout;
+	const pause: typeof realPause = async (delay, value, options) => {
+		const host = runningHost.getStore();
+		if (host === undefined) {
+			return realPause(delay, value, options);
+		}
+
+		return new Promise(resolve => {
+			host.runAfter(delay ?? 0, () => {
+				resolve(value!);
+			});
+		});
+	};
+
 	Object.assign(timers, {setTimeout: pause});
 	syncBuiltinESMExports();
 }
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -5,6 +5,7 @@
 } from '@lacewingpoint/shared';
 import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
 import {ClockMonitor} from './state/clock-monitor.js';
+import {quarantineOptions} from './state/cluster-state-options.js';
 import {StoreWatch} from './state/store-watch.js';
 import {ClusterState} from './state/cluster-state.js';
 import {type ClientListener, serveClients} from './requests/client-listener.js';
@@ -35,9 +36,6 @@
 /** Share of the memory that request bodies may use. */
 const bodyMemoryShare = 0.15;
 
-/** A request is quarantined while it was in flight during at least three server crashes of the last `suspicionLifetime` milliseconds. */
-const quarantineOptions = {crashThreshold: 3, domainFailureWindow: 0, suspicionLifetime: 60_000} as const;
-
 /** The router process of one host: it connects the request pipeline, the cluster state, the gossip with peers and the weights rollout. */
 export class Host {
 	readonly #dependencies: HostDependencies;
@@ -101,9 +99,8 @@
 		});
 		this.#clockMonitor = new ClockMonitor({
 			log, now, wallClock, onClockJump: uncountedTime => {
-				this.#clusterState.weightsTracker.addSuspendedTime(uncountedTime);
 				this.#storeWatch.requestFullRead();
-				this.#fleet.requestFullState();
+				this.#fleet.handleClockJump(uncountedTime);
 			},
 		});
 		const earliestArrival = () => this.#clockMonitor.earliestArrival();
@@ -359,7 +356,7 @@
 			hostCount: () => this.#fleet.gossip.hostCount,
 			onRequestPlaced: (chosen, received) => {
 				this.#placementTracker.recordPlacement(chosen, received);
-				this.#fleet.gossip.announceLoadChange();
+				this.#fleet.gossip.recordTotalsChanged('all');
 			},
 			onPrefillEnded: (chosen, received, isPrefilled) => {
 				this.#placementTracker.recordPrefillResult(chosen, received, isPrefilled);
@@ -370,12 +367,13 @@
 			onStreamBegun: origin => {
 				this.#fleet.gossip.announceOrigins([origin]);
 			},
+			findStreamOrigin: async (service, requestId) => this.#fleet.streamOriginFinder.findVersion(service, requestId),
 			onServerUnreachable: server => {
 				this.#crashDetector.recordUnreachable(server);
 			},
 			onRequestFinished: () => {
 				this.#runningRequests--;
-				this.#fleet.gossip.announceLoadChange();
+				this.#fleet.gossip.recordTotalsChanged('all');
 			},
 		};
 	}
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -6,6 +6,7 @@
 export {ClockMonitor, type ClockMonitorOptions} from './state/clock-monitor.js';
 export {StoreWatch, type StoreWatchOptions} from './state/store-watch.js';
 export {addTransferTime} from './state/transfer-time.js';
+export {StreamOriginFinder, type StreamOriginFinderOptions} from './state/stream-origin-finder.js';
 export {EventRelay} from './requests/event-relay.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export {GossipEventQueue} from './members/gossip-events.js';
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -7,6 +7,7 @@
 import type {PeerClient, SnapshotSource} from '../state/peer-snapshots.js';
 import {PromptPartGuard} from '../state/prompt-part-guard.js';
 import {PeerSynchronizer} from '../state/peer-synchronizer.js';
+import {StreamOriginFinder} from '../state/stream-origin-finder.js';
 import {RelayFollower} from '../state/relay-follower.js';
 import {FleetMembership} from './fleet-membership.js';
 import {GossipReceiver} from './gossip-receiver.js';
@@ -44,6 +45,7 @@
 export class Fleet implements Disposable {
 	readonly gossip: HostGossip;
 	readonly promptPartGuard: PromptPartGuard;
+	readonly streamOriginFinder: StreamOriginFinder;
 	readonly #options: FleetOptions;
 	readonly #membership: FleetMembership;
 	readonly #receiver: GossipReceiver;
@@ -90,6 +92,9 @@
 				options.onRoleChanged(role);
 			},
 		});
+		this.streamOriginFinder = new StreamOriginFinder({
+			clusterState, peerClient, now, relays: () => clusterState.hosts.listRelays(now()).filter(({name}) => name !== description.name),
+		});
 		this.#receiver = new GossipReceiver({
 			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, log, now,
 		});
@@ -116,11 +121,12 @@
 
 	/** The state that this host serves to its peers. */
 	get snapshotSource(): SnapshotSource {
-		const {clusterState} = this.#options;
+		const {clusterState, now} = this.#options;
 		return {
 			snapshot: () => clusterState.snapshot(),
 			changesSince: known => clusterState.changesSince(known),
 			hosts: kind => this.#membership.listReported(kind),
+			streamOrigin: ({service, stream}) => clusterState.streamOrigins.find(service, stream, now()),
 		};
 	}
 
@@ -151,8 +157,15 @@
 		}
 	}
 
-	/** Requests the whole state from the relay that this host follows, because messages may have been missed. */
-	requestFullState(): void {
+	/**
+	 * Reacts to a suspension or to a change of the wall clock: changes and messages may have been missed.
+	 *
+	 * @param uncountedTime - Time that the monotonic clock did not count.
+	 */
+	handleClockJump(uncountedTime: Milliseconds): void {
+		const {weightsTracker, streamOrigins} = this.#options.clusterState;
+		weightsTracker.addSuspendedTime(uncountedTime);
+		streamOrigins.interruptObservation();
 		this.#relayFollower.requestFullState();
 	}
 
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -3,7 +3,8 @@
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
-import type {HostGossip, LinkSelection} from './host-gossip.js';
+import type {HostGossip} from './host-gossip.js';
+import type {LinkSelection} from './peer-link.js';
 import type {HostMessage} from './host-messages.js';
 
 export type GossipReceiverOptions = {
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -14,15 +14,11 @@
 import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
 import {type MessageSources, HostMessageComposer} from './host-message-composer.js';
 import {computeSendInterval, findDueTime, timerResolution} from './link-timing.js';
-import {PeerLink} from './peer-link.js';
+import {
+	type LinkSelection, type PeerLink, selectOriginRecipients, updateLinks,
+} from './peer-link.js';
 import {ReportedTotals} from './reported-totals.js';
 
-/** The number of relays that a host tells at which software versions its streams began, which bounds the bytes that it sends. */
-const originRecipients = 8;
-
-/** Links of one kind, or all. */
-export type LinkSelection = FleetLink['kind'] | 'all';
-
 export type HostGossipOptions = MessageSources & {
 	readonly transport: GossipTransport;
 	readonly scheduler: Scheduler;
@@ -71,11 +67,7 @@
 	 */
 	setLinks(links: readonly FleetLink[]): void {
 		const previous = this.#links;
-		this.#links = new Map(links.map(target => {
-			const known = previous.get(target.host.name);
-			const isSame = known?.target.kind === target.kind && known.target.host.incarnation === target.host.incarnation && known.target.host.peerAddress === target.host.peerAddress;
-			return [target.host.name, isSame ? known : new PeerLink(target, this.#options.clusterState.stateVersion)];
-		}));
+		this.#links = updateLinks(previous, links, this.#options.clusterState.stateVersion);
 		for (const name of previous.keys()) {
 			if (!this.#links.has(name)) {
 				this.#options.clusterState.loads.removePeer(name);
@@ -127,11 +119,6 @@
 		this.#announce({placements: [placement]});
 	}
 
-	/** Announces changed loads and charges with the next datagram. */
-	announceLoadChange(): void {
-		this.recordTotalsChanged('all');
-	}
-
 	/**
 	 * Announces with the next datagram which version of the weights a server was observed to run.
 	 *
@@ -244,9 +231,7 @@
 	 * @param reports - The streams.
 	 */
 	announceOrigins(reports: readonly StreamOriginReport[]): void {
-		const {failureDomain} = this.#options.description;
-		const isRemote = (link: PeerLink) => link.target.host.failureDomain === failureDomain ? 0 : 1;
-		for (const link of this.#selectLinks('relay').toSorted((left, right) => isRemote(left) - isRemote(right)).slice(0, originRecipients)) {
+		for (const link of selectOriginRecipients(this.#selectLinks('relay'), this.#options.description.failureDomain)) {
 			link.events.addOrigins(reports);
 		}
 
@@ -362,10 +347,6 @@
 		return [...this.#links.values()].filter(({target}) => target.host.name !== source && (selection === 'all' || target.kind === selection));
 	}
 
-	get #sendInterval(): Milliseconds {
-		return computeSendInterval(this.#links.size);
-	}
-
 	// Sets the timer for the link that is due first.
 	#schedule(): void {
 		if (this.#isClosed) {
@@ -374,7 +355,7 @@
 
 		let dueAt = Number.POSITIVE_INFINITY;
 		for (const link of this.#links.values()) {
-			dueAt = Math.min(dueAt, findDueTime(link, this.#sendInterval));
+			dueAt = Math.min(dueAt, findDueTime(link, computeSendInterval(this.#links.size)));
 		}
 
 		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#cancelTimer !== undefined)) {
@@ -385,7 +366,7 @@
 		this.#timerDueAt = dueAt;
 		this.#cancelTimer = this.#options.scheduler.schedule(Math.max(dueAt - this.#options.now(), 0), () => {
 			this.#cancelTimer = undefined;
-			this.#send(this.#sendInterval);
+			this.#send(computeSendInterval(this.#links.size));
 		});
 	}
 
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -7,6 +7,12 @@
 /** Messages carry only changes, but the full state is sent at this interval, because datagrams get lost and peers restart. */
 const fullStateInterval: Milliseconds = 1000;
 
+/** The number of relays that a host tells at which software versions its streams began, which bounds the bytes that it sends. */
+const originRecipients = 8;
+
+/** Links of one kind, or all. */
+export type LinkSelection = FleetLink['kind'] | 'all';
+
 /** What has been sent to one incarnation of a peer, and what is to be sent next. */
 export class PeerLink {
 	readonly target: FleetLink;
@@ -82,3 +88,31 @@
 			.map(([server, load]) => [server, [load.requests, Math.round(load.prefillTokens), Math.round(load.memoryTokens)]]));
 	}
 }
+
+/**
+ * Updates the links of a host. Those to peers that are the same process at the same address are kept with what has been sent.
+ *
+ * @param previous - The links until now, by the peers' names.
+ * @param targets - The peers from now on.
+ * @param stateVersion - The current version of the cluster state.
+ * @returns The links by the peers' names.
+ */
+export function updateLinks(previous: ReadonlyMap<string, PeerLink>, targets: readonly FleetLink[], stateVersion: number): Map<string, PeerLink> {
+	return new Map(targets.map(target => {
+		const known = previous.get(target.host.name);
+		const isSame = known?.target.kind === target.kind && known.target.host.incarnation === target.host.incarnation && known.target.host.peerAddress === target.host.peerAddress;
+		return [target.host.name, isSame ? known : new PeerLink(target, stateVersion)];
+	}));
+}
+
+/**
+ * Selects the relays that are told at which software versions streams began: those of this host's failure domain first.
+ *
+ * @param relays - The links to relays.
+ * @param failureDomain - This host's failure domain.
+ * @returns Some of the links.
+ */
+export function selectOriginRecipients(relays: readonly PeerLink[], failureDomain: string): PeerLink[] {
+	const isSameDomain = ({target}: PeerLink) => target.host.failureDomain === failureDomain;
+	return [...relays.filter(link => isSameDomain(link)), ...relays.filter(link => !isSameDomain(link))].slice(0, originRecipients);
+}
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -33,6 +33,14 @@
 	onAttemptFailed(server: string, request: BrokenRequest): void;
 	/** Called with the first event of a stream while servers of several software versions serve, so that other hosts learn of its origin. */
 	onStreamBegun(origin: StreamOriginReport): void;
+	/**
+	 * Finds the software version that began a stream that a client takes up.
+	 *
+	 * @param service - Name of the service.
+	 * @param requestId - Id of the request that brought the first event; `undefined` if the client does not name it.
+	 * @returns The version; `undefined` if no host knows it.
+	 */
+	findStreamOrigin(service: string, requestId: string | undefined): Promise<string | undefined>;
 	/** Called when a server could not be reached or has stalled. */
 	onServerUnreachable(server: string): void;
 	/** Called once the outcome of a request is final. */
--- a/packages/host/src/requests/routed-request.ts
+++ b/packages/host/src/requests/routed-request.ts
@@ -45,6 +45,12 @@
 		return this.#route?.repeatability === 'stream' || this.#route?.repeatability === 'resumable-stream';
 	}
 
+	/** Whether the client takes up a stream of which it has received events. */
+	get isResumedStream(): boolean {
+		const {lastEventId, resumedRequestId} = this.received.request;
+		return this.isStream && (lastEventId !== undefined || resumedRequestId !== undefined);
+	}
+
 	get isRetryable(): boolean {
 		return this.#route?.repeatability === 'idempotent' || this.#route?.repeatability === 'resumable-stream';
 	}
--- a/packages/host/src/state/cluster-state-options.ts
+++ b/packages/host/src/state/cluster-state-options.ts
@@ -26,3 +26,6 @@
  * to one. The dispatcher stops using outdated weights 1.5 s before the limit, that is 1.8 s after the target versions were found.
  */
 export const assumedRemainingUse: Milliseconds = 3300;
+
+/** A request is quarantined while it was in flight during at least three server crashes of the last `suspicionLifetime` milliseconds. */
+export const quarantineOptions = {crashThreshold: 3, domainFailureWindow: 0, suspicionLifetime: 60_000} as const;
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -1,5 +1,6 @@
 import {type Server, createServer} from 'node:http';
 import type {FleetLink, HostReport} from '@lacewingpoint/coordination';
+import type {StreamOrigin} from '@lacewingpoint/routing';
 import {type LayerError, type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
@@ -32,16 +33,27 @@
 	changesSince(known: KnownState): MissingChanges;
 	/** @returns The hosts that are reported to peers of a kind. */
 	hosts(kind: FleetLink['kind']): HostReport[];
+	/** @returns What this host knows of the version at which a stream began. */
+	streamOrigin(question: OriginQuestion): StreamOrigin;
+};
+
+/** A question for the software version at which a stream of a service began. */
+export type OriginQuestion = {
+	readonly service: string;
+	/** Hash of the id of the request that brought the first event; absent if the client does not name it. */
+	readonly stream?: number | undefined;
 };
 
 const trpc = initTRPC.context<{readonly source: SnapshotSource}>().create();
 
 const knownStateSchema = v.object({configuration: v.number(), stateVersion: v.number()});
 const linkKindSchema = v.picklist(['relay', 'member']);
+const originQuestionSchema = v.object({service: v.string(), stream: v.optional(v.number())});
 
 const snapshotRouter = trpc.router({
 	snapshot: trpc.procedure.query(({ctx}) => ctx.source.snapshot()),
 	changes: trpc.procedure.input(value => v.parse(knownStateSchema, value)).query(({ctx, input}) => ctx.source.changesSince(input)),
+	streamOrigin: trpc.procedure.input(value => v.parse(originQuestionSchema, value)).query(({ctx, input}) => ctx.source.streamOrigin(input)),
 	hosts: trpc.procedure.input(value => v.parse(linkKindSchema, value)).query(({ctx, input}) => ctx.source.hosts(input)),
 });
 
@@ -92,6 +104,14 @@
 	 * @returns The hosts.
 	 */
 	fetchHosts(address: string, kind: FleetLink['kind']): Promise<Result<HostReport[], SnapshotError>>;
+	/**
+	 * Asks a peer at which software version a stream began.
+	 *
+	 * @param address - The peer's snapshot address, `host:port`.
+	 * @param question - The stream.
+	 * @returns What the peer knows.
+	 */
+	fetchStreamOrigin(address: string, question: OriginQuestion): Promise<Result<StreamOrigin, SnapshotError>>;
 };
 
 /** Requests the state of peers with trpc over HTTP. */
@@ -105,6 +125,9 @@
 	async fetchHosts(address, kind) {
 		return callPeer(address, async (client, signal) => client.hosts.query(kind, {signal}));
 	},
+	async fetchStreamOrigin(address, question) {
+		return callPeer(address, async (client, signal) => client.streamOrigin.query(question, {signal}));
+	},
 };
 
 type SnapshotClient = ReturnType<typeof createTRPCClient<typeof snapshotRouter>>;
--- a/packages/host/src/state/prompt-part-guard.ts
+++ b/packages/host/src/state/prompt-part-guard.ts
@@ -4,7 +4,8 @@
 import {
 	type Logger, type Metrics, type Milliseconds, hashText, rankByRendezvous,
 } from '@lacewingpoint/shared';
-import type {HostGossip, LinkSelection} from '../members/host-gossip.js';
+import type {HostGossip} from '../members/host-gossip.js';
+import type {LinkSelection} from '../members/peer-link.js';
 import type {HostMessage} from '../members/host-messages.js';
 import type {ClusterState} from './cluster-state.js';
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -32,7 +32,7 @@
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
 } from './weights-rollout.js';
 export {
-	type StreamOrigin, type StreamOriginReport, StreamOrigins, originRetention,
+	type StreamOrigin, type StreamOriginReport, StreamOrigins, combineOrigins, hashRequestId, originRetention,
 } from './stream-origins.js';
 export {type ClientLocation, selectNearbyHosts} from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
--- a/packages/routing/src/stream-origins.ts
+++ b/packages/routing/src/stream-origins.ts
@@ -5,13 +5,15 @@
 export type StreamOriginReport = {readonly service: string; readonly version: string; readonly streams: readonly number[]};
 
 /**
- * Where a stream may go on.
+ * What a host knows of the software version at which a stream began.
  *
- * - `any`: no server is known.
- * - `version`: at servers of this software version, which began it or was the only one.
- * - `unknown`: its version is not known, and there is more than one.
+ * - `recorded`: this version began it.
+ * - `only`: it is not recorded, and no other version served since any stream began that still can be taken up.
+ * - `new`: it is not recorded, and no other version was seen, but this host has not observed the servers for so long.
+ * - `several`: it is not recorded, and there is more than one version.
+ * - `none`: this host knows no server of the service.
  */
-export type StreamOrigin = {readonly type: 'any'} | {readonly type: 'version'; readonly version: string} | {readonly type: 'unknown'};
+export type StreamOrigin = {readonly type: 'recorded' | 'only' | 'new'; readonly version: string} | {readonly type: 'several' | 'none'};
 
 /** How long origins and versions are kept: longer than clients go on taking a stream up. */
 export const originRetention: Milliseconds = 20_000;
@@ -28,6 +30,8 @@
 export class StreamOrigins {
 	/** By service and hash of the request's id, in the order of their last record. */
 	readonly #records = new Map<string, Map<number, OriginRecord>>();
+	/** Since when the servers have been observed without interruption; `undefined` before the first were listed. */
+	#observedSince: Milliseconds | undefined;
 	/** When servers of each software version were last listed, by service. */
 	readonly #versions = new Map<string, Map<string, Milliseconds>>();
 
@@ -40,6 +44,10 @@
 	 */
 	observeServers(entries: readonly ServerEntry[], now: Milliseconds): StreamOriginReport[] {
 		const mixedBefore = new Set([...this.#versions.keys()].filter(service => this.isMixed(service, now)));
+		if (entries.length > 0) {
+			this.#observedSince ??= now;
+		}
+
 		for (const {service, softwareVersion} of entries) {
 			const versions = this.#versions.get(service) ?? new Map<string, Milliseconds>();
 			versions.set(softwareVersion ?? '', now);
@@ -61,6 +69,11 @@
 		return this.#recentVersions(service, now).length > 1;
 	}
 
+	/** Records that servers of other versions may have come and gone unnoticed, for example because the process was suspended. */
+	interruptObservation(): void {
+		this.#observedSince = undefined;
+	}
+
 	/**
 	 * Records the version at which a stream began or went on.
 	 *
@@ -68,12 +81,12 @@
 	 * @param requestId - Id of the client's request that brought the first event.
 	 * @param version - Software version of the server.
 	 * @param now - Current monotonic time.
-	 * @returns The record to tell other hosts; `undefined` while only one version serves.
+	 * @returns The record to tell other hosts; `undefined` while only one version serves, which any host can tell.
 	 */
 	record(service: string, requestId: string, version: string, now: Milliseconds): StreamOriginReport | undefined {
 		const report = {service, version, streams: [hashRequestId(requestId)]};
 		this.merge([report], now);
-		return this.isMixed(service, now) ? report : undefined;
+		return this.isMixed(service, now) || !this.#hasObservedLongEnough(now) ? report : undefined;
 	}
 
 	/**
@@ -94,26 +107,29 @@
 	}
 
 	/**
-	 * Finds where a stream that a client takes up may go on.
+	 * Finds the version at which a stream began that a client takes up.
 	 *
 	 * @param service - Name of the service.
-	 * @param requestId - Id of the request that brought the first event; `undefined` if the client does not name it.
+	 * @param stream - Hash of the id of the request that brought the first event; `undefined` if the client does not name it.
 	 * @param now - Current monotonic time.
-	 * @returns The origin of the stream.
+	 * @returns What this host knows of it.
 	 */
-	find(service: string, requestId: string | undefined, now: Milliseconds): StreamOrigin {
-		const record = requestId === undefined ? undefined : this.#records.get(service)?.get(hashRequestId(requestId));
+	find(service: string, stream: number | undefined, now: Milliseconds): StreamOrigin {
+		const record = stream === undefined ? undefined : this.#records.get(service)?.get(stream);
 		if (record !== undefined && now - record.recordedAt < originRetention) {
-			return {type: 'version', version: record.version};
+			return {type: 'recorded', version: record.version};
 		}
 
-		// The only version is named, because another one may appear while the request waits for a server.
 		const [version, ...others] = this.#recentVersions(service, now);
-		if (version === undefined) {
-			return {type: 'any'};
+		if (version === undefined || others.length > 0) {
+			return {type: version === undefined ? 'none' : 'several'};
 		}
 
-		return others.length === 0 ? {type: 'version', version} : {type: 'unknown'};
+		return {type: this.#hasObservedLongEnough(now) ? 'only' : 'new', version};
+	}
+
+	#hasObservedLongEnough(now: Milliseconds): boolean {
+		return this.#observedSince !== undefined && now - this.#observedSince >= originRetention;
 	}
 
 	#recentVersions(service: string, now: Milliseconds): string[] {
@@ -150,6 +166,31 @@
 	}
 }
 
-function hashRequestId(requestId: string): number {
+/**
+ * Combines what several hosts know of the version at which a stream began.
+ *
+ * @param answers - What each host that responded knows.
+ * @returns The version that one has recorded, or else the only one that those have seen that observed the servers for long enough, if no
+ * other was seen; `undefined` if none of them can tell.
+ */
+export function combineOrigins(answers: readonly StreamOrigin[]): string | undefined {
+	for (const answer of answers) {
+		if (answer.type === 'recorded') {
+			return answer.version;
+		}
+	}
+
+	const seen = answers.filter(answer => answer.type !== 'none');
+	const versions = new Set(seen.map(answer => 'version' in answer ? answer.version : undefined));
+	return versions.size === 1 && seen.some(answer => answer.type === 'only') ? [...versions][0] : undefined;
+}
+
+/**
+ * Hashes the id of a client's request. Ids are the clients' own text of any length.
+ *
+ * @param requestId - The id.
+ * @returns A number of 48 bits.
+ */
+export function hashRequestId(requestId: string): number {
 	return (hashText(requestId) * secondHashRange) + (hashText(requestId, 1) % secondHashRange);
 }
