Give up on connections to servers after the connect timeout, not 300 to 900 ms later

Callers of hosts without links to servers waited until their deadline. The pool now connects by itself, with the timer of Node.js; canConnect, which did so already, shares the code. How sockets are opened can be replaced, so that a test can cut the links of one host.

--- a/packages/host/src/host-dependencies.ts
+++ b/packages/host/src/host-dependencies.ts
@@ -2,6 +2,7 @@
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
 import type {HostSettings, PlatformAdapter} from './ports.js';
+import type {OpenSocket} from './requests/server-connector.js';
 
 /** Settings and services that a host is created with. */
 export type HostDependencies = {
@@ -13,6 +14,8 @@
 	/** Monotonic clock. */
 	readonly now: () => Milliseconds;
 	readonly wallClock: () => Milliseconds;
+	/** Opens connections to servers; those of Node.js by default. */
+	readonly openSocket?: OpenSocket;
 	/** @returns The number of log lines dropped since the start. */
 	droppedLogLines(): number;
 };
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -90,6 +90,7 @@
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
 			now,
+			openSocket: dependencies.openSocket,
 			onResponseHead: (target, status, headers, sentAt) => {
 				this.#noticeRecorder.recordResponse(target, status, headers, sentAt);
 			},
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -1,7 +1,8 @@
-import {type Socket, connect} from 'node:net';
+import type {Socket} from 'node:net';
 import {type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
-import {Client, buildConnector} from 'undici';
+import {Client} from 'undici';
 import type {HeaderList} from '../ports.js';
+import {type OpenSocket, connectToServer, openTcpSocket} from './server-connector.js';
 
 /** The server to connect to. Connections are reused only for the same server, incarnation and address. */
 export type ConnectionTarget = {readonly id: string; readonly incarnation: string; readonly address: string};
@@ -59,6 +60,8 @@
 	readonly onResponseHead: (target: ConnectionTarget, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, sentAt: Milliseconds) => void;
 	/** Called after each attempt to open a connection, also after a failed one. */
 	readonly onConnectionOpened: () => void;
+	/** Opens sockets; those of Node.js by default. */
+	readonly openSocket?: OpenSocket | undefined;
 };
 
 /** Limits for servers that are reached within a millisecond. */
@@ -253,23 +256,14 @@
 	 * @returns Whether the server accepted it within the connect timeout.
 	 */
 	async canConnect(target: ConnectionTarget): Promise<boolean> {
-		const separator = target.address.lastIndexOf(':');
-		const socket = connect({host: target.address.slice(0, separator), port: Number(target.address.slice(separator + 1)), timeout: this.#options.connectTimeout});
 		return new Promise(resolve => {
-			const finish = (isConnected: boolean) => {
-				socket.destroy();
+			connectToServer(target.address, this.#connectOptions, outcome => {
 				this.#options.onConnectionOpened();
-				resolve(isConnected);
-			};
+				if (outcome.isOk) {
+					outcome.value.destroy();
+				}
 
-			socket.once('connect', () => {
-				finish(true);
-			});
-			socket.once('timeout', () => {
-				finish(false);
-			});
-			socket.once('error', () => {
-				finish(false);
+				resolve(outcome.isOk);
 			});
 		});
 	}
@@ -285,6 +279,10 @@
 		this.#idleConnections.clear();
 	}
 
+	get #connectOptions() {
+		return {timeout: this.#options.connectTimeout, openSocket: this.#options.openSocket ?? openTcpSocket};
+	}
+
 	#acquire(target: ConnectionTarget): Connection {
 		const key = `${target.id}|${target.incarnation}|${target.address}`;
 		const idle = this.#idleConnections.get(key) ?? [];
@@ -303,15 +301,15 @@
 	}
 
 	#open(key: string, address: string): Connection {
-		const connectSocket = buildConnector({timeout: this.#options.connectTimeout, keepAlive: true, keepAliveInitialDelay: 1000});
+		const connectOptions = this.#connectOptions;
 		const onOpened = this.#options.onConnectionOpened;
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			keepAliveTimeout: this.#options.idleTimeout,
 			keepAliveTimeoutThreshold: 500,
-			connect(options, callback) {
-				connectSocket(options, (...outcome) => {
-					const socket = outcome[1];
+			connect(_options, callback) {
+				connectToServer(address, connectOptions, outcome => {
+					const socket = outcome.isOk ? outcome.value : undefined;
 					const state = createSocketState();
 					connection.socketState = state;
 					// Runs before undici's own listener, which would end a close-delimited response as if it were complete.
@@ -326,7 +324,11 @@
 						}
 					});
 					onOpened();
-					callback(...outcome);
+					if (outcome.isOk) {
+						callback(null, outcome.value);
+					} else {
+						callback(outcome.error, null);
+					}
 				});
 			},
 		});
