Serve the callers of a host without links to servers through its peers

Cause: a host could execute a request only over links of its own. Clients keep an address for seconds, so that leaving the lookup does not help them in time; the host took their requests, waited for connect timeouts and refused.

A host now counts as detached when three servers in a row fail with no response from any server in between. It tells its peers with the state in its heartbeats, so that lookups list it no more, and forwards its requests to a peer with links: one hop, with the time left, the executions left and the request's id; the origin charges the quota, the peer's refusals are passed on as such, and a client that leaves ends both. A peer without links refuses at once. A host that reaches some servers forwards only what finds two servers out of reach or none within reach. A detached host convicts no request of a crash. The detached state costs a changed field of one heartbeat at any number of hosts; forwarded requests go over connections between hosts only while links are lost.

--- a/packages/coordination/src/host-directory.ts
+++ b/packages/coordination/src/host-directory.ts
@@ -17,8 +17,11 @@
 	readonly capacity: number;
 };
 
-/** The lifecycle state of a host; it accepts clients while it is `serving`. */
-export type HostState = 'starting' | 'serving' | 'stopping';
+/**
+ * The state of a host; it accepts clients while it is `serving`. A `detached` one has lost its links to all servers: it serves the clients
+ * that still come through peers, and is not offered to others.
+ */
+export type HostState = 'starting' | 'serving' | 'detached' | 'stopping';
 
 /**
  * The part of a host in the exchange of state: a relay exchanges it with all other relays and with its members, a member with one relay;
@@ -237,7 +240,7 @@
 	}
 
 	/**
-	 * Lists the hosts that can be offered to clients.
+	 * Lists the hosts that serve clients with their own links to servers.
 	 *
 	 * @param now - Current monotonic time.
 	 * @returns The descriptions of the serving hosts that are alive.
@@ -246,6 +249,17 @@
 		return this.listAlive(now).filter(host => host.state === 'serving').map(host => host.description);
 	}
 
+	/**
+	 * Lists the hosts that are offered to clients.
+	 *
+	 * @param now - Current monotonic time.
+	 * @returns The serving hosts; if there are none, those that have lost their links to servers.
+	 */
+	listOffered(now: Milliseconds): HostDescription[] {
+		const serving = this.listServing(now);
+		return serving.length > 0 ? serving : this.listAlive(now).filter(host => host.state === 'detached').map(host => host.description);
+	}
+
 	/**
 	 * Lists the hosts that have stopped sending heartbeats.
 	 *
--- a/packages/host/src/host-endpoints.ts
+++ b/packages/host/src/host-endpoints.ts
@@ -18,8 +18,8 @@
 	readonly log: Logger;
 	readonly random: RandomSource;
 	hostState(): HostState;
-	/** The peers that serve clients. */
-	servingHosts(): readonly HostDescription[];
+	/** The peers that are offered to clients. */
+	offeredHosts(): readonly HostDescription[];
 	formatMetrics(): string;
 };
 
@@ -45,7 +45,7 @@
 	};
 
 	addRoute(settings.readinessAddress, directoryProtocol.readinessPath, (_request, response) => {
-		response.writeHead(options.hostState() === 'serving' ? 200 : 503).end();
+		response.writeHead(options.hostState() === 'serving' || options.hostState() === 'detached' ? 200 : 503).end();
 	});
 	addRoute(settings.lookupAddress, directoryProtocol.lookupPath, (request, response) => {
 		respondToLookup(options, request, response);
@@ -82,8 +82,8 @@
 	const clientLocation = directoryProtocol.decodeLookup(url.slice(url.indexOf('?') + 1));
 	const state = options.hostState();
 	const ownDescription = state === 'serving' ? [settings.description] : [];
-	const hosts = selectNearbyHosts([...ownDescription, ...options.servingHosts()], clientLocation, options.random);
-	// A stopping host still serves requests for a while, so its own address is better than none.
+	const hosts = selectNearbyHosts([...ownDescription, ...options.offeredHosts()], clientLocation, options.random);
+	// A stopping or detached host still serves requests for a while, so its own address is better than none.
 	const listedHosts = hosts.length > 0 || state === 'starting' ? hosts : [settings.description];
 	if (listedHosts.length === 0) {
 		response.writeHead(503).end();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -11,6 +11,7 @@
 import {type ClientListener, serveClients} from './requests/client-listener.js';
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
+import {type Forwarding, createForwarding} from './forwarding.js';
 import {Fleet} from './members/fleet.js';
 import {GossipSocket} from './members/gossip-socket.js';
 import {toStateUpdate} from './members/host-messages.js';
@@ -20,6 +21,7 @@
 import type {HostBounds, ReceivedRequest} from './ports.js';
 import {addressTimeToLive, computeStopTimes} from './stop-timing.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
+import {createPipelineContext} from './request-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {RetryBudgets} from './requests/retry-budgets.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
@@ -51,9 +53,11 @@
 	readonly #weightsController: WeightsController;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
+	readonly #forwarding: Forwarding;
 	readonly #noticeRecorder: ServerNoticeRecorder;
 	readonly #quarantine = new Quarantine(quarantineOptions);
 	readonly #retryBudgets: RetryBudgets;
+	readonly #pipelineContext: PipelineContext;
 	readonly #disposables = new DisposableStore();
 	#clientListeners: readonly ClientListener[] = [];
 	#runningRequests = 0;
@@ -92,6 +96,7 @@
 			now,
 			openSocket: dependencies.openSocket,
 			onResponseHead: (target, status, headers, sentAt) => {
+				this.#forwarding.serverLinks.recordReached(target.id);
 				this.#noticeRecorder.recordResponse(target, status, headers, sentAt);
 			},
 			onConnectionOpened: () => {
@@ -141,12 +146,40 @@
 			store: adapter.store, clusterState: this.#clusterState, log, random, now, earliestArrival,
 		});
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
+		this.#forwarding = createForwarding({
+			dependencies,
+			clusterState: this.#clusterState,
+			connections: this.#connectionPool,
+			isServing: () => this.#hostState() === 'serving',
+			onDetachedChanged: () => {
+				gossip.broadcastState();
+				this.#dispatcher.dispatchQueued();
+			},
+			onRequest: received => {
+				this.#onRequest(received);
+			},
+		});
 		this.#crashDetector = new ServerCrashDetector({
-			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, log, now, canConnect: async server => this.#connectionPool.canConnect(server),
+			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, serverLinks: this.#forwarding.serverLinks, log, now, canConnect: async server => this.#connectionPool.canConnect(server),
 		});
 		this.#noticeRecorder = new ServerNoticeRecorder({
 			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
 		});
+		this.#pipelineContext = createPipelineContext({
+			dependencies,
+			clusterState: this.#clusterState,
+			dispatcher: this.#dispatcher,
+			connections: this.#connectionPool,
+			forwarding: this.#forwarding,
+			fleet: this.#fleet,
+			quarantine: this.#quarantine,
+			retryBudgets: this.#retryBudgets,
+			placementTracker: this.#placementTracker,
+			crashDetector: this.#crashDetector,
+			onRequestFinished: () => {
+				this.#runningRequests--;
+			},
+		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		const {name: hostName} = settings.description;
 		this.#weightsLease = new WeightsLease({
@@ -193,11 +226,9 @@
 				});
 			},
 		})));
-		const snapshotServer = await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource);
-		this.#disposables.defer(() => {
-			snapshotServer.close();
-			snapshotServer.closeAllConnections();
-		});
+		this.#disposables.add(await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource, (request, response) => {
+			this.#forwarding.listener.handle(request, response);
+		}));
 		this.#disposables.add(await serveEndpoints({
 			settings,
 			directoryProtocol: adapter.directory,
@@ -205,7 +236,7 @@
 			log,
 			random,
 			hostState: () => this.#hostState(),
-			servingHosts: () => this.#clusterState.hosts.listServing(now()),
+			offeredHosts: () => this.#clusterState.hosts.listOffered(now()),
 			formatMetrics: () => this.#formatMetrics(),
 		}));
 		this.#weightsController.start();
@@ -315,6 +346,7 @@
 		await this.#registration.dispose();
 		this.#fleet.dispose();
 		this.#connectionPool.dispose();
+		this.#forwarding.forwarder.dispose();
 		this.#dispatcher.dispose();
 		for (const listener of this.#clientListeners) {
 			await listener.dispose();
@@ -332,7 +364,11 @@
 			return 'stopping';
 		}
 
-		return this.#clusterState.configuration === undefined ? 'starting' : 'serving';
+		if (this.#clusterState.configuration === undefined) {
+			return 'starting';
+		}
+
+		return this.#forwarding.serverLinks.isDetached ? 'detached' : 'serving';
 	}
 
 	#onRequest(received: ReceivedRequest): void {
@@ -340,48 +376,10 @@
 		new RequestPipeline(received, this.#pipelineContext).start();
 	}
 
-	get #pipelineContext(): PipelineContext {
-		const {adapter, log, random, now} = this.#dependencies;
-		return {
-			clusterState: this.#clusterState,
-			dispatcher: this.#dispatcher,
-			connections: this.#connectionPool,
-			backend: adapter.backend,
-			quarantine: this.#quarantine,
-			promptPartGuard: this.#fleet.promptPartGuard,
-			random,
-			log,
-			metrics: this.#metrics,
-			now,
-			retryBudget: service => this.#retryBudgets.forService(service),
-			hostCount: () => this.#fleet.gossip.hostCount,
-			onRequestPlaced: (chosen, received) => {
-				this.#placementTracker.recordPlacement(chosen, received);
-				this.#fleet.gossip.recordTotalsChanged('all');
-			},
-			onPrefillEnded: (chosen, received, isPrefilled) => {
-				this.#placementTracker.recordPrefillResult(chosen, received, isPrefilled);
-			},
-			onAttemptFailed: (server, request) => {
-				this.#crashDetector.recordBrokenRequest(server, request);
-			},
-			onStreamBegun: origin => {
-				this.#fleet.gossip.announceOrigins([origin]);
-			},
-			findStreamOrigin: async (service, requestId) => this.#fleet.streamOriginFinder.findVersion(service, requestId),
-			onServerUnreachable: server => {
-				this.#crashDetector.recordUnreachable(server);
-			},
-			onRequestFinished: () => {
-				this.#runningRequests--;
-				this.#fleet.gossip.recordTotalsChanged('all');
-			},
-		};
-	}
-
 	#runMaintenance(): void {
 		this.#clockMonitor.check();
 		this.#fleet.review();
+		this.#forwarding.serverLinks.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		this.#quarantine.removeExpired(this.#dependencies.now());
@@ -392,6 +390,7 @@
 			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
 			running: this.#runningRequests,
+			detached: this.#forwarding.serverLinks.isDetached ? 1 : 0,
 			client_connections: this.#clientConnectionCount(),
 			quarantined_parts: this.#fleet.promptPartGuard.quarantinedCount,
 			store_contact: this.#storeWatch.isConnected ? 1 : 0,
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -2,7 +2,7 @@
 import * as v from 'valibot';
 import type {StateChange} from '../ports.js';
 
-const hostStateSchema = v.picklist(['starting', 'serving', 'stopping']);
+const hostStateSchema = v.picklist(['starting', 'serving', 'detached', 'stopping']);
 const hostRoleSchema = v.picklist(['joining', 'member', 'relay']);
 
 const hostDescriptionSchema = v.object({
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -6,6 +6,7 @@
 	Bytes, LayerError, Milliseconds, Tokens,
 } from '@lacewingpoint/shared';
 import type {Result} from 'true-myth';
+import type {ForwardingTerms} from './requests/forwarded-request.js';
 
 /** Alternating header names and values, as they are on the wire. */
 export type HeaderList = readonly string[];
@@ -321,4 +322,6 @@
 	/** Monotonic time at which the request head was received. */
 	readonly receivedAt: Milliseconds;
 	readonly responseWriter: ResponseWriter;
+	/** Set if a peer without links to servers has forwarded the request. */
+	readonly forwarding?: ForwardingTerms | undefined;
 };
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -34,6 +34,8 @@
 	onAnswered(status: number): void;
 	/** Another attempt is to be made. */
 	onRetry(): void;
+	/** A server could not be reached; the request was not sent. */
+	onUnreachable(): void;
 	/** No other attempt is allowed. */
 	onExhausted(reason: string, retryAfter: Milliseconds | undefined): void;
 };
@@ -166,6 +168,15 @@
 		return true;
 	}
 
+	/**
+	 * Adds an attempt that was forwarded to a peer, for the log.
+	 *
+	 * @param record - How it ended.
+	 */
+	addRecord(record: AttemptRecord): void {
+		this.#records.push(record);
+	}
+
 	/** Stops watching for stalls. */
 	stopDetector(): void {
 		this.#stallDetector.stop();
@@ -238,7 +249,7 @@
 
 		clusterState.health.recordOutcome(entry.id, false, now());
 		attempt.framing = responseFraming(headers);
-		this.#response.start(attempt, backend.responseHeaders(rawHeaders));
+		this.#response.start({status, isEventStream: attempt.isEventStream, weightsVersion: attempt.chosen.engine?.weightsVersion}, backend.responseHeaders(rawHeaders));
 	}
 
 	#onData(attempt: Attempt, chunk: Uint8Array): void {
@@ -248,7 +259,7 @@
 
 		this.#responseObserver.recordData(attempt);
 		this.#updateStallDetector(attempt);
-		if (!this.#response.write(attempt, chunk)) {
+		if (!this.#response.write(chunk, {isEventStream: attempt.isEventStream, softwareVersion: attempt.chosen.entry.softwareVersion ?? ''})) {
 			this.#isPaused = true;
 			attempt.exchange?.pause();
 		}
@@ -323,11 +334,7 @@
 		const server = attempt.chosen.entry.id;
 		this.#recordUnreachable(server);
 		this.#context.log.info('server-unreachable', {server, reason, id: this.#request.received.request.id});
-		if (this.#retries.mayRetryUnreachable) {
-			this.#options.listener.onRetry();
-		} else {
-			this.#options.listener.onExhausted('servers could not be reached', limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
-		}
+		this.#options.listener.onUnreachable();
 	}
 
 	#onExecutionFailed(attempt: Attempt, reason: string, isServerStalled: boolean): void {
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -249,6 +249,17 @@
 		}
 	}
 
+	/** Closes all idle connections. */
+	closeAllIdle(): void {
+		for (const idle of this.#idleConnections.values()) {
+			for (const connection of idle) {
+				this.#discard(connection);
+			}
+		}
+
+		this.#idleConnections.clear();
+	}
+
 	/**
 	 * Tries to open a connection, and closes it again.
 	 *
@@ -268,15 +279,8 @@
 		});
 	}
 
-	/** Closes all idle connections. */
 	dispose(): void {
-		for (const idle of this.#idleConnections.values()) {
-			for (const connection of idle) {
-				this.#discard(connection);
-			}
-		}
-
-		this.#idleConnections.clear();
+		this.closeAllIdle();
 	}
 
 	get #connectOptions() {
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -167,6 +167,17 @@
 		this.#queueFor(service).removeItem(item);
 	}
 
+	/**
+	 * Tells whether this host does not reach some servers of a service, so that a peer may have more of them.
+	 *
+	 * @param service - Name of the service.
+	 * @returns Whether a server is paused because it could not be reached or has stalled.
+	 */
+	hasUnreachableServer(service: string): boolean {
+		const {servers, health} = this.#clusterState;
+		return servers.listAvailable(service).some(({id}) => health.evaluateStatus(id, this.#now()) === 'paused');
+	}
+
 	/** Removes expired requests from the queues, then tries to place the others in queue order. */
 	dispatchQueued(): void {
 		if (this.#isDispatching) {
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -8,19 +8,24 @@
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
 import type {ChosenServer, Dispatcher} from './dispatcher.js';
+import type {PeerForwarder} from './peer-forwarder.js';
 
 /** The components of a host that all its requests share, and callbacks to the host. */
 export type PipelineContext = {
+	readonly hostName: string;
 	readonly clusterState: ClusterState;
 	readonly dispatcher: Dispatcher;
 	readonly connections: BackendConnectionPool;
 	readonly backend: BackendProtocol;
+	readonly forwarder: PeerForwarder;
 	readonly quarantine: Quarantine;
 	readonly promptPartGuard: PromptPartGuard;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
+	/** @returns Whether this host has lost its links to all servers. */
+	isDetached(): boolean;
 	/** @returns The retry budget of a service. */
 	retryBudget(service: string): RetryBudget;
 	/** @returns The number of hosts that share the retry budgets, including this one. */
--- a/packages/host/src/requests/relayed-response.ts
+++ b/packages/host/src/requests/relayed-response.ts
@@ -1,8 +1,23 @@
 import type {Bytes} from '@lacewingpoint/shared';
 import type {HeaderList, ResponseWriter} from '../ports.js';
-import type {Attempt} from './attempt.js';
 import {EventRelay} from './event-relay.js';
 
+/** The head of a response that is forwarded to the client. */
+export type RelayedHead = {
+	readonly status: number;
+	/** Whether the body consists of server-sent events. */
+	readonly isEventStream: boolean;
+	/** The version of the weights expected at the server; `undefined` if a peer relays the response, and for other requests than generations. */
+	readonly weightsVersion: number | undefined;
+};
+
+/** Where a piece of a response body comes from. */
+export type RelayedSource = {
+	readonly isEventStream: boolean;
+	/** The software version of the server; `undefined` if a peer relays the response. */
+	readonly softwareVersion: string | undefined;
+};
+
 /** The response that the client receives, which several attempts may contribute to. */
 export class RelayedResponse {
 	readonly #writer: ResponseWriter;
@@ -10,6 +25,8 @@
 	readonly #onFirstEvent: (softwareVersion: string) => void;
 	#hasStarted = false;
 	#softwareVersion: string | undefined;
+	/** Whether events were forwarded whose server's software version is not known. */
+	#isOriginUnknown = false;
 	/** Whether the response head that was forwarded began a stream of events. */
 	#isEventStream = false;
 	#weightsVersion: number | undefined;
@@ -30,7 +47,7 @@
 
 	/** Whether another attempt could provide the response, or the rest of one that has started. */
 	get canBeContinued(): boolean {
-		return !this.#hasStarted || (this.#isEventStream && this.#eventRelay.canBeContinued);
+		return !this.#hasStarted || (this.#isEventStream && this.#eventRelay.canBeContinued && !this.#isOriginUnknown);
 	}
 
 	/** The id of the last event that was forwarded; `undefined` before the first event with an id. */
@@ -49,34 +66,38 @@
 	}
 
 	/**
-	 * Forwards the response head of an attempt.
+	 * Forwards a response head.
 	 *
-	 * @param attempt - The attempt, whose status is known.
+	 * @param head - The head.
 	 * @param headers - The headers for the client.
 	 */
-	start(attempt: Attempt, headers: HeaderList): void {
+	start(head: RelayedHead, headers: HeaderList): void {
 		this.#hasStarted = true;
-		this.#isEventStream = attempt.isEventStream;
-		this.#weightsVersion = attempt.chosen.engine?.weightsVersion;
-		this.#writer.writeHead(attempt.status, headers);
+		this.#isEventStream = head.isEventStream;
+		this.#weightsVersion = head.weightsVersion;
+		this.#writer.writeHead(head.status, headers);
 	}
 
 	/**
 	 * Forwards a piece of the body; of a stream of events only the complete ones.
 	 *
-	 * @param attempt - The attempt that it belongs to.
 	 * @param chunk - The bytes received.
+	 * @param source - Where they come from.
 	 * @returns False if the client reads slowly, so that the server should pause.
 	 */
-	write(attempt: Attempt, chunk: Uint8Array): boolean {
-		const bytes = attempt.isEventStream ? this.#eventRelay.push(chunk) : chunk;
+	write(chunk: Uint8Array, {isEventStream, softwareVersion}: RelayedSource): boolean {
+		const bytes = isEventStream ? this.#eventRelay.push(chunk) : chunk;
 		if (bytes.length === 0) {
 			return true;
 		}
 
-		if (attempt.isEventStream && this.#softwareVersion === undefined) {
-			this.#softwareVersion = attempt.chosen.entry.softwareVersion ?? '';
-			this.#onFirstEvent(this.#softwareVersion);
+		if (isEventStream && this.#softwareVersion === undefined) {
+			if (softwareVersion === undefined) {
+				this.#isOriginUnknown = true;
+			} else {
+				this.#softwareVersion = softwareVersion;
+				this.#onFirstEvent(softwareVersion);
+			}
 		}
 
 		return this.#writer.write(bytes);
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -3,6 +3,7 @@
 import type {ReceivedRequest} from '../ports.js';
 import {type AttemptListener, AttemptRunner} from './attempt-runner.js';
 import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
+import {ForwardedAttempt} from './forwarded-attempt.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {QuotaCharge} from './quota-charge.js';
 import {RelayedResponse} from './relayed-response.js';
@@ -14,6 +15,12 @@
 	decideWait, defaultRetryAfter, limitRetryAfter, maximumWaitAfterRejections, minimumRemainingTime,
 } from './wait-decision.js';
 
+/** The number of servers that a request finds out of reach before it is forwarded to a peer: one may have crashed. */
+const unreachableServersBeforeForwarding = 2;
+
+/** The number of peers to which a request is sent. */
+const maximumPeers = 3;
+
 /**
  * Handles one request from its arrival to its outcome: matches a route, authorizes, charges the quota, chooses a server or queues, and
  * does so again when an attempt has failed and the route allows another.
@@ -25,9 +32,12 @@
 	readonly #quotaCharge: QuotaCharge;
 	readonly #completion: RequestCompletion;
 	readonly #triedServers = new Set<string>();
+	readonly #triedPeers = new Set<string>();
 
 	#retries = new RetryAllowance(0, () => false);
 	#attempts: AttemptRunner | undefined;
+	#forwardedAttempt: ForwardedAttempt | undefined;
+	#unreachableServers = 0;
 	#isQueued = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	/** Software version of the servers at which a stream that the client takes up may go on. */
@@ -65,25 +75,30 @@
 		}
 
 		const {retryBudget, random, now} = this.#context;
-		const {responseWriter} = this.#request.received;
+		const {responseWriter, forwarding} = this.#request.received;
 		this.#request.selectService(route, random.next());
-		this.#retries = new RetryAllowance(route.maxServers, () => this.#acquireRetryBudget());
+		this.#originVersion = forwarding?.requiredVersion;
+		this.#retries = new RetryAllowance(Math.min(route.maxServers, forwarding?.executionsLeft ?? Number.POSITIVE_INFINITY), () => this.#acquireRetryBudget());
 		const attempts = new AttemptRunner({
 			context: this.#context, request: this.#request, route, response: this.#response, retries: this.#retries, listener: this,
 		});
 		this.#attempts = attempts;
 		this.#completion.observeAttempts(attempts);
-		retryBudget(this.#request.service).recordRequest(now());
+		if (forwarding === undefined) {
+			retryBudget(this.#request.service).recordRequest(now());
+		}
+
 		responseWriter.onDisconnect(() => {
 			this.#onClientDisconnect();
 		});
 		responseWriter.onDrain(() => {
 			attempts.resume();
+			this.#forwardedAttempt?.resume();
 		});
 		this.#deadlineTimer = setTimeout(() => {
 			this.#onDeadline();
 		}, Math.max(this.#request.remainingTime(), 0));
-		if (this.#request.isResumedStream) {
+		if (this.#request.isResumedStream && this.#originVersion === undefined) {
 			void this.#continueStream();
 		} else {
 			this.#placeOrEnqueue();
@@ -99,6 +114,11 @@
 			return true;
 		}
 
+		if (this.#context.isDetached() && this.#forward()) {
+			this.#isQueued = false;
+			return true;
+		}
+
 		const placement = this.#place();
 		if (placement.type !== 'chosen') {
 			return false;
@@ -122,6 +142,25 @@
 		this.#placeOrEnqueue();
 	}
 
+	onUnreachable(): void {
+		this.#unreachableServers++;
+		if (this.#unreachableServers >= unreachableServersBeforeForwarding && this.#forward()) {
+			return;
+		}
+
+		if (this.#retries.mayRetryUnreachable) {
+			this.#placeOrEnqueue();
+		} else {
+			this.#completion.fail('servers could not be reached', limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
+		}
+	}
+
+	onPeerRefused(reason: string, retryAfter: Milliseconds | undefined): void {
+		if (!this.#forward()) {
+			this.#completion.fail(reason, limitRetryAfter(retryAfter ?? defaultRetryAfter, this.#request.remainingTime()));
+		}
+	}
+
 	onExhausted(reason: string, retryAfter: Milliseconds | undefined): void {
 		this.#completion.fail(reason, retryAfter);
 	}
@@ -149,6 +188,10 @@
 			return undefined;
 		}
 
+		if (this.#request.received.forwarding !== undefined) {
+			return admission.route;
+		}
+
 		const quotaWait = this.#quotaCharge.charge(request, admission.workspace, now());
 		if (quotaWait > 0) {
 			this.#completion.refuse(429, `workspace ${admission.workspace!.name} is over its quota`, limitRetryAfter(quotaWait, this.#request.remainingTime()));
@@ -207,6 +250,34 @@
 		this.#attempts!.run(chosen);
 	}
 
+	// Sends the request to a peer that reaches servers, unless it has come from a peer.
+	#forward(): boolean {
+		const {forwarder} = this.#context;
+		const {received} = this.#request;
+		if (received.forwarding !== undefined || this.#triedPeers.size >= maximumPeers || this.#request.remainingTime() < minimumRemainingTime) {
+			return false;
+		}
+
+		const peer = forwarder.choosePeer(this.#triedPeers);
+		if (peer === undefined) {
+			return false;
+		}
+
+		this.#triedPeers.add(peer.name);
+		this.#forwardedAttempt = new ForwardedAttempt(peer, {
+			context: this.#context,
+			request: this.#request,
+			response: this.#response,
+			retries: this.#retries,
+			requiredVersion: this.#response.softwareVersion ?? this.#originVersion,
+			listener: this,
+			onEnded: record => {
+				this.#attempts!.addRecord(record);
+			},
+		});
+		return true;
+	}
+
 	#failIfPartQuarantined(): boolean {
 		if (this.#isTrial && this.#retries.attempts === 0) {
 			return false;
@@ -234,12 +305,20 @@
 			return;
 		}
 
+		if (this.#context.isDetached() && this.#forward()) {
+			return;
+		}
+
 		let placement = this.#place();
 		if (placement.type === 'chosen') {
 			this.#send(placement.chosen);
 			return;
 		}
 
+		if (placement.type === 'none' && this.#context.dispatcher.hasUnreachableServer(this.#request.service) && this.#forward()) {
+			return;
+		}
+
 		if (placement.type === 'none' && this.#triedServers.size > 0 && this.#retries.executions === 0) {
 			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
 			this.#triedServers.clear();
@@ -276,7 +355,7 @@
 			return;
 		}
 
-		if (this.#attempts?.abort(outOfTime) === true) {
+		if (this.#attempts?.abort(outOfTime) === true || this.#forwardedAttempt?.abort(outOfTime) === true) {
 			this.#retries.executions++;
 		}
 
@@ -289,6 +368,7 @@
 		}
 
 		this.#attempts?.abort('client gone');
+		this.#forwardedAttempt?.abort('client gone');
 		this.#completion.abandon();
 	}
 
--- a/packages/host/src/requests/request-report.ts
+++ b/packages/host/src/requests/request-report.ts
@@ -45,6 +45,7 @@
 
 	log.info('request', {
 		id: request.id,
+		forwardedBy: result.received.forwarding?.origin,
 		resumes: request.resumedRequestId,
 		lastEvent: request.lastEventId,
 		route,
--- a/packages/host/src/requests/retry-allowance.ts
+++ b/packages/host/src/requests/retry-allowance.ts
@@ -12,7 +12,8 @@
 	/** Attempts that a server has executed or may have executed. */
 	executions = 0;
 	attempts = 0;
-	readonly #maxServers: number;
+	/** The number of servers that may execute the request. */
+	readonly maxServers: number;
 	readonly #acquireBudget: () => boolean;
 
 	/**
@@ -20,27 +21,27 @@
 	 * @param acquireBudget - Takes a retry from the budget that the hosts share; false if there is none left.
 	 */
 	constructor(maxServers: number, acquireBudget: () => boolean) {
-		this.#maxServers = maxServers;
+		this.maxServers = maxServers;
 		this.#acquireBudget = acquireBudget;
 	}
 
 	/** Whether a further execution would be the last one allowed. */
 	get isLastExecution(): boolean {
-		return this.executions + 1 >= this.#maxServers;
+		return this.executions + 1 >= this.maxServers;
 	}
 
 	/** Whether an attempt is allowed after a server could not be reached, which needs no budget. */
 	get mayRetryUnreachable(): boolean {
-		return this.attempts < this.#maxServers + extraAttempts + extraAttemptsWhenUnreachable;
+		return this.attempts < this.maxServers + extraAttempts + extraAttemptsWhenUnreachable;
 	}
 
 	/** @returns Whether an attempt is allowed after a server rejected the request without executing it; if so, it is taken from the budget. */
 	claimAfterRejection(): boolean {
-		return this.attempts < this.#maxServers + extraAttempts && this.#acquireBudget();
+		return this.attempts < this.maxServers + extraAttempts && this.#acquireBudget();
 	}
 
 	/** @returns Whether an attempt is allowed after a server may have executed the request; if so, it is taken from the budget. */
 	claimAfterFailure(): boolean {
-		return this.executions < this.#maxServers && this.claimAfterRejection();
+		return this.executions < this.maxServers && this.claimAfterRejection();
 	}
 }
--- a/packages/host/src/requests/routed-request.ts
+++ b/packages/host/src/requests/routed-request.ts
@@ -83,12 +83,14 @@
 	}
 
 	/**
-	 * Selects one of the services of the route.
+	 * Selects one of the services of the route, or that which the forwarding host has selected.
 	 *
 	 * @param route - The route.
 	 * @param randomValue - A random number, from 0 inclusive to 1 exclusive.
 	 */
 	selectService(route: Route, randomValue: number): void {
-		this.#service = selectService(route, randomValue) ?? '';
+		const selected = this.received.forwarding?.service;
+		const isKnown = route.services.some(({service}) => service === selected);
+		this.#service = (isKnown ? selected : selectService(route, randomValue)) ?? '';
 	}
 }
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -1,7 +1,9 @@
-import {type Server, createServer} from 'node:http';
+import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
 import type {FleetLink, HostReport} from '@lacewingpoint/coordination';
 import type {StreamOrigin} from '@lacewingpoint/routing';
-import {type LayerError, type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
+import {
+	type Disposable, type LayerError, type Milliseconds, getErrorMessage,
+} from '@lacewingpoint/shared';
 import {createTRPCClient, httpLink} from '@trpc/client';
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
@@ -9,6 +11,7 @@
 import * as v from 'valibot';
 import type {ChangeBatch} from '../ports.js';
 import {listen} from '../requests/client-listener.js';
+import {forwardedRequestPath} from '../requests/forwarded-request.js';
 import {addTransferTime} from './transfer-time.js';
 
 /** What a host knows already. */
@@ -67,16 +70,29 @@
 export type SnapshotError = LayerError<'unreachable'>;
 
 /**
- * Serves this host's state to peers that are outdated.
+ * Serves this host's state to peers that are outdated, and takes requests that peers forward.
  *
  * @param address - The address to listen on, `host:port`.
  * @param source - Creates the responses.
- * @returns The server, once it is listening; rejects if the address cannot be bound.
+ * @param onForwarded - Handles a forwarded request.
+ * @returns A handle that closes the server, once it is listening; rejects if the address cannot be bound.
  */
-export async function serveSnapshots(address: string, source: SnapshotSource): Promise<Server> {
-	const server = createServer(createHTTPHandler({router: snapshotRouter, createContext: () => ({source})}));
+export async function serveSnapshots(address: string, source: SnapshotSource, onForwarded: (request: IncomingMessage, response: ServerResponse) => void): Promise<Disposable> {
+	const handleCall = createHTTPHandler({router: snapshotRouter, createContext: () => ({source})});
+	const server = createServer({noDelay: true}, (request, response) => {
+		if (request.url === forwardedRequestPath) {
+			onForwarded(request, response);
+		} else {
+			handleCall(request, response);
+		}
+	});
 	await listen(server, address);
-	return server;
+	return {
+		dispose() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
 }
 
 /** Requests the state of peers. Each call fails with `unreachable` if the peer does not respond in time. */
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -4,6 +4,7 @@
 import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from './cluster-state.js';
 import type {PromptPartGuard} from './prompt-part-guard.js';
+import type {ServerLinkMonitor} from './server-link-monitor.js';
 
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
@@ -32,6 +33,7 @@
 	readonly hostGossip: HostGossip;
 	readonly quarantine: Quarantine;
 	readonly promptPartGuard: PromptPartGuard;
+	readonly serverLinks: ServerLinkMonitor;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 	/** @returns Whether the server accepts a connection. */
@@ -75,8 +77,14 @@
 	 */
 	recordUnreachable(server: string): void {
 		const {
-			clusterState, hostGossip, quarantine, promptPartGuard, log, now,
+			clusterState, hostGossip, quarantine, promptPartGuard, serverLinks, log, now,
 		} = this.#options;
+		serverLinks.recordFailure(server);
+		if (serverLinks.isDetached) {
+			this.#brokenRequests.delete(server);
+			return;
+		}
+
 		const entry = clusterState.servers.findEntry(server);
 		const brokenRequests = this.#recentBrokenRequests(server);
 		// A server that has announced its end is not crashed by a prompt.
--- a/packages/routing/src/host-selection.ts
+++ b/packages/routing/src/host-selection.ts
@@ -29,6 +29,31 @@
 	return [...nearby.slice(first), ...nearby.slice(0, first)].slice(0, maximumAddresses);
 }
 
+/** What the choice of a peer that sends requests on depends on. */
+export type ForwardingChoice = {
+	/** Region of the host that forwards. */
+	readonly region: string;
+	readonly random: RandomSource;
+	/** @returns The number of running requests that were forwarded to a host. */
+	runningRequests(name: string): number;
+};
+
+/**
+ * Chooses the peer to which a request is forwarded: of two peers picked at random, the one with fewer running requests of this host.
+ * Designed for hosts that lose their links together and share the remaining ones without knowing of each other's choices.
+ *
+ * @param hosts - The peers that reach servers. Those in the region of this host are preferred.
+ * @param choice - The region, and what was forwarded to each peer.
+ * @returns The peer; `undefined` if there is none.
+ */
+export function selectForwardingHost<Host extends {readonly name: string; readonly region: string}>(hosts: readonly Host[], {region, random, runningRequests}: ForwardingChoice): Host | undefined {
+	const inRegion = hosts.filter(host => host.region === region);
+	const candidates = inRegion.length > 0 ? inRegion : hosts;
+	const pick = () => candidates[Math.floor(random.next() * candidates.length)];
+	const [first, second] = [pick(), pick()];
+	return first === undefined || second === undefined || runningRequests(first.name) <= runningRequests(second.name) ? first : second;
+}
+
 function findNearbyHosts<Host extends {readonly region: string; readonly failureDomain: string}>(hosts: readonly Host[], client: ClientLocation): readonly Host[] {
 	const inDomain = hosts.filter(host => host.failureDomain === client.failureDomain);
 	if (inDomain.length >= minimumNearbyHosts) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 } from './server-loads.js';
 export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
+export {type ServerLinksOptions, ServerLinks} from './server-links.js';
 export {type ServerProcess, ServerNotices} from './server-notices.js';
 export {
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
@@ -34,5 +35,7 @@
 export {
 	type StreamOrigin, type StreamOriginReport, StreamOrigins, combineOrigins, hashRequestId, originRetention,
 } from './stream-origins.js';
-export {type ClientLocation, selectNearbyHosts} from './host-selection.js';
+export {
+	type ClientLocation, type ForwardingChoice, selectForwardingHost, selectNearbyHosts,
+} from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -114,6 +114,14 @@
 		}
 	}
 
+	/** Ends the pauses of all servers, because they were due to lost links of this host. */
+	endPauses(): void {
+		for (const statistics of this.#statistics.values()) {
+			statistics.consecutiveFailures = 0;
+			statistics.pausedUntil = 0;
+		}
+	}
+
 	/**
 	 * Records the outcome of a request; a success ends the server's pause.
 	 *
