Ask peers before requests are suspected of having crashed a server

Hosts that were partitioned refused requests fleet-wide: their lost links passed for crashed servers, so that all hosts, also those with all their links, quarantined sound prompt parts and requests.

Cause: a host took a server for crashed on the evidence of its own link only. Servers that fall over under load convicted requests in the same way.

A host that finds a server out of reach now asks two peers with links, which answer from what they have received since or by connecting (an indirect probe as in SWIM). Requests are suspected only if no peer reaches the server, and not if this host or a peer had a request rejected for want of capacity within the second before.

--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -152,6 +152,9 @@
 				log: silentLogger,
 				metrics: new Metrics(),
 				now: () => this.#events.now, earliestArrival: () => this.#events.now,
+				random: createSeededRandom(1),
+				isDetached: () => false,
+				canConnect: async () => false,
 				hostState: () => clusterState.configuration === undefined ? 'starting' : 'serving',
 				hasStoreContact: () => host.isReader,
 				mustBeRelay: () => false,
@@ -343,7 +346,7 @@
 		return {
 			fetchSnapshot: async address => call(address, source => source.snapshot()),
 			fetchChanges: async (address, known) => call(address, source => source.changesSince(known)),
-			fetchHosts: async (address, kind) => call(address, source => [...source.hosts(kind)]), fetchStreamOrigin: async (address, question) => call(address, source => source.streamOrigin(question)),
+			fetchHosts: async (address, kind) => call(address, source => [...source.hosts(kind)]), fetchServerContact: async address => call(address, () => ({contact: 'unknown' as const, isOverloaded: false})), fetchStreamOrigin: async (address, question) => call(address, source => source.streamOrigin(question)),
 		};
 	}
 
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -123,6 +123,9 @@
 			metrics: this.#metrics,
 			now,
 			earliestArrival,
+			random,
+			isDetached: () => this.#forwarding.serverLinks.isDetached,
+			canConnect: async server => this.#connectionPool.canConnect(server),
 			hostState: () => this.#hostState(),
 			hasStoreContact: () => this.#storeWatch.isConnected,
 			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#fleet.role === 'relay'),
@@ -160,22 +163,14 @@
 			},
 		});
 		this.#crashDetector = new ServerCrashDetector({
-			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, serverLinks: this.#forwarding.serverLinks, log, now, canConnect: async server => this.#connectionPool.canConnect(server),
+			clusterState: this.#clusterState, hostGossip: gossip, quarantine: this.#quarantine, promptPartGuard: this.#fleet.promptPartGuard, serverLinks: this.#forwarding.serverLinks, witnesses: this.#fleet.serverWitnesses, log, now, canConnect: async server => this.#connectionPool.canConnect(server),
 		});
 		this.#noticeRecorder = new ServerNoticeRecorder({
 			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
 		});
 		this.#pipelineContext = createPipelineContext({
-			dependencies,
-			clusterState: this.#clusterState,
-			dispatcher: this.#dispatcher,
-			connections: this.#connectionPool,
-			forwarding: this.#forwarding,
-			fleet: this.#fleet,
-			quarantine: this.#quarantine,
-			retryBudgets: this.#retryBudgets,
-			placementTracker: this.#placementTracker,
-			crashDetector: this.#crashDetector,
+			dependencies, clusterState: this.#clusterState, dispatcher: this.#dispatcher, connections: this.#connectionPool, forwarding: this.#forwarding, fleet: this.#fleet,
+			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector,
 			onRequestFinished: () => {
 				this.#runningRequests--;
 			},
@@ -221,8 +216,9 @@
 			},
 			onRejected: (id, status, reason) => {
 				this.#metrics.incrementCounter('requests', {route: 'none', outcome: 'rejected', status: String(status)});
+				const outcome = 'rejected';
 				log.info('request', {
-					id, outcome: 'rejected', status, cause: reason,
+					id, outcome, status, cause: reason,
 				});
 			},
 		})));
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -1,12 +1,14 @@
 import type {HostDescription, HostRole, HostState} from '@lacewingpoint/coordination';
 import type {Quarantine} from '@lacewingpoint/routing';
 import type {
-	Disposable, Logger, Metrics, Milliseconds, Scheduler,
+	Disposable, Logger, Metrics, Milliseconds, RandomSource, Scheduler,
 } from '@lacewingpoint/shared';
+import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {PeerClient, SnapshotSource} from '../state/peer-snapshots.js';
 import {PromptPartGuard} from '../state/prompt-part-guard.js';
 import {PeerSynchronizer} from '../state/peer-synchronizer.js';
+import {ServerWitnesses} from '../state/server-witnesses.js';
 import {StreamOriginFinder} from '../state/stream-origin-finder.js';
 import {RelayFollower} from '../state/relay-follower.js';
 import {FleetMembership} from './fleet-membership.js';
@@ -26,12 +28,17 @@
 	readonly transport: GossipTransport;
 	readonly peerClient: PeerClient;
 	readonly scheduler: Scheduler;
+	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
 	earliestArrival(): Milliseconds;
 	hostState(): HostState;
+	/** @returns Whether this host has lost its links to all servers. */
+	isDetached(): boolean;
+	/** @returns Whether a server accepts a connection. */
+	canConnect(server: ConnectionTarget): Promise<boolean>;
 	/** @returns Whether this host reads the store and has contact to it. */
 	hasStoreContact(): boolean;
 	/** @returns Whether this host has a task for which it has to stay a relay. */
@@ -46,6 +53,7 @@
 	readonly gossip: HostGossip;
 	readonly promptPartGuard: PromptPartGuard;
 	readonly streamOriginFinder: StreamOriginFinder;
+	readonly serverWitnesses: ServerWitnesses;
 	readonly #options: FleetOptions;
 	readonly #membership: FleetMembership;
 	readonly #receiver: GossipReceiver;
@@ -95,6 +103,9 @@
 		this.streamOriginFinder = new StreamOriginFinder({
 			clusterState, peerClient, now, relays: () => clusterState.hosts.listRelays(now()).filter(({name}) => name !== description.name),
 		});
+		this.serverWitnesses = new ServerWitnesses({
+			hostName: description.name, clusterState, peerClient, random: options.random, now, isDetached: () => options.isDetached(), canConnect: async server => options.canConnect(server),
+		});
 		this.#receiver = new GossipReceiver({
 			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, log, now,
 		});
@@ -126,6 +137,7 @@
 			snapshot: () => clusterState.snapshot(),
 			changesSince: known => clusterState.changesSince(known),
 			hosts: kind => this.#membership.listReported(kind),
+			serverContact: async question => this.serverWitnesses.answer(question),
 			streamOrigin: ({service, stream}) => clusterState.streamOrigins.find(service, stream, now()),
 		};
 	}
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -28,6 +28,9 @@
  */
 const assumedLoadingTime: Milliseconds = 300;
 
+/** Status of a server that has no capacity for a request. */
+const rejectedStatus = 503;
+
 /** Called when an attempt has ended. */
 export type AttemptListener = {
 	/** The response was forwarded completely. */
@@ -292,6 +295,10 @@
 	#onNotExecuted(attempt: Attempt, head: ResponseHead): void {
 		const {clusterState, now} = this.#context;
 		const {entry, engine} = attempt.chosen;
+		if (attempt.status === rejectedStatus) {
+			clusterState.health.recordRejection(entry.id, now());
+		}
+
 		if (head.isMisdirected && head.instanceId !== undefined && head.instanceId !== entry.id) {
 			clusterState.health.recordUnreachable(entry.id, now());
 		}
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -12,6 +12,7 @@
 import type {ChangeBatch} from '../ports.js';
 import {listen} from '../requests/client-listener.js';
 import {forwardedRequestPath} from '../requests/forwarded-request.js';
+import type {ContactQuestion, ServerContact} from './server-witnesses.js';
 import {addTransferTime} from './transfer-time.js';
 
 /** What a host knows already. */
@@ -38,6 +39,8 @@
 	hosts(kind: FleetLink['kind']): HostReport[];
 	/** @returns What this host knows of the version at which a stream began. */
 	streamOrigin(question: OriginQuestion): StreamOrigin;
+	/** @returns What this host knows of a server that the asking host does not reach. */
+	serverContact(question: ContactQuestion): Promise<ServerContact>;
 };
 
 /** A question for the software version at which a stream of a service began. */
@@ -53,10 +56,13 @@
 const linkKindSchema = v.picklist(['relay', 'member']);
 const originQuestionSchema = v.object({service: v.string(), stream: v.optional(v.number())});
 
+const contactQuestionSchema = v.object({server: v.string(), incarnation: v.string(), age: v.number()});
+
 const snapshotRouter = trpc.router({
 	snapshot: trpc.procedure.query(({ctx}) => ctx.source.snapshot()),
 	changes: trpc.procedure.input(value => v.parse(knownStateSchema, value)).query(({ctx, input}) => ctx.source.changesSince(input)),
 	streamOrigin: trpc.procedure.input(value => v.parse(originQuestionSchema, value)).query(({ctx, input}) => ctx.source.streamOrigin(input)),
+	serverContact: trpc.procedure.input(value => v.parse(contactQuestionSchema, value)).query(async ({ctx, input}) => ctx.source.serverContact(input)),
 	hosts: trpc.procedure.input(value => v.parse(linkKindSchema, value)).query(({ctx, input}) => ctx.source.hosts(input)),
 });
 
@@ -66,6 +72,9 @@
  */
 export const snapshotTimeout: Milliseconds = 2500;
 
+/** A question about a server fails after this time: the peer connects to it at the most. */
+const contactTimeout: Milliseconds = 400;
+
 /** The error of a request that failed or timed out. */
 export type SnapshotError = LayerError<'unreachable'>;
 
@@ -128,6 +137,14 @@
 	 * @returns What the peer knows.
 	 */
 	fetchStreamOrigin(address: string, question: OriginQuestion): Promise<Result<StreamOrigin, SnapshotError>>;
+	/**
+	 * Asks a peer about a server that this host does not reach.
+	 *
+	 * @param address - The peer's snapshot address, `host:port`.
+	 * @param question - The server.
+	 * @returns What the peer knows.
+	 */
+	fetchServerContact(address: string, question: ContactQuestion): Promise<Result<ServerContact, SnapshotError>>;
 };
 
 /** Requests the state of peers with trpc over HTTP. */
@@ -144,6 +161,9 @@
 	async fetchStreamOrigin(address, question) {
 		return callPeer(address, async (client, signal) => client.streamOrigin.query(question, {signal}));
 	},
+	async fetchServerContact(address, question) {
+		return callPeer(address, async (client, signal) => client.serverContact.query(question, {signal}), contactTimeout);
+	},
 };
 
 type SnapshotClient = ReturnType<typeof createTRPCClient<typeof snapshotRouter>>;
@@ -158,10 +178,10 @@
 	}));
 }
 
-async function callPeer<Response>(address: string, call: (client: SnapshotClient, signal: AbortSignal) => Promise<Response>): Promise<Result<Response, SnapshotError>> {
+async function callPeer<Response>(address: string, call: (client: SnapshotClient, signal: AbortSignal) => Promise<Response>, timeout = snapshotTimeout): Promise<Result<Response, SnapshotError>> {
 	const client = createTRPCClient<typeof snapshotRouter>({links: [httpLink({url: `http://${address}`})]});
 	try {
-		return Result.ok(await call(client, AbortSignal.timeout(snapshotTimeout)));
+		return Result.ok(await call(client, AbortSignal.timeout(timeout)));
 	} catch (error) {
 		return Result.err({layer: 'host', code: 'unreachable', message: `could not fetch the state of ${address}: ${getErrorMessage(error)}`});
 	}
--- a/packages/host/src/state/server-crash-detector.ts
+++ b/packages/host/src/state/server-crash-detector.ts
@@ -1,10 +1,11 @@
-import type {Quarantine, SuspectCrash} from '@lacewingpoint/routing';
+import type {Quarantine, ServerEntry, SuspectCrash} from '@lacewingpoint/routing';
 import {type Logger, type Milliseconds, hashText} from '@lacewingpoint/shared';
 import type {HostGossip} from '../members/host-gossip.js';
 import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from './cluster-state.js';
 import type {PromptPartGuard} from './prompt-part-guard.js';
 import type {ServerLinkMonitor} from './server-link-monitor.js';
+import type {ServerWitnesses} from './server-witnesses.js';
 
 /** A server that becomes unreachable within this time after a request was broken off is assumed to have crashed. */
 const crashWindow: Milliseconds = 1500;
@@ -34,6 +35,7 @@
 	readonly quarantine: Quarantine;
 	readonly promptPartGuard: PromptPartGuard;
 	readonly serverLinks: ServerLinkMonitor;
+	readonly witnesses: ServerWitnesses;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 	/** @returns Whether the server accepts a connection. */
@@ -42,7 +44,8 @@
 
 /**
  * Finds the requests that may have crashed a server. A connection reset alone is not enough, as only the response may have been lost; the
- * server must also refuse connections.
+ * server must also refuse connections, and peers must not reach it either: it may be this host's link that is lost. A server that was
+ * overloaded is not crashed by a request.
  */
 export class ServerCrashDetector {
 	readonly #options: ServerCrashDetectorOptions;
@@ -76,43 +79,55 @@
 	 * @param server - The server's id.
 	 */
 	recordUnreachable(server: string): void {
-		const {
-			clusterState, hostGossip, quarantine, promptPartGuard, serverLinks, log, now,
-		} = this.#options;
+		const {clusterState, hostGossip, serverLinks} = this.#options;
+		const brokenRequests = this.#recentBrokenRequests(server);
+		this.#brokenRequests.delete(server);
 		serverLinks.recordFailure(server);
 		if (serverLinks.isDetached) {
-			this.#brokenRequests.delete(server);
 			return;
 		}
 
 		const entry = clusterState.servers.findEntry(server);
-		const brokenRequests = this.#recentBrokenRequests(server);
+		if (brokenRequests.length > 0 && entry !== undefined) {
+			void this.#attributeCrash(entry, brokenRequests);
+		}
+
+		hostGossip.announceUnreachable(server);
+	}
+
+	// The requests are suspected unless peers know another cause.
+	async #attributeCrash(entry: ServerEntry, brokenRequests: readonly RecordedBreak[]): Promise<void> {
+		const {
+			clusterState, hostGossip, quarantine, promptPartGuard, witnesses, log, now,
+		} = this.#options;
+		const {id: server, incarnation, failureDomain} = entry;
+		const cause = await witnesses.findCause(entry, brokenRequests[0]!.brokenAt);
+		log.info('server-death', {
+			server,
+			incarnation,
+			cause,
+			suspects: cause === 'crashed' ? brokenRequests.length : 0,
+			requests: brokenRequests.slice(0, maximumLoggedRequests).map(({id, fingerprint, sharedParts, brokenAt}) => ({
+				id, fingerprint: fingerprint.toString(16), parts: sharedParts, brokenSince: Math.round(now() - brokenAt),
+			})),
+		});
+		if (cause !== 'crashed') {
+			return;
+		}
+
 		// A server that has announced its end is not crashed by a prompt.
-		const isEndExpected = entry !== undefined && (entry.isDraining || clusterState.serverNotices.isLeaving(entry));
+		const isEndExpected = entry.isDraining || clusterState.serverNotices.isLeaving(entry);
 		const suspects: SuspectCrash[] = brokenRequests.map(({fingerprint, sharedParts, hasSurvivedResponse, brokenAt}) => ({
 			fingerprint,
 			parts: isEndExpected || hasSurvivedResponse ? [] : sharedParts.map(id => hashText(id)),
 			server,
-			incarnation: entry?.incarnation ?? '',
-			failureDomain: entry?.failureDomain ?? '',
+			incarnation,
+			failureDomain,
 			age: now() - brokenAt,
 		}));
-		this.#brokenRequests.delete(server);
-		if (suspects.length > 0) {
-			quarantine.mergeSuspects(suspects, now());
-			promptPartGuard.recordCrashes(suspects);
-			hostGossip.announceCrashes(suspects);
-			log.info('server-death', {
-				server,
-				incarnation: entry?.incarnation,
-				suspects: suspects.length,
-				requests: brokenRequests.slice(0, maximumLoggedRequests).map(({id, fingerprint, sharedParts, brokenAt}) => ({
-					id, fingerprint: fingerprint.toString(16), parts: sharedParts, brokenSince: Math.round(now() - brokenAt),
-				})),
-			});
-		}
-
-		hostGossip.announceUnreachable(server);
+		quarantine.mergeSuspects(suspects, now());
+		promptPartGuard.recordCrashes(suspects);
+		hostGossip.announceCrashes(suspects);
 	}
 
 	async #probe(server: string): Promise<void> {
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -16,8 +16,8 @@
 	readonly statisticsExpiry: Milliseconds;
 };
 
-/** The requests in flight at a server, since when it has sent nothing for them, and when it last sent anything. */
-type Contact = {waitingSince: Milliseconds | undefined; receivedAt: Milliseconds; requestsInFlight: number};
+/** The requests in flight at a server, since when it has sent nothing for them, when it last sent anything, and when it last rejected a request. */
+type Contact = {waitingSince: Milliseconds | undefined; receivedAt: Milliseconds; rejectedAt: Milliseconds; requestsInFlight: number};
 
 type ServerStatistics = {
 	consecutiveFailures: number;
@@ -63,7 +63,9 @@
 	 * @param now - Current monotonic time.
 	 */
 	recordRequestSent(server: string, now: Milliseconds): void {
-		const contact = this.#contacts.get(server) ?? {waitingSince: undefined, receivedAt: Number.NEGATIVE_INFINITY, requestsInFlight: 0};
+		const contact = this.#contacts.get(server) ?? {
+			waitingSince: undefined, receivedAt: Number.NEGATIVE_INFINITY, rejectedAt: Number.NEGATIVE_INFINITY, requestsInFlight: 0,
+		};
 		contact.requestsInFlight++;
 		contact.waitingSince ??= now;
 		this.#contacts.set(server, contact);
@@ -83,6 +85,19 @@
 		}
 	}
 
+	/**
+	 * Records that a server has rejected a request for want of capacity.
+	 *
+	 * @param server - The server's id.
+	 * @param now - Current monotonic time.
+	 */
+	recordRejection(server: string, now: Milliseconds): void {
+		const contact = this.#contacts.get(server);
+		if (contact !== undefined) {
+			contact.rejectedAt = now;
+		}
+	}
+
 	/**
 	 * Records that a request is no longer in flight.
 	 *
@@ -188,6 +203,17 @@
 		return (this.#contacts.get(server)?.receivedAt ?? Number.NEGATIVE_INFINITY) > time;
 	}
 
+	/**
+	 * Tells whether a server has rejected a request for want of capacity since some time.
+	 *
+	 * @param server - The server's id.
+	 * @param time - Monotonic time.
+	 * @returns Whether it did so later.
+	 */
+	hasRejectedSince(server: string, time: Milliseconds): boolean {
+		return (this.#contacts.get(server)?.rejectedAt ?? Number.NEGATIVE_INFINITY) > time;
+	}
+
 	/**
 	 * Evaluates whether a server may get requests.
 	 *
