Learn how many requests servers take from those that they turn away and ask for rest

Cause: nothing remembered at which load the server had asked. Ruled out: requests during the rest, of which the test counts none beyond what is allowed.

Servers that do not ask for rest are placed on as before.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -378,6 +378,7 @@
 		this.#forwarding.serverLinks.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
+		this.#clusterState.learnedCapacity.removeUnknown(({id, incarnation}) => this.#clusterState.servers.findEntry(id)?.incarnation === incarnation);
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -136,12 +136,17 @@
 			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: shortestWait};
 		}
 
+		const belowCapacity = entries.filter(entry => this.#clusterState.loads.totalLoad(entry.id, this.#now()).requests < this.#clusterState.learnedCapacity.limit(entry, this.#now()));
+		if (belowCapacity.length === 0) {
+			return {type: 'full', estimatedWait: assumedServiceTime};
+		}
+
 		const {generation} = placementRequest.request;
 		if (service?.engine !== undefined && generation !== undefined) {
-			return this.#placeGeneration(placementRequest, service, sampleServers(entries, this.#findOwners(entries, generation), this.#random));
+			return this.#placeGeneration(placementRequest, service, sampleServers(belowCapacity, this.#findOwners(belowCapacity, generation), this.#random));
 		}
 
-		return this.#placePlain(sampleServers(entries, new Set(), this.#random), placementRequest.service);
+		return this.#placePlain(sampleServers(belowCapacity, new Set(), this.#random), placementRequest.service);
 	}
 
 	/**
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,7 +2,7 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, ServerNotices, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -42,6 +42,7 @@
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly health = new ServerHealth(healthOptions);
 	readonly serverNotices = new ServerNotices();
+	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
 	readonly streamOrigins = new StreamOrigins();
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
--- a/packages/host/src/state/server-notice-recorder.ts
+++ b/packages/host/src/state/server-notice-recorder.ts
@@ -67,9 +67,10 @@
 
 		const duration = notice.pause * (1 + (random.next() * largestExtension));
 		clusterState.serverNotices.recordPause(target, now() + duration, now());
+		clusterState.learnedCapacity.recordRejection(target, clusterState.loads.totalLoad(target.id, now()).requests, now());
 		metrics.incrementCounter('server_pauses', {outcome: 'applied'});
 		log.info('server-pause', {
-			server: target.id, outcome: 'applied', asked: notice.pause, duration: Math.round(duration),
+			server: target.id, outcome: 'applied', asked: notice.pause, duration: Math.round(duration), capacity: clusterState.learnedCapacity.limit(target, now()),
 		});
 	}
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 } from './server-loads.js';
 export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
+export {type LearnedCapacityOptions, LearnedCapacity, defaultLearnedCapacityOptions} from './learned-capacity.js';
 export {type ServerLinksOptions, ServerLinks} from './server-links.js';
 export {type ServerProcess, ServerNotices} from './server-notices.js';
 export {
