Log the stage at which clients disconnect, requests ahead, read delays and whose refusals servers send

The log could not tell whether a request that a server got after its client had left was held by a silent link, was read late by a host that had been held up, or stood behind another one on its connection. Logged now: the stage and the requests ahead on the connection, the time that the request may have waited in the operating system, and how long the server had been silent when an attempt was given up. A counter tells refusals that name the request from those that name none or another. No decision changes.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -170,7 +170,7 @@
 		});
 		this.#pipelineContext = createPipelineContext({
 			dependencies, clusterState: this.#clusterState, dispatcher: this.#dispatcher, connections: this.#connectionPool, forwarding: this.#forwarding, fleet: this.#fleet,
-			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector,
+			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, earliestArrival,
 			onRequestFinished: () => {
 				this.#runningRequests--;
 			},
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -322,6 +322,8 @@
 	/** Monotonic time at which the request head was received. */
 	readonly receivedAt: Milliseconds;
 	readonly responseWriter: ResponseWriter;
+	/** The requests on the same connection whose responses come first; 0 unless the client sends several at once. */
+	readonly requestsAhead: number;
 	/** Set if a peer without links to servers has forwarded the request. */
 	readonly forwarding?: ForwardingTerms | undefined;
 };
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -1,4 +1,5 @@
 import type {Quarantine} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
 import type {Forwarding} from './forwarding.js';
 import type {HostDependencies} from './host-dependencies.js';
 import type {Fleet} from './members/fleet.js';
@@ -22,6 +23,8 @@
 	readonly retryBudgets: RetryBudgets;
 	readonly placementTracker: PromptPlacementTracker;
 	readonly crashDetector: ServerCrashDetector;
+	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
+	earliestArrival(): Milliseconds;
 	/** Called once the outcome of a request is final. */
 	onRequestFinished(): void;
 };
@@ -50,6 +53,7 @@
 		log,
 		metrics,
 		now,
+		earliestArrival: () => components.earliestArrival(),
 		isDetached: () => forwarding.serverLinks.isDetached,
 		retryBudget: service => retryBudgets.forService(service),
 		hostCount: () => fleet.gossip.hostCount,
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -166,6 +166,8 @@
 			return false;
 		}
 
+		const {clusterState, now} = this.#context;
+		attempt.silentTime = clusterState.health.stallDuration(attempt.chosen.entry.id, now());
 		attempt.exchange?.abort();
 		this.#endAttempt(attempt, result);
 		return true;
@@ -295,6 +297,8 @@
 	#onNotExecuted(attempt: Attempt, head: ResponseHead): void {
 		const {clusterState, now} = this.#context;
 		const {entry, engine} = attempt.chosen;
+		const id = head.requestId === undefined ? 'none' : (head.requestId === this.#request.received.request.id ? 'own' : 'other');
+		this.#context.metrics.incrementCounter('refusals', {status: String(attempt.status), id, connection: attempt.exchange?.isReused === true ? 'reused' : 'new'});
 		if (attempt.status === rejectedStatus) {
 			clusterState.health.recordRejection(entry.id, now());
 		}
@@ -307,7 +311,7 @@
 			clusterState.weightsTracker.recordLoading(entry.id, now() + assumedLoadingTime, now());
 		}
 
-		this.#endAttempt(attempt, `not run (${attempt.status})`);
+		this.#endAttempt(attempt, `not run (${attempt.status}${id === 'own' ? '' : `, id: ${id}`})`);
 		attempt.exchange?.abort();
 		if (this.#retries.claimAfterRejection()) {
 			this.#options.listener.onRetry();
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -33,6 +33,8 @@
 	resetCheck: ResetCheck | undefined;
 	/** Size of the incomplete event at the end of a stream. */
 	partialEventBytes: Bytes;
+	/** How long the server had sent nothing to this host when the attempt was given up, in any response; 0 unless it was. */
+	silentTime: Milliseconds;
 };
 
 /** The entry of an attempt in the log event `request`. */
@@ -68,6 +70,7 @@
 		isEventStream: false,
 		resetCheck: undefined,
 		partialEventBytes: 0,
+		silentTime: 0,
 	};
 }
 
@@ -102,6 +105,7 @@
 		framing: attempt.framing,
 		resetCheck: attempt.resetCheck,
 		partialEvent: attempt.partialEventBytes === 0 ? undefined : attempt.partialEventBytes,
+		silent: attempt.silentTime === 0 ? undefined : roundTime(attempt.silentTime),
 	};
 }
 
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -41,6 +41,8 @@
 
 /** A request in flight and its response. */
 export type Exchange = {
+	/** Whether the connection has carried another exchange before. */
+	readonly isReused: boolean;
 	pause(): void;
 	resume(): void;
 	/** Closes the connection, upon which the server stops executing the request. No callback follows. */
@@ -94,6 +96,8 @@
 	readonly key: string;
 	idleSince: Milliseconds;
 	isClosed: boolean;
+	/** Whether it has carried an exchange that is complete. */
+	isReused: boolean;
 	/** State of the socket that was opened last. */
 	socketState: SocketState;
 };
@@ -218,6 +222,7 @@
 			},
 		});
 		return {
+			isReused: connection.isReused,
 			pause() {
 				requestController?.pause();
 			},
@@ -337,7 +342,7 @@
 			},
 		});
 		const connection: Connection = {
-			client, key, idleSince: 0, isClosed: false, socketState: createSocketState(),
+			client, key, idleSince: 0, isClosed: false, isReused: false, socketState: createSocketState(),
 		};
 		client.on('disconnect', () => {
 			connection.isClosed = true;
@@ -348,6 +353,7 @@
 	#release(connection: Connection): void {
 		const idle = this.#idleConnections.get(connection.key) ?? [];
 		connection.idleSince = this.#options.now();
+		connection.isReused = true;
 		if (connection.isClosed || idle.length >= this.#options.maxIdleConnections) {
 			this.#discard(connection);
 			return;
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -135,6 +135,7 @@
 	const limits = () => options.limits() ?? defaultLimits;
 	const openSockets = new Set<Socket>();
 	const openResponses = new Set<ResponseWriter>();
+	const openResponsesByConnection = new WeakMap<Socket, Set<ResponseWriter>>();
 	let bufferedBytes = 0;
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
@@ -143,6 +144,10 @@
 		const responseWriter = new HttpResponseWriter(response, options);
 		openResponses.add(responseWriter);
 		response.once('close', () => openResponses.delete(responseWriter));
+		const connectionResponses = openResponsesByConnection.get(request.socket) ?? new Set();
+		const requestsAhead = connectionResponses.size;
+		openResponsesByConnection.set(request.socket, connectionResponses.add(responseWriter));
+		response.once('close', () => connectionResponses.delete(responseWriter));
 		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
 		const reject = (id: string | undefined, status: number, reason: string) => {
 			options.onRejected(id, status, reason);
@@ -203,7 +208,7 @@
 			}
 
 			options.onRequest({
-				request: decodedBody.value, body, receivedAt, responseWriter,
+				request: decodedBody.value, body, receivedAt, responseWriter, requestsAhead,
 			});
 		});
 	});
--- a/packages/host/src/requests/forwarded-request-listener.ts
+++ b/packages/host/src/requests/forwarded-request-listener.ts
@@ -152,7 +152,7 @@
 
 			const {request: clientRequest, body, ...forwarding} = decoded.value;
 			onRequest({
-				request: clientRequest, body, receivedAt, responseWriter, forwarding,
+				request: clientRequest, body, receivedAt, responseWriter, requestsAhead: 0, forwarding,
 			});
 		});
 	}
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -24,6 +24,8 @@
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly now: () => Milliseconds;
+	/** @returns The earliest monotonic time at which data that is read now may have reached this machine; early if the host was held up. */
+	earliestArrival(): Milliseconds;
 	/** @returns Whether this host has lost its links to all servers. */
 	isDetached(): boolean;
 	/** @returns The retry budget of a service. */
--- a/packages/host/src/requests/request-completion.ts
+++ b/packages/host/src/requests/request-completion.ts
@@ -9,6 +9,9 @@
 /** The reason for a failure at the deadline, which is reported to the client with a status of its own. */
 export const outOfTime = 'out of time';
 
+/** What has become of a request when its client disconnects: it was never sent, is at a server or peer, or its response has begun. */
+export type AbandonedStage = 'waiting' | 'sent' | 'answering';
+
 /** The attempts of a request so far. */
 export type AttemptProgress = {
 	/** Attempts that a server has executed or may have executed. */
@@ -100,9 +103,14 @@
 		this.#options.request.received.responseWriter.sendError(status, reason, retryAfter);
 	}
 
-	/** Ends a request whose client has disconnected. */
-	abandon(): void {
-		this.#finish('client-gone', 0);
+	/**
+	 * Ends a request whose client has disconnected.
+	 *
+	 * @param stage - What had become of the request, for the metrics.
+	 */
+	abandon(stage: AbandonedStage): void {
+		this.#options.context.metrics.incrementCounter('clients_gone', {stage});
+		this.#finish('client-gone', 0, stage);
 	}
 
 	#finish(outcome: string, status: number, cause?: string, retryAfter?: Milliseconds): void {
@@ -115,6 +123,7 @@
 		onFinished();
 		reportRequest(context, {
 			received: request.received,
+			longestReadDelay: request.longestReadDelay,
 			route: request.route,
 			workspace: request.workspace,
 			service: request.service,
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -51,7 +51,7 @@
 	 */
 	constructor(received: ReceivedRequest, context: PipelineContext) {
 		this.#context = context;
-		this.#request = new RoutedRequest(received, context.now);
+		this.#request = new RoutedRequest(received, context);
 		this.#response = new RelayedResponse(received.responseWriter, version => {
 			this.#recordOrigin(version);
 		});
@@ -367,9 +367,10 @@
 			return;
 		}
 
-		this.#attempts?.abort('client gone');
-		this.#forwardedAttempt?.abort('client gone');
-		this.#completion.abandon();
+		const hasAbortedAttempt = this.#attempts?.abort('client gone') === true;
+		const hasAbortedForwarding = this.#forwardedAttempt?.abort('client gone') === true;
+		const isSent = hasAbortedAttempt || hasAbortedForwarding;
+		this.#completion.abandon(this.#response.hasStarted ? 'answering' : (isSent ? 'sent' : 'waiting'));
 	}
 
 	#onFinished(): void {
--- a/packages/host/src/requests/request-report.ts
+++ b/packages/host/src/requests/request-report.ts
@@ -5,9 +5,14 @@
 import type {PipelineContext} from './pipeline-context.js';
 import {sharedPartIds} from './request-admission.js';
 
+/** A shorter delay until a request was read is not logged: the bound on it is checked each 100 ms. */
+const loggedReadDelay: Milliseconds = 300;
+
 /** The final outcome of a request, with what decided it. */
 export type RequestOutcome = {
 	readonly received: ReceivedRequest;
+	/** How long the request may have waited in the operating system until it was read. */
+	readonly longestReadDelay: Milliseconds;
 	readonly route: Route | undefined;
 	readonly workspace: Workspace | undefined;
 	readonly service: string;
@@ -57,6 +62,8 @@
 		status: result.status,
 		cause: result.cause,
 		retryAfter: roundTime(result.retryAfter),
+		ahead: result.received.requestsAhead === 0 ? undefined : result.received.requestsAhead,
+		readDelay: result.longestReadDelay < loggedReadDelay ? undefined : roundTime(result.longestReadDelay),
 		took: roundTime(took),
 		firstByte: roundTime(sinceReceived(result.firstByteAt)),
 		waited: roundTime(waited),
--- a/packages/host/src/requests/routed-request.ts
+++ b/packages/host/src/requests/routed-request.ts
@@ -8,6 +8,8 @@
 /** A request and what its admission has determined so far. */
 export class RoutedRequest {
 	readonly received: ReceivedRequest;
+	/** How long the request may have waited in the operating system until it was read, because the host was held up. */
+	readonly longestReadDelay: Milliseconds;
 	readonly #now: () => Milliseconds;
 	#route: Route | undefined;
 	#workspace: Workspace | undefined;
@@ -16,10 +18,11 @@
 
 	/**
 	 * @param received - The request, its body and the writer of its response.
-	 * @param now - Monotonic clock.
+	 * @param context - Monotonic clock, and how far back data that is read now may have arrived.
 	 */
-	constructor(received: ReceivedRequest, now: () => Milliseconds) {
+	constructor(received: ReceivedRequest, {now, earliestArrival}: {now(): Milliseconds; earliestArrival(): Milliseconds}) {
 		this.received = received;
+		this.longestReadDelay = now() - earliestArrival();
 		this.#now = now;
 	}
 
