Move the loopback proxy to the stand-ins, and let it hold what a silent link would send again later

Tests of other packages need it. The new fault 'held' delivers bytes, and an orderly end, after the fault, but neither a reset nor what came before it, as the operating system does on a link that loses all packets for a while.

--- a/packages-private/soak/src/fault-injector.ts
+++ b/packages-private/soak/src/fault-injector.ts
@@ -1,9 +1,10 @@
 import type {LocalCluster, LocalHost} from '@lacewingpoint/local-cluster';
 import type {Milliseconds} from '@lacewingpoint/shared';
-import {type StoreCopy, type StoreFailureMode, createConfiguration} from '@lacewingpoint/stand-ins';
+import {
+	type LinkFault, type LoopbackProxy, type StoreCopy, type StoreFailureMode, createConfiguration,
+} from '@lacewingpoint/stand-ins';
 import type {Violation} from './checks.js';
 import type {ScheduledFault} from './fault-schedule.js';
-import type {LinkFault, LoopbackProxy} from './loopback-proxy.js';
 import type {ServerBehaviour} from './soak-server.js';
 
 const linkFaults: readonly LinkFault[] = ['delay', 'reset', 'silent', 'one-way'];
--- a/packages-private/soak/src/index.ts
+++ b/packages-private/soak/src/index.ts
@@ -4,4 +4,3 @@
 	type ClientOutcome, type RequestKind, SoakClient, createExpectedBody,
 } from './client-traffic.js';
 export {type FaultKind, type ScheduledFault, createFaultSchedule} from './fault-schedule.js';
-export {type LinkFault, LoopbackProxy} from './loopback-proxy.js';
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -2,14 +2,13 @@
 import {
 	type Milliseconds, type RandomSource, createSeededRandom, hashText,
 } from '@lacewingpoint/shared';
-import {createConfiguration} from '@lacewingpoint/stand-ins';
+import {LoopbackProxy, createConfiguration} from '@lacewingpoint/stand-ins';
 import {
 	type Violation, checkLog, checkOutcomes, findLogLines,
 } from './checks.js';
 import {type ClientOutcome, SoakClient} from './client-traffic.js';
 import {FaultInjector} from './fault-injector.js';
 import {createFaultSchedule} from './fault-schedule.js';
-import {LoopbackProxy} from './loopback-proxy.js';
 import {type ServerBehaviour, createSoakHandler} from './soak-server.js';
 
 export type SoakOptions = {
--- a/packages-private/soak/__tests__/loopback-proxy.test.ts
+++ b/packages-private/stand-ins/__tests__/loopback-proxy.test.ts
@@ -8,7 +8,9 @@
 
 const test = suite('LoopbackProxy');
 
-type ProxiedConnection = {readonly proxy: LoopbackProxy; readonly server: Socket; received(): string; isReset(): boolean};
+type ProxiedConnection = {
+	readonly proxy: LoopbackProxy; readonly server: Socket; readonly client: Socket; received(): string; isReset(): boolean;
+};
 
 async function withConnection(check: (connection: ProxiedConnection) => Promise<void>): Promise<void> {
 	let server: Socket | undefined;
@@ -36,7 +38,7 @@
 
 	try {
 		await check({
-			proxy, server, received: () => text, isReset: () => wasReset,
+			proxy, server, client, received: () => text, isReset: () => wasReset,
 		});
 	} finally {
 		client.destroy();
@@ -82,4 +84,34 @@
 	});
 });
 
+test('a link that holds bytes delivers them later, with an orderly end but not before a reset', async () => {
+	for (const isReset of [false, true]) {
+		await withConnection(async ({proxy, server, client}) => {
+			let received = '';
+			let hasEnded = false;
+			server.on('data', chunk => {
+				received += String(chunk);
+			});
+			server.on('end', () => {
+				hasEnded = true;
+			});
+			proxy.fault = 'held';
+			client.write('bytes');
+			await pause(30);
+			if (isReset) {
+				client.resetAndDestroy();
+			} else {
+				client.end();
+			}
+
+			await pause(50);
+			assert.is(received, '');
+			proxy.fault = 'none';
+			await pause(50);
+			assert.is(received.trim(), isReset ? '' : 'bytes');
+			assert.is(hasEnded, !isReset);
+		});
+	}
+});
+
 test.run();
--- a/packages-private/stand-ins/src/index.ts
+++ b/packages-private/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 export {createConfiguration} from './configuration.js';
+export {type LinkFault, LoopbackProxy} from './loopback-proxy.js';
 export {
 	type PlatformRequest, type RequestHandler, PlatformServerStandIn, createCompletionChunk, formatResponseHead,
 	resetConnection, respondAndReset, respondWithBody, streamCompletion, streamEvents, streamUntilClose,
