Reset the connections of attempts whose request the server may not have received

What callers saw: requests ran after their clients had left or had been answered with an error, as soon as a silent link was back. Cause: an attempt that was given up closed its connection in an orderly way. The operating system goes on sending what is not acknowledged, the request first and the end after it, for as long as the link is silent. Change: such a connection is reset, upon which the operating system discards the request. A reset is not sent again if it is lost, so that a server which has the request would never learn of it: if the server has sent anything since, in any response, the end stays orderly. The same holds for stalls, deadlines, orders to model servers and requests forwarded to peers, as all of them use the same call. Ruled out: that the host sends the request again; its log has one attempt.

--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -28,6 +28,9 @@
  */
 const assumedLoadingTime: Milliseconds = 300;
 
+/** A server that has sent anything, in any response, this long after a request was written has received the request. */
+const deliveryTime: Milliseconds = 50;
+
 /** Status of a server that has no capacity for a request. */
 const rejectedStatus = 503;
 
@@ -167,8 +170,9 @@
 		}
 
 		const {clusterState, now} = this.#context;
-		attempt.silentTime = clusterState.health.stallDuration(attempt.chosen.entry.id, now());
-		attempt.exchange?.abort();
+		const server = attempt.chosen.entry.id;
+		attempt.silentTime = clusterState.health.stallDuration(server, now());
+		attempt.exchange?.abort({isDelivered: clusterState.health.hasSentSince(server, attempt.sentAt + deliveryTime)});
 		this.#endAttempt(attempt, result);
 		return true;
 	}
@@ -312,7 +316,7 @@
 		}
 
 		this.#endAttempt(attempt, `not run (${attempt.status}${id === 'own' ? '' : `, id: ${id}`})`);
-		attempt.exchange?.abort();
+		attempt.exchange?.abort({isDelivered: true});
 		if (this.#retries.claimAfterRejection()) {
 			this.#options.listener.onRetry();
 		} else {
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -45,8 +45,14 @@
 	readonly isReused: boolean;
 	pause(): void;
 	resume(): void;
-	/** Closes the connection, upon which the server stops executing the request. No callback follows. */
-	abort(): void;
+	/**
+	 * Closes the connection, upon which the server stops executing the request. No callback follows.
+	 *
+	 * @param options - `isDelivered`: whether the server is known to have received the request, as it is after a response head. The
+	 * operating system then announces the end as often as needed. Otherwise the connection is reset, as the request would be sent
+	 * again as often as needed.
+	 */
+	abort(options: {readonly isDelivered: boolean}): void;
 };
 
 export type BackendConnectionPoolOptions = {
@@ -80,6 +86,8 @@
 
 /** What is known of one socket. Undici may open another one for the same client, of which none of this holds. */
 type SocketState = {
+	/** `undefined` until it is connected. */
+	readonly socket: Socket | undefined;
 	/** Whether the socket reported an error. Undici reports a reset during a close-delimited response as its end. */
 	hasSocketError: boolean;
 	resetCheck: ResetCheck;
@@ -102,9 +110,9 @@
 	socketState: SocketState;
 };
 
-function createSocketState(): SocketState {
+function createSocketState(socket?: Socket): SocketState {
 	return {
-		hasSocketError: false, resetCheck: 'pending', isEndReceived: false, onResetChecked: undefined, isCloseDelimited: false,
+		socket, hasSocketError: false, resetCheck: 'pending', isEndReceived: false, onResetChecked: undefined, isCloseDelimited: false,
 	};
 }
 
@@ -156,6 +164,7 @@
 		let isFinished = false;
 		let wasWritten = false;
 		let isAborted = false;
+		let hasHead = false;
 		const fail = (reason: string) => {
 			if (!isFinished) {
 				isFinished = true;
@@ -199,6 +208,7 @@
 			},
 			onResponseStart(controller, status, headers) {
 				if (status >= 200 && !isFinished) {
+					hasHead = true;
 					onResponseHead(target, status, headers, sentAt);
 					connection.socketState.isCloseDelimited = isCloseDelimited(request.method, status, headers);
 					handler.onHead(status, headers, decodeRawHeaders((controller as unknown as ControllerWithRawHeaders).rawHeaders));
@@ -229,9 +239,13 @@
 			resume() {
 				requestController?.resume();
 			},
-			abort: () => {
+			abort: ({isDelivered}) => {
 				isAborted = true;
 				isFinished = true;
+				if (wasWritten && !isDelivered && !hasHead) {
+					connection.socketState.socket?.resetAndDestroy();
+				}
+
 				requestController?.abort(new Error('aborted'));
 				this.#discard(connection);
 			},
@@ -319,7 +333,7 @@
 			connect(_options, callback) {
 				connectToServer(address, connectOptions, outcome => {
 					const socket = outcome.isOk ? outcome.value : undefined;
-					const state = createSocketState();
+					const state = createSocketState(socket);
 					connection.socketState = state;
 					// Runs before undici's own listener, which would end a close-delimited response as if it were complete.
 					socket?.prependListener('error', (error: NodeJS.ErrnoException) => {
--- a/packages/host/src/requests/forwarded-attempt.ts
+++ b/packages/host/src/requests/forwarded-attempt.ts
@@ -103,7 +103,7 @@
 			return false;
 		}
 
-		this.#exchange.abort();
+		this.#exchange.abort({isDelivered: false});
 		this.#end('aborted', result);
 		return true;
 	}
@@ -188,7 +188,7 @@
 	// Ends the attempt after the request may have been executed.
 	#fail(reason: string): void {
 		const {listener, request, response, retries} = this.#options;
-		this.#exchange.abort();
+		this.#exchange.abort({isDelivered: false});
 		this.#end('failed', reason);
 		if (this.#head === undefined) {
 			retries.executions++;
--- a/packages/host/src/weights/model-server-client.ts
+++ b/packages/host/src/weights/model-server-client.ts
@@ -103,7 +103,7 @@
 				},
 			});
 			const timer = setTimeout(() => {
-				exchange.abort();
+				exchange.abort({isDelivered: false});
 				resolve(undefined);
 			}, controlCallTimeout);
 		});
