Tell all requests of a connection that their client has left

What callers saw: of several requests that a client had sent at once before it left, all but the first were executed to their end, and after some such clients the host refused request bodies with 503 although it held none. Cause: Node.js reports the end of a connection only to the response that is being written. Those that wait for their turn never closed, so their attempts ran on, and neither their bodies nor, at hosts that serve for peers, their places were given back. Change: a ClientConnection follows the socket itself and ends all exchanges on it, for clients and for peers.

--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -4,6 +4,7 @@
 import type {Socket} from 'node:net';
 import type {ClientLimits} from '@lacewingpoint/routing';
 import type {Bytes, Milliseconds} from '@lacewingpoint/shared';
+import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 import type {
 	ClientProtocol, ClientRequest, HeaderList, ReceivedRequest, ResponseWriter,
 } from '../ports.js';
@@ -46,31 +47,19 @@
 	/** `undefined` until the request head is decoded. */
 	request: ClientRequest | undefined;
 	readonly #response: ServerResponse;
+	readonly #delivery: ResponseDelivery;
 	readonly #options: ClientListenerOptions;
-	readonly #disconnectListeners: Array<() => void> = [];
-	#isDisconnected = false;
 	#hasContentLength = false;
 
-	constructor(response: ServerResponse, options: ClientListenerOptions) {
+	constructor(response: ServerResponse, delivery: ResponseDelivery, options: ClientListenerOptions) {
 		this.#response = response;
+		this.#delivery = delivery;
 		this.#options = options;
 		response.sendDate = false;
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				this.#isDisconnected = true;
-				for (const listener of this.#disconnectListeners) {
-					listener();
-				}
-			}
-		});
-		// The close event that follows notifies the listeners.
-		response.on('error', () => {
-			this.#isDisconnected = true;
-		});
 	}
 
 	get isDisconnected(): boolean {
-		return this.#isDisconnected;
+		return this.#delivery.isDisconnected;
 	}
 
 	writeHead(status: number, headers: HeaderList): void {
@@ -98,7 +87,7 @@
 	}
 
 	sendError(status: number, message: string, retryAfter: Milliseconds | undefined): void {
-		if (this.#isDisconnected || this.#response.headersSent) {
+		if (this.isDisconnected || this.#response.headersSent) {
 			return;
 		}
 
@@ -111,7 +100,7 @@
 	}
 
 	onDisconnect(listener: () => void): void {
-		this.#disconnectListeners.push(listener);
+		this.#delivery.onDisconnect(listener);
 	}
 
 	onDrain(listener: () => void): void {
@@ -134,20 +123,19 @@
 export async function serveClients(options: ClientListenerOptions): Promise<ClientListener> {
 	const limits = () => options.limits() ?? defaultLimits;
 	const openSockets = new Set<Socket>();
+	const openConnections = new WeakMap<Socket, ClientConnection>();
 	const openResponses = new Set<ResponseWriter>();
-	const openResponsesByConnection = new WeakMap<Socket, Set<ResponseWriter>>();
 	let bufferedBytes = 0;
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
 	}, (request: IncomingMessage, response: ServerResponse) => {
 		const receivedAt = options.now();
-		const responseWriter = new HttpResponseWriter(response, options);
+		const connection = openConnections.get(request.socket)!;
+		const requestsAhead = connection.openExchanges;
+		const delivery = connection.addExchange(response);
+		const responseWriter = new HttpResponseWriter(response, delivery, options);
 		openResponses.add(responseWriter);
-		response.once('close', () => openResponses.delete(responseWriter));
-		const connectionResponses = openResponsesByConnection.get(request.socket) ?? new Set();
-		const requestsAhead = connectionResponses.size;
-		openResponsesByConnection.set(request.socket, connectionResponses.add(responseWriter));
-		response.once('close', () => connectionResponses.delete(responseWriter));
+		delivery.onEnded(() => openResponses.delete(responseWriter));
 		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
 		const reject = (id: string | undefined, status: number, reason: string) => {
 			options.onRejected(id, status, reason);
@@ -174,7 +162,7 @@
 		let receivedBytes = 0;
 		let isRejected = false;
 		request.on('data', (chunk: Uint8Array) => {
-			if (isRejected) {
+			if (isRejected || responseWriter.isDisconnected) {
 				return;
 			}
 
@@ -190,10 +178,10 @@
 				chunks.push(chunk);
 			}
 		});
-		response.on('close', () => {
+		delivery.onEnded(() => {
 			bufferedBytes -= receivedBytes;
 		});
-		request.on('error', () => {/* The close event of the response follows and ends the request. */});
+		request.on('error', () => {/* The end of the exchange follows. */});
 		request.on('end', () => {
 			if (isRejected || responseWriter.isDisconnected) {
 				return;
@@ -220,6 +208,7 @@
 	applyLimits();
 	server.on('connection', socket => {
 		openSockets.add(socket);
+		openConnections.set(socket, new ClientConnection(socket));
 		socket.once('close', () => openSockets.delete(socket));
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
--- a/packages/host/src/requests/forwarded-request-listener.ts
+++ b/packages/host/src/requests/forwarded-request-listener.ts
@@ -1,6 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import type {Bytes, Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {HeaderList, ReceivedRequest, ResponseWriter} from '../ports.js';
+import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 import {type ForwardedHead, decodeForwardedRequest, encodeForwardedHead} from './forwarded-request.js';
 
 /** Limit on the running requests that peers have forwarded: the clients of this host come first. */
@@ -27,28 +29,16 @@
 /** Writes the response to a peer, which passes it on to the client. */
 class PeerResponseWriter implements ResponseWriter {
 	readonly #response: ServerResponse;
-	readonly #disconnectListeners: Array<() => void> = [];
-	#isDisconnected = false;
+	readonly #delivery: ResponseDelivery;
 
-	constructor(response: ServerResponse) {
+	constructor(response: ServerResponse, delivery: ResponseDelivery) {
 		this.#response = response;
+		this.#delivery = delivery;
 		response.sendDate = false;
-		response.on('close', () => {
-			if (!response.writableFinished) {
-				this.#isDisconnected = true;
-				for (const listener of this.#disconnectListeners) {
-					listener();
-				}
-			}
-		});
-		// The close event that follows notifies the listeners.
-		response.on('error', () => {
-			this.#isDisconnected = true;
-		});
 	}
 
 	get isDisconnected(): boolean {
-		return this.#isDisconnected;
+		return this.#delivery.isDisconnected;
 	}
 
 	writeHead(status: number, headers: HeaderList): void {
@@ -68,7 +58,7 @@
 	}
 
 	sendError(status: number, message: string, retryAfter: Milliseconds | undefined): void {
-		if (!this.#isDisconnected && !this.#response.headersSent) {
+		if (!this.isDisconnected && !this.#response.headersSent) {
 			this.#writeHead({
 				type: 'refused', status, message, retryAfter,
 			});
@@ -77,7 +67,7 @@
 	}
 
 	onDisconnect(listener: () => void): void {
-		this.#disconnectListeners.push(listener);
+		this.#delivery.onDisconnect(listener);
 	}
 
 	onDrain(listener: () => void): void {
@@ -93,6 +83,7 @@
 /** Takes requests that peers without links to servers forward to this host, and refuses them at once when it cannot serve them. */
 export class ForwardedRequestListener {
 	readonly #options: ForwardedRequestListenerOptions;
+	readonly #connections = new WeakMap<Socket, ClientConnection>();
 	#runningRequests = 0;
 	#heldBytes = 0;
 
@@ -109,11 +100,12 @@
 	handle(request: IncomingMessage, response: ServerResponse): void {
 		const {memoryLimit, log, now, bodyLimit, isServing, onRequest} = this.#options;
 		const receivedAt = now();
-		const responseWriter = new PeerResponseWriter(response);
+		const delivery = this.#findConnection(request.socket).addExchange(response);
+		const responseWriter = new PeerResponseWriter(response, delivery);
 		const chunks: Uint8Array[] = [];
 		let receivedBytes = 0;
 		this.#runningRequests++;
-		response.once('close', () => {
+		delivery.onEnded(() => {
 			this.#runningRequests--;
 			this.#heldBytes -= receivedBytes;
 		});
@@ -128,8 +120,12 @@
 			return;
 		}
 
-		request.on('error', () => {/* The close event of the response follows and ends the request. */});
+		request.on('error', () => {/* The end of the exchange follows. */});
 		request.on('data', (chunk: Uint8Array) => {
+			if (responseWriter.isDisconnected) {
+				return;
+			}
+
 			receivedBytes += chunk.length;
 			this.#heldBytes += chunk.length;
 			if (receivedBytes > bodyLimit() + maximumDescription || this.#heldBytes > memoryLimit) {
@@ -156,4 +152,10 @@
 			});
 		});
 	}
+
+	#findConnection(socket: Socket): ClientConnection {
+		const connection = this.#connections.get(socket) ?? new ClientConnection(socket);
+		this.#connections.set(socket, connection);
+		return connection;
+	}
 }
