Send requests only after the ends of their connections could be read

What callers saw: a host that had been held up ran requests whose clients had left meanwhile. Cause: the operating system hands over a request and the end of its connection in two turns of the event loop, and timers run before either. The host sent a request in the turn in which it was read, or in which a timer offered it to a server again. Change: an attempt, also one at a peer, passes an ArrivalBarrier before it is written: one whole phase of reading. Its deadline is computed then, and a server that has begun to leave meanwhile gets nothing. An attempt that was not written is not counted as executed, so that its deadline is answered with 503 and not with 504. Ruled out: requests in the queue; the close reaches them before they are placed, unless a timer places them in the same turn, which the barrier covers as well.

--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -3,6 +3,7 @@
 import type {Forwarding} from './forwarding.js';
 import type {HostDependencies} from './host-dependencies.js';
 import type {Fleet} from './members/fleet.js';
+import {ArrivalBarrier} from './requests/arrival-barrier.js';
 import type {BackendConnectionPool} from './requests/backend-connection-pool.js';
 import type {Dispatcher} from './requests/dispatcher.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
@@ -45,6 +46,7 @@
 		clusterState,
 		dispatcher: components.dispatcher,
 		connections: components.connections,
+		arrivals: new ArrivalBarrier(),
 		forwarder: forwarding.forwarder,
 		backend: adapter.backend,
 		quarantine,
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HeaderList, ResponseHead} from '../ports.js';
 import {
-	type Attempt, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming,
+	type Attempt, type AttemptListener, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming,
 } from './attempt.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {ChosenServer} from './dispatcher.js';
@@ -13,12 +13,10 @@
 import {ResponseObserver} from './response-observer.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {RoutedRequest} from './routed-request.js';
+import {createServerRequest} from './server-request.js';
 import {StallDetector} from './stall-detector.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
-/** Subtracted from the deadline sent to the server, so that the response still reaches the client in time. */
-const responseTransitTime: Milliseconds = 10;
-
 /** A server that has requests in flight and has sent no data for this long is considered crashed. */
 const serverStallTimeout: Milliseconds = 350;
 
@@ -34,18 +32,6 @@
 /** Status of a server that has no capacity for a request. */
 const rejectedStatus = 503;
 
-/** Called when an attempt has ended. */
-export type AttemptListener = {
-	/** The response was forwarded completely. */
-	onAnswered(status: number): void;
-	/** Another attempt is to be made. */
-	onRetry(): void;
-	/** A server could not be reached; the request was not sent. */
-	onUnreachable(): void;
-	/** No other attempt is allowed. */
-	onExhausted(reason: string, retryAfter: Milliseconds | undefined): void;
-};
-
 export type AttemptRunnerOptions = {
 	readonly context: PipelineContext;
 	readonly request: RoutedRequest;
@@ -105,11 +91,10 @@
 	 * @param chosen - The server.
 	 */
 	run(chosen: ChosenServer): void {
-		const {now, backend, connections, clusterState} = this.#context;
-		const {received, workspace, rank} = this.#request;
-		const {request, body} = received;
-		const {entry, engine} = chosen;
-		const attempt = createAttempt(chosen, request, now());
+		const {now, clusterState} = this.#context;
+		const {received} = this.#request;
+		const {entry} = chosen;
+		const attempt = createAttempt(chosen, received.request, now());
 		this.#attempt = attempt;
 		this.#retries.attempts++;
 		this.#firstSentAt ??= attempt.sentAt;
@@ -117,34 +102,8 @@
 		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
 		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
 		this.#context.onRequestPlaced(chosen, received);
-		const headers = backend.requestHeaders(request, {
-			server: entry.id,
-			workspace: workspace?.name,
-			remainingTime: Math.max(Math.floor(this.#request.remainingTime() - responseTransitTime), 1),
-			urgency: engine === undefined ? undefined : Math.min(rank, 9),
-			lastEventId: this.#response.lastEventId ?? request.lastEventId,
-			cacheSalt: engine?.cacheSalt,
-			weightsVersion: engine?.weightsVersion,
-			fetchFrom: engine?.fetchFrom,
-			saveTo: engine?.saveTo,
-		});
-		attempt.exchange = connections.send(entry, {
-			method: request.method, target: request.target, headers, body,
-		}, {
-			onHead: (status, responseHeaders, rawHeaders) => {
-				this.#onHead(attempt, status, responseHeaders, rawHeaders);
-			},
-			onData: chunk => {
-				this.#onData(attempt, chunk);
-			},
-			onEnd: ending => {
-				this.#onEnd(attempt, ending);
-			},
-			onFailure: failure => {
-				if (attempt === this.#attempt) {
-					this.#onFailure(failure);
-				}
-			},
+		this.#context.arrivals.pass(() => {
+			this.#send(attempt);
 		});
 		this.#updateStallDetector(attempt);
 	}
@@ -161,7 +120,7 @@
 	 * Ends the running attempt, if there is one. The listener is not called.
 	 *
 	 * @param result - How the attempt ended, for the log.
-	 * @returns Whether an attempt was running.
+	 * @returns Whether an attempt was running that the server may have executed.
 	 */
 	abort(result: string): boolean {
 		const attempt = this.#attempt;
@@ -169,6 +128,11 @@
 			return false;
 		}
 
+		if (!attempt.isSent) {
+			this.#endAttempt(attempt, `not sent: ${result}`);
+			return false;
+		}
+
 		const {clusterState, now} = this.#context;
 		const server = attempt.chosen.entry.id;
 		attempt.silentTime = clusterState.health.stallDuration(server, now());
@@ -191,6 +155,40 @@
 		this.#stallDetector.stop();
 	}
 
+	// Writes the request, unless its client has left or the server has begun to leave meanwhile.
+	#send(attempt: Attempt): void {
+		if (attempt.isFinished) {
+			return;
+		}
+
+		const {backend, connections, dispatcher} = this.#context;
+		const {entry} = attempt.chosen;
+		if (!dispatcher.isAvailable(entry)) {
+			this.#endAttempt(attempt, 'not sent: the server is leaving');
+			this.#retries.attempts--;
+			this.#options.listener.onRetry();
+			return;
+		}
+
+		attempt.isSent = true;
+		attempt.exchange = connections.send(entry, createServerRequest(backend, this.#request, attempt.chosen, this.#response.lastEventId), {
+			onHead: (status, responseHeaders, rawHeaders) => {
+				this.#onHead(attempt, status, responseHeaders, rawHeaders);
+			},
+			onData: chunk => {
+				this.#onData(attempt, chunk);
+			},
+			onEnd: ending => {
+				this.#onEnd(attempt, ending);
+			},
+			onFailure: failure => {
+				if (attempt === this.#attempt) {
+					this.#onFailure(failure);
+				}
+			},
+		});
+	}
+
 	#updateStallDetector(attempt: Attempt): void {
 		const {isRetryable, isStream} = this.#request;
 		if (!isRetryable || !this.#response.canBeContinued || this.#retries.isLastExecution) {
@@ -206,7 +204,7 @@
 
 	#onStall(duration: Milliseconds, isFinal: boolean): void {
 		const attempt = this.#attempt;
-		if (attempt === undefined || attempt.isFinished || this.#isPaused || this.#request.remainingTime() < this.#options.route.objective / 2) {
+		if (attempt?.isSent !== true || attempt.isFinished || this.#isPaused || this.#request.remainingTime() < this.#options.route.objective / 2) {
 			return;
 		}
 
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -4,11 +4,25 @@
 import type {Exchange, ResetCheck} from './backend-connection-pool.js';
 import type {ChosenServer} from './dispatcher.js';
 
+/** Called when an attempt has ended. */
+export type AttemptListener = {
+	/** The response was forwarded completely. */
+	onAnswered(status: number): void;
+	/** Another attempt is to be made. */
+	onRetry(): void;
+	/** A server could not be reached; the request was not sent. */
+	onUnreachable(): void;
+	/** No other attempt is allowed. */
+	onExhausted(reason: string, retryAfter: Milliseconds | undefined): void;
+};
+
 /** One attempt to have a request executed by a server. */
 export type Attempt = {
 	readonly chosen: ChosenServer;
 	readonly sentAt: Milliseconds;
 	load: RequestLoad;
+	/** Whether it was written to a connection, or is about to be once one is open. */
+	isSent: boolean;
 	exchange: Exchange | undefined;
 	head: ResponseHead | undefined;
 	/** Status of the response; 0 until its head arrives. */
@@ -56,6 +70,7 @@
 			prefillTokens: chosen.engine?.uncachedTokens ?? 0,
 			memoryTokens: chosen.engine === undefined ? 0 : estimateMemoryTokens(request.generation!),
 		},
+		isSent: false,
 		exchange: undefined,
 		head: undefined,
 		status: 0,
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -117,8 +117,7 @@
 	}
 
 	/**
-	 * Chooses a server for a request. Call it synchronously before sending the request, so that a server that has just started to drain is
-	 * not chosen.
+	 * Chooses a server for a request. Check `isAvailable` again before the request is written, as the server may have started to drain since.
 	 *
 	 * @param placementRequest - The request, its route and the servers to leave out.
 	 * @returns The chosen server, or why there is none.
@@ -183,6 +182,17 @@
 		return servers.listAvailable(service).some(({id}) => health.evaluateStatus(id, this.#now()) === 'paused');
 	}
 
+	/**
+	 * Tells whether a server may still get requests, after it was chosen.
+	 *
+	 * @param entry - The server.
+	 * @returns False if the same process is no longer listed, is draining or has said that it is leaving.
+	 */
+	isAvailable(entry: ServerEntry): boolean {
+		const {servers, serverNotices} = this.#clusterState;
+		return servers.listAvailable(entry.service).some(({id, incarnation}) => id === entry.id && incarnation === entry.incarnation) && !serverNotices.isLeaving(entry);
+	}
+
 	/** Removes expired requests from the queues, then tries to place the others in queue order. */
 	dispatchQueued(): void {
 		if (this.#isDispatching) {
--- a/packages/host/src/requests/forwarded-attempt.ts
+++ b/packages/host/src/requests/forwarded-attempt.ts
@@ -43,44 +43,26 @@
 	readonly #options: ForwardedAttemptOptions;
 	readonly #peer: HostDescription;
 	readonly #sentAt: Milliseconds;
-	readonly #exchange: Exchange;
+	#exchange: Exchange | undefined;
 	#head: ForwardedHead | undefined;
 	#isEventStream = false;
 	#isFinished = false;
 	#isPaused = false;
 
 	/**
-	 * Sends the request.
+	 * Sends the request soon.
 	 *
 	 * @param peer - The peer to which it is sent.
 	 * @param options - The request, its response and its retries.
 	 */
 	constructor(peer: HostDescription, options: ForwardedAttemptOptions) {
-		const {context, request, response, retries, requiredVersion} = options;
-		const {request: clientRequest, body} = request.received;
+		const {context} = options;
 		this.#options = options;
 		this.#peer = peer;
 		this.#sentAt = context.now();
-		this.#exchange = context.forwarder.send(peer, {
-			request: {...clientRequest, deadline: Math.max(Math.floor(request.remainingTime() - peerTransitTime), 1), lastEventId: response.lastEventId ?? clientRequest.lastEventId},
-			body,
-			origin: context.hostName,
-			service: request.service,
-			executionsLeft: Math.max(retries.maxServers - retries.executions, 1),
-			requiredVersion,
-		}, {
-			onHead: (_status, headers) => {
-				this.#onHead(decodeForwardedHead(headers));
-			},
-			onData: chunk => {
-				this.#onData(chunk);
-			},
-			onEnd: () => {
-				this.#onEnd();
-			},
-			onFailure: failure => {
-				this.#onFailure(failure);
-			},
+		context.forwarder.recordStart(peer);
+		context.arrivals.pass(() => {
+			this.#send();
 		});
 	}
 
@@ -88,7 +70,7 @@
 	resume(): void {
 		if (this.#isPaused) {
 			this.#isPaused = false;
-			this.#exchange.resume();
+			this.#exchange?.resume();
 		}
 	}
 
@@ -96,16 +78,47 @@
 	 * Ends the attempt, upon which the peer ends its own. The listener is not called.
 	 *
 	 * @param result - How the attempt ended, for the log.
-	 * @returns Whether it was running.
+	 * @returns Whether it was running and the peer may have got the request.
 	 */
 	abort(result: string): boolean {
 		if (this.#isFinished) {
 			return false;
 		}
 
-		this.#exchange.abort({isDelivered: false});
+		this.#exchange?.abort({isDelivered: false});
 		this.#end('aborted', result);
-		return true;
+		return this.#exchange !== undefined;
+	}
+
+	// Writes the request, unless its client has left meanwhile.
+	#send(): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		const {context, request, response, retries, requiredVersion} = this.#options;
+		const {request: clientRequest, body} = request.received;
+		this.#exchange = context.forwarder.send(this.#peer, {
+			request: {...clientRequest, deadline: Math.max(Math.floor(request.remainingTime() - peerTransitTime), 1), lastEventId: response.lastEventId ?? clientRequest.lastEventId},
+			body,
+			origin: context.hostName,
+			service: request.service,
+			executionsLeft: Math.max(retries.maxServers - retries.executions, 1),
+			requiredVersion,
+		}, {
+			onHead: (_status, headers) => {
+				this.#onHead(decodeForwardedHead(headers));
+			},
+			onData: chunk => {
+				this.#onData(chunk);
+			},
+			onEnd: () => {
+				this.#onEnd();
+			},
+			onFailure: failure => {
+				this.#onFailure(failure);
+			},
+		});
 	}
 
 	#onHead(head: ForwardedHead | undefined): void {
@@ -141,7 +154,7 @@
 
 		if (!this.#options.response.write(chunk, {isEventStream: this.#isEventStream, softwareVersion: undefined})) {
 			this.#isPaused = true;
-			this.#exchange.pause();
+			this.#exchange?.pause();
 		}
 	}
 
@@ -188,7 +201,7 @@
 	// Ends the attempt after the request may have been executed.
 	#fail(reason: string): void {
 		const {listener, request, response, retries} = this.#options;
-		this.#exchange.abort({isDelivered: false});
+		this.#exchange?.abort({isDelivered: false});
 		this.#end('failed', reason);
 		if (this.#head === undefined) {
 			retries.executions++;
--- a/packages/host/src/requests/peer-forwarder.ts
+++ b/packages/host/src/requests/peer-forwarder.ts
@@ -61,16 +61,24 @@
 		return selectForwardingHost(peers, {region: description.region, random, runningRequests: name => this.#runningRequestsAt(name)});
 	}
 
+	/**
+	 * Records that a request is about to be sent to a peer; when it is over, call `recordEnd`.
+	 *
+	 * @param peer - The peer.
+	 */
+	recordStart(peer: HostDescription): void {
+		this.#runningRequests.set(peer.name, this.#runningRequestsAt(peer.name) + 1);
+	}
+
 	/**
 	 * Sends a request to a peer.
 	 *
 	 * @param peer - The peer.
 	 * @param forwarded - The request.
 	 * @param handler - Callbacks for the response.
-	 * @returns Controls of the exchange; when it is over, call `recordEnd`.
+	 * @returns Controls of the exchange.
 	 */
 	send(peer: HostDescription, forwarded: ForwardedRequest, handler: ExchangeHandler): Exchange {
-		this.#runningRequests.set(peer.name, this.#runningRequestsAt(peer.name) + 1);
 		return this.#connections.send({id: peer.name, incarnation: peer.incarnation, address: peer.snapshotAddress}, {
 			method: 'POST', target: forwardedRequestPath, headers: ['host', peer.snapshotAddress], body: encodeForwardedRequest(forwarded),
 		}, handler);
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -6,6 +6,7 @@
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {BrokenRequest} from '../state/server-crash-detector.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
+import type {ArrivalBarrier} from './arrival-barrier.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
 import type {ChosenServer, Dispatcher} from './dispatcher.js';
 import type {PeerForwarder} from './peer-forwarder.js';
@@ -16,6 +17,7 @@
 	readonly clusterState: ClusterState;
 	readonly dispatcher: Dispatcher;
 	readonly connections: BackendConnectionPool;
+	readonly arrivals: ArrivalBarrier;
 	readonly backend: BackendProtocol;
 	readonly forwarder: PeerForwarder;
 	readonly quarantine: Quarantine;
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -1,7 +1,8 @@
 import type {Route} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ReceivedRequest} from '../ports.js';
-import {type AttemptListener, AttemptRunner} from './attempt-runner.js';
+import type {AttemptListener} from './attempt.js';
+import {AttemptRunner} from './attempt-runner.js';
 import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
 import {ForwardedAttempt} from './forwarded-attempt.js';
 import type {PipelineContext} from './pipeline-context.js';
