Believe a server's refusal only if it belongs to the request

What callers saw: 503, which promises that a request has not run and never will, for requests that a server was running; others ran twice. Cause: a response with the marks of a refusal was believed before its request id was looked at. A faulty server that writes an earlier refusal once more on a kept connection writes it where the response to the next request is due. Change: a refusal of another request counts as any other response to another request: the connection is closed and a request that must not be repeated gets 502. One that names no request is believed on a new connection, and for requests that may be repeated. Weighed: the same id, which a client's retry may keep. A connection is closed after each refusal and failure, so a kept one has carried only complete responses, and what arrives between two requests closes it: a refusal under the id of the request on it is that of the request.

--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -10,6 +10,7 @@
 import type {RelayedResponse} from './relayed-response.js';
 import {sharedPartIds} from './request-admission.js';
 import type {AttemptProgress} from './request-completion.js';
+import {identifyRefusal, isCredibleRefusal} from './refusal.js';
 import {ResponseObserver} from './response-observer.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {RoutedRequest} from './routed-request.js';
@@ -92,18 +93,20 @@
 	 */
 	run(chosen: ChosenServer): void {
 		const {now, clusterState} = this.#context;
-		const {received} = this.#request;
 		const {entry} = chosen;
-		const attempt = createAttempt(chosen, received.request, now());
+		const attempt = createAttempt(chosen, this.#request.received.request, now());
 		this.#attempt = attempt;
 		this.#retries.attempts++;
 		this.#firstSentAt ??= attempt.sentAt;
 		clusterState.loads.addRequest(entry.id, attempt.load);
 		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
 		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
-		this.#context.onRequestPlaced(chosen, received);
+		this.#context.onRequestPlaced(chosen, this.#request.received);
 		this.#context.arrivals.pass(() => {
-			this.#send(attempt);
+			// Its client may have left meanwhile.
+			if (!attempt.isFinished) {
+				this.#send(attempt);
+			}
 		});
 		this.#updateStallDetector(attempt);
 	}
@@ -134,9 +137,9 @@
 		}
 
 		const {clusterState, now} = this.#context;
-		const server = attempt.chosen.entry.id;
-		attempt.silentTime = clusterState.health.stallDuration(server, now());
-		attempt.exchange?.abort({isDelivered: clusterState.health.hasSentSince(server, attempt.sentAt + deliveryTime)});
+		const {id} = attempt.chosen.entry;
+		attempt.silentTime = clusterState.health.stallDuration(id, now());
+		attempt.exchange?.abort({isDelivered: clusterState.health.hasSentSince(id, attempt.sentAt + deliveryTime)});
 		this.#endAttempt(attempt, result);
 		return true;
 	}
@@ -155,15 +158,11 @@
 		this.#stallDetector.stop();
 	}
 
-	// Writes the request, unless its client has left or the server has begun to leave meanwhile.
+	// Writes the request, unless the server has begun to leave meanwhile.
 	#send(attempt: Attempt): void {
-		if (attempt.isFinished) {
-			return;
-		}
-
 		const {backend, connections, dispatcher} = this.#context;
-		const {entry} = attempt.chosen;
-		if (!dispatcher.isAvailable(entry)) {
+		const {chosen} = attempt;
+		if (!dispatcher.isAvailable(chosen.entry)) {
 			this.#endAttempt(attempt, 'not sent: the server is leaving');
 			this.#retries.attempts--;
 			this.#options.listener.onRetry();
@@ -171,7 +170,7 @@
 		}
 
 		attempt.isSent = true;
-		attempt.exchange = connections.send(entry, createServerRequest(backend, this.#request, attempt.chosen, this.#response.lastEventId), {
+		attempt.exchange = connections.send(chosen.entry, createServerRequest(backend, this.#request, chosen, this.#response.lastEventId), {
 			onHead: (status, responseHeaders, rawHeaders) => {
 				this.#onHead(attempt, status, responseHeaders, rawHeaders);
 			},
@@ -216,7 +215,7 @@
 	}
 
 	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
-		const {backend, clusterState, now} = this.#context;
+		const {backend, clusterState, metrics, now} = this.#context;
 		const {request} = this.#request.received;
 		const head = backend.parseResponseHead(status, headers);
 		const {entry} = attempt.chosen;
@@ -228,13 +227,13 @@
 			clusterState.recordObservedVersion(entry.id, request.generation.model, head.weightsVersion);
 		}
 
-		if (head.isNotExecuted) {
+		if (head.isNotExecuted && isCredibleRefusal(head, attempt, this.#request, metrics)) {
 			this.#onNotExecuted(attempt, head);
 			return;
 		}
 
 		if (head.requestId !== request.id || !head.hasServerStamp) {
-			this.#onFailure({wasWritten: true, reason: head.hasServerStamp ? 'response to another request' : `response ${status} without a server stamp`});
+			this.#onFailure({wasWritten: true, reason: head.hasServerStamp || head.isNotExecuted ? 'response to another request' : `response ${status} without a server stamp`});
 			return;
 		}
 
@@ -299,8 +298,6 @@
 	#onNotExecuted(attempt: Attempt, head: ResponseHead): void {
 		const {clusterState, now} = this.#context;
 		const {entry, engine} = attempt.chosen;
-		const id = head.requestId === undefined ? 'none' : (head.requestId === this.#request.received.request.id ? 'own' : 'other');
-		this.#context.metrics.incrementCounter('refusals', {status: String(attempt.status), id, connection: attempt.exchange?.isReused === true ? 'reused' : 'new'});
 		if (attempt.status === rejectedStatus) {
 			clusterState.health.recordRejection(entry.id, now());
 		}
@@ -313,7 +310,7 @@
 			clusterState.weightsTracker.recordLoading(entry.id, now() + assumedLoadingTime, now());
 		}
 
-		this.#endAttempt(attempt, `not run (${attempt.status}${id === 'own' ? '' : `, id: ${id}`})`);
+		this.#endAttempt(attempt, `not run (${attempt.status}, id: ${identifyRefusal(head, this.#request.received.request.id)})`);
 		attempt.exchange?.abort({isDelivered: true});
 		if (this.#retries.claimAfterRejection()) {
 			this.#options.listener.onRetry();
