--- a/packages-private/local-cluster/src/index.ts
+++ b/packages-private/local-cluster/src/index.ts
@@ -1,4 +1,5 @@
-export {LocalProcess} from './local-process.js';
+export {LocalProcess, currentBuildDirectory} from './local-process.js';
 export {type CompletionResult, CompletionClient} from './completion-client.js';
 export {LocalCluster, type LocalClusterOptions, type LocalHost} from './local-cluster.js';
+export {buildRevision} from './revision-build.js';
 export {waitFor} from './wait-for.js';
--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -6,7 +6,7 @@
 	type RequestHandler, PlatformServerStandIn, PlatformStoreStandIn, createConfiguration,
 } from '@lacewingpoint/stand-ins';
 import {request} from 'undici';
-import {LocalProcess} from './local-process.js';
+import {LocalProcess, currentBuildDirectory} from './local-process.js';
 import {waitFor} from './wait-for.js';
 
 /** Ports of a host, relative to the first port of the cluster. Each host has its own loopback IP address. */
@@ -28,6 +28,10 @@
 	readonly metricsAddress: string;
 	/** Path of the host's settings file in the platform's format. */
 	readonly settingsFile: string;
+	/** Path of a file with the ports to which the host cannot connect, separated by spaces; it need not exist. */
+	readonly refusedPortsFile: string;
+	/** Directory of the build that the host runs; a restart uses the current value. */
+	buildDirectory: string;
 	process: LocalProcess;
 };
 
@@ -37,6 +41,8 @@
 	readonly plainHandlers: readonly RequestHandler[];
 	/** One backend server of the service `models` is started for each handler. */
 	readonly modelHandlers: readonly RequestHandler[];
+	/** The build that each host runs first, by its index; the current one by default. */
+	readonly buildDirectories?: readonly string[];
 	/** Fields that replace those of the default configuration. */
 	readonly configurationOverrides?: Readonly<Record<string, unknown>>;
 	/**
@@ -173,6 +179,8 @@
 			directoryAddress: formatAddress('directory'),
 			metricsAddress: formatAddress('metrics'),
 			settingsFile: join(this.#directory, `${name}.toml`),
+			refusedPortsFile: join(this.#directory, `${name}.refused`),
+			buildDirectory: this.#options.buildDirectories?.[index] ?? currentBuildDirectory,
 		};
 		return {...host, process: this.#startProcess(host)};
 	}
@@ -181,13 +189,44 @@
 		return await this.#options.interpose?.(link, address) ?? address;
 	}
 
-	#startProcess({name}: {readonly name: string}): LocalProcess {
+	#startProcess({name, ipAddress, buildDirectory, refusedPortsFile}: Pick<LocalHost, 'name' | 'ipAddress' | 'buildDirectory' | 'refusedPortsFile'>): LocalProcess {
 		return new LocalProcess(name, 'lacewingpoint-host', ['--settings', join(this.#directory, `${name}.jsonc`)], {
 			LACEWINGPOINT_NODE_FILE: join(this.#directory, `${name}.toml`),
-		});
+			NODE_OPTIONS: `--import ${createConnectModule(ipAddress, refusedPortsFile)}`,
+		}, buildDirectory);
 	}
 }
 
+// A module for a host: it connects from its own address, as on a machine of its own, so that proxies can tell hosts apart. Connections to the
+// ports that a file lists are refused.
+function createConnectModule(ipAddress: string, refusedPortsFile: string): string {
+	const code = `
+		import {readFileSync} from 'node:fs';
+		import {Socket} from 'node:net';
+		const connect = Socket.prototype.connect;
+		const readRefusedPorts = () => {
+			try {
+				return readFileSync(${JSON.stringify(refusedPortsFile)}, 'utf8').split(' ');
+			} catch {
+				return [];
+			}
+		};
+		Socket.prototype.connect = function (...parameters) {
+			const options = Array.isArray(parameters[0]) ? parameters[0][0] : parameters[0];
+			if (readRefusedPorts().includes(String(options.port))) {
+				setImmediate(() => {
+					this.destroy(Object.assign(new Error('connect ECONNREFUSED'), {code: 'ECONNREFUSED'}));
+				});
+				return this;
+			}
+
+			options.localAddress ??= '${ipAddress}';
+			return connect.apply(this, parameters);
+		};
+	`;
+	return `data:text/javascript,${encodeURIComponent(code)}`;
+}
+
 // Finds a free port on one address. It is used on several addresses, together with the ports that follow it; these are very likely
 // free as well.
 async function findFreePort(): Promise<number> {
--- a/packages-private/local-cluster/src/local-process.ts
+++ b/packages-private/local-cluster/src/local-process.ts
@@ -1,8 +1,10 @@
 import {type ChildProcess, spawn} from 'node:child_process';
 import {once} from 'node:events';
+import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 
-const buildDirectory = fileURLToPath(new URL('../../../dist/', import.meta.url));
+/** The directory to which `npm run build` writes the programs. */
+export const currentBuildDirectory = fileURLToPath(new URL('../../../dist/', import.meta.url));
 
 /** In characters, for each of the two outputs; older text is discarded. */
 const maxOutputLength = 2_000_000;
@@ -19,10 +21,11 @@
 	 * @param program - File name of the program in the build directory, without extension.
 	 * @param parameters - Command-line arguments.
 	 * @param environment - Environment variables in addition to those of this process.
+	 * @param buildDirectory - Directory of the program.
 	 */
-	constructor(name: string, program: string, parameters: readonly string[], environment: Readonly<Record<string, string>> = {}) {
+	constructor(name: string, program: string, parameters: readonly string[], environment: Readonly<Record<string, string>> = {}, buildDirectory = currentBuildDirectory) {
 		this.name = name;
-		this.#child = spawn(process.execPath, [`${buildDirectory}${program}.mjs`, ...parameters], {
+		this.#child = spawn(process.execPath, [join(buildDirectory, `${program}.mjs`), ...parameters], {
 			stdio: ['ignore', 'pipe', 'pipe'], env: {...process.env, ...environment},
 		});
 		this.#child.stdout!.on('data', chunk => {
