Check reports of crashed servers before they count

What callers would see: sound requests refused as quarantined at all hosts, on the word of one host that has lost its own links or whose build does not ask others before it reports. Cause: a peer's report of a crash counted at once, and was passed on. Change: a host confirms a report by what it sees itself: data of the server since, or else a connection. What it refutes neither counts nor is passed on; what it cannot tell, without links of its own, likewise. One review serves all reports of a crash.

--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -5,6 +5,7 @@
 } from '@lacewingpoint/shared';
 import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from '../state/cluster-state.js';
+import {CrashReportReview} from '../state/crash-report-review.js';
 import type {PeerClient, SnapshotSource} from '../state/peer-snapshots.js';
 import {PromptPartGuard} from '../state/prompt-part-guard.js';
 import {PeerSynchronizer} from '../state/peer-synchronizer.js';
@@ -106,8 +107,11 @@
 		this.serverWitnesses = new ServerWitnesses({
 			hostName: description.name, clusterState, peerClient, random: options.random, now, isDetached: () => options.isDetached(), canConnect: async server => options.canConnect(server),
 		});
+		const crashReports = new CrashReportReview({
+			clusterState, log, metrics, now, isDetached: () => options.isDetached(), canConnect: async server => options.canConnect(server),
+		});
 		this.#receiver = new GossipReceiver({
-			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, log, now,
+			clusterState, gossip: this.gossip, quarantine: options.quarantine, promptPartGuard: this.promptPartGuard, crashReports, log, now,
 		});
 		this.#relayFollower = new RelayFollower({
 			clusterState, peerClient, log, now, earliestArrival: () => options.earliestArrival(),
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -2,6 +2,7 @@
 import type {Quarantine} from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
+import type {CrashReportReview} from '../state/crash-report-review.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {HostGossip} from './host-gossip.js';
 import type {LinkSelection} from './peer-link.js';
@@ -12,6 +13,7 @@
 	readonly gossip: HostGossip;
 	readonly quarantine: Quarantine;
 	readonly promptPartGuard: PromptPartGuard;
+	readonly crashReports: CrashReportReview;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 };
@@ -73,14 +75,27 @@
 
 		this.#gossip.forwardEvents(message, sender.name, recipients);
 		if (message.deaths.length > 0) {
-			this.#options.quarantine.mergeSuspects(message.deaths, now);
-			this.#options.promptPartGuard.recordCrashes(message.deaths);
-			this.#gossip.announceCrashes(message.deaths, sender.name, recipients);
+			void this.#mergeCrashes(sender, message, recipients);
 		}
 
 		this.#options.promptPartGuard.mergeReports(sender.name, message, recipients);
 	}
 
+	async #mergeCrashes(sender: HostDescription, {deaths}: HostMessage, recipients: LinkSelection): Promise<void> {
+		const {crashReports, quarantine, promptPartGuard} = this.#options;
+		const reportedAt = this.#now();
+		const confirmed = await crashReports.confirm(sender.name, deaths);
+		if (confirmed.length === 0) {
+			return;
+		}
+
+		const reviewTime = this.#now() - reportedAt;
+		const suspects = confirmed.map(suspect => ({...suspect, age: suspect.age + reviewTime}));
+		quarantine.mergeSuspects(suspects, this.#now());
+		promptPartGuard.recordCrashes(suspects);
+		this.#gossip.announceCrashes(suspects, sender.name, recipients);
+	}
+
 	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
 		const {rateLimiter, serverLimits, loads} = this.#clusterState;
 		const now = this.#now();
