Announce the protocol and the capabilities of hosts, and forward only to peers that can serve

Cause: any peer that serves was taken to be able to. The response of one that is not, 415, was read as a failure after which the request may have run. A client error without the head of a host is what it is, a refusal: the next peer is tried. A host without links states a state that earlier builds can read, for whom it was dead otherwise, and unknown states and roles no longer make a message unreadable.

--- a/packages/coordination/src/host-directory.ts
+++ b/packages/coordination/src/host-directory.ts
@@ -15,6 +15,10 @@
 	readonly snapshotAddress: string;
 	/** Processor capacity in cores; hosts with more of it are preferred as relays. */
 	readonly capacity: number;
+	/** Version of the protocol between hosts; absent for builds that do not announce it. */
+	readonly protocol?: number | undefined;
+	/** What the build can do for its peers; absent for builds that do not announce it. */
+	readonly capabilities?: readonly string[] | undefined;
 };
 
 /**
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -17,6 +17,7 @@
 import type {GossipTransport} from './gossip-socket.js';
 import {HostGossip} from './host-gossip.js';
 import type {HostMessage} from './host-messages.js';
+import {hostCapabilities, hostProtocolVersion} from './host-protocol.js';
 
 export type FleetOptions = {
 	readonly description: HostDescription;
@@ -63,8 +64,9 @@
 
 	constructor(options: FleetOptions) {
 		const {
-			description, clusterState, peerClient, log, metrics, now,
+			clusterState, peerClient, log, metrics, now,
 		} = options;
+		const description: HostDescription = {...options.description, protocol: hostProtocolVersion, capabilities: hostCapabilities};
 		this.#options = options;
 		this.gossip = new HostGossip({
 			transport: options.transport,
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -1,9 +1,15 @@
 import {decode, encode} from '@msgpack/msgpack';
+import type {HostState} from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 import type {StateChange} from '../ports.js';
 
-const hostStateSchema = v.picklist(['starting', 'serving', 'detached', 'stopping']);
-const hostRoleSchema = v.picklist(['joining', 'member', 'relay']);
+// A state or role of a later version must not make the whole message unreadable: such a host is alive, but gets no clients.
+const hostStateSchema = v.pipe(v.string(), v.transform(name => selectKnown(['starting', 'serving', 'detached', 'stopping'], name, 'starting')));
+const hostRoleSchema = v.pipe(v.string(), v.transform(name => selectKnown(['joining', 'member', 'relay'], name, 'relay')));
+
+function selectKnown<const Name extends string>(known: readonly Name[], name: string, assumed: NoInfer<Name>): Name {
+	return known.find(candidate => candidate === name) ?? assumed;
+}
 
 const hostDescriptionSchema = v.object({
 	name: v.string(),
@@ -14,6 +20,9 @@
 	peerAddress: v.string(),
 	snapshotAddress: v.string(),
 	capacity: v.optional(v.number(), 1),
+	/** Absent in messages of earlier versions, like `capabilities`. */
+	protocol: v.optional(v.number()),
+	capabilities: v.optional(v.pipe(v.array(v.string()), v.readonly())),
 });
 
 const promptPlacementSchema = v.object({
@@ -48,10 +57,30 @@
 	}),
 ]);
 
-const hostMessageSchema = v.object({
+type WireState = {readonly state: HostState; readonly isDetached: boolean};
+
+function decodeState<Report extends WireState>({isDetached, ...report}: Report): Omit<Report, 'isDetached'> {
+	return isDetached ? {...report, state: 'detached'} : report;
+}
+
+// Versions before this state take it for an unreadable message; to these, the host is alive and gets no clients.
+function encodeState<Report extends {readonly state: HostState}>(report: Report): Report & Partial<WireState> {
+	return report.state === 'detached' ? {...report, state: 'starting', isDetached: true} : report;
+}
+
+const hostReportSchema = v.pipe(
+	v.object({
+		description: hostDescriptionSchema, state: hostStateSchema, isDetached: v.optional(v.boolean(), false), role: hostRoleSchema,
+	}),
+	v.transform(decodeState),
+);
+
+const hostMessageSchema = v.pipe(v.object({
 	name: v.string(),
 	incarnation: v.string(),
 	state: hostStateSchema,
+	/** Whether the host has lost its links to all servers. */
+	isDetached: v.optional(v.boolean(), false),
 	role: v.optional(hostRoleSchema, 'relay'),
 	/** Set in messages outside of links: a joining host asks which hosts it can link to, another responds. */
 	introduction: v.optional(v.picklist(['request', 'response'])),
@@ -99,12 +128,12 @@
 	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
 	quarantined: v.optional(v.array(v.object({part: v.number(), age: v.number(), trialInterval: v.number()})), []),
 	/** Hosts that the sender reports: new ones, and those whose state or role has changed. */
-	hosts: v.optional(v.array(v.object({description: hostDescriptionSchema, state: hostStateSchema, role: hostRoleSchema})), []),
+	hosts: v.optional(v.array(hostReportSchema), []),
 	/** Names of hosts that the sender no longer reports. */
 	departed: v.optional(v.array(v.string()), []),
 	/** Changes of the cluster state, each with the state version to which it leads; to members and to relays of the same failure domain. */
 	updates: v.optional(v.array(v.object({version: v.number(), change: stateUpdateSchema})), []),
-});
+}), v.transform(decodeState));
 
 /** The content of one datagram between hosts. */
 export type HostMessage = v.InferOutput<typeof hostMessageSchema>;
@@ -127,7 +156,8 @@
  * @returns The datagram's payload.
  */
 export function encodeHostMessage(message: HostMessage): Uint8Array {
-	const entries = Object.entries(message) as Array<[keyof HostMessage, HostMessage[keyof HostMessage]]>;
+	const wireMessage = encodeState({...message, hosts: message.hosts.map(report => encodeState(report))});
+	const entries = Object.entries(wireMessage) as Array<[keyof HostMessage, HostMessage[keyof HostMessage]]>;
 	return encode(Object.fromEntries(entries.filter(([field, value]) => value !== assumedValues[field] && !isEmpty(value))), {ignoreUndefined: true});
 }
 
--- a/packages/host/src/requests/forwarded-attempt.ts
+++ b/packages/host/src/requests/forwarded-attempt.ts
@@ -1,8 +1,10 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {hostProtocolVersion} from '../members/host-protocol.js';
 import {type AttemptRecord, isEventStream, roundTime} from './attempt.js';
 import type {Exchange, ExchangeFailure} from './backend-connection-pool.js';
 import {type ForwardedHead, decodeForwardedHead} from './forwarded-request.js';
+import type {ForwardingOutcome} from './peer-forwarder.js';
 import type {PipelineContext} from './pipeline-context.js';
 import type {RelayedResponse} from './relayed-response.js';
 import {outOfTime} from './request-completion.js';
@@ -12,6 +14,12 @@
 /** Subtracted from the time left, so that the peer's response still reaches the client in time. */
 const peerTransitTime: Milliseconds = 10;
 
+/**
+ * A build that does not know forwarded requests rejects the call with a client error, such as 404 or 415, and has not executed the request.
+ * One that does responds with 200 and describes errors in a header.
+ */
+const isClientError = (status: number) => status >= 400 && status < 500;
+
 /** Statuses with which a peer responds to a request that it or a server may have executed. */
 const mayHaveRunStatuses: ReadonlySet<number> = new Set([502, 504]);
 
@@ -101,13 +109,14 @@
 		this.#exchange = context.forwarder.send(this.#peer, {
 			request: {...clientRequest, deadline: Math.max(Math.floor(request.remainingTime() - peerTransitTime), 1), lastEventId: response.lastEventId ?? clientRequest.lastEventId},
 			body,
+			protocol: hostProtocolVersion,
 			origin: context.hostName,
 			service: request.service,
 			executionsLeft: Math.max(retries.maxServers - retries.executions, 1),
 			requiredVersion,
 		}, {
-			onHead: (_status, headers) => {
-				this.#onHead(decodeForwardedHead(headers));
+			onHead: (status, headers) => {
+				this.#onHead(status, decodeForwardedHead(headers));
 			},
 			onData: chunk => {
 				this.#onData(chunk);
@@ -121,11 +130,16 @@
 		});
 	}
 
-	#onHead(head: ForwardedHead | undefined): void {
+	#onHead(status: number, head: ForwardedHead | undefined): void {
 		if (this.#isFinished) {
 			return;
 		}
 
+		if (head === undefined && isClientError(status)) {
+			this.#onUnable();
+			return;
+		}
+
 		if (head === undefined) {
 			this.#fail('the response is not that of a host');
 			return;
@@ -147,6 +161,14 @@
 		}
 	}
 
+	#onUnable(): void {
+		const {context, listener} = this.#options;
+		this.#exchange?.abort({isDelivered: true});
+		context.forwarder.recordUnable(this.#peer);
+		this.#end('unable', 'the peer does not know forwarded requests');
+		listener.onPeerRefused(`peer ${this.#peer.name} does not know forwarded requests`, undefined);
+	}
+
 	#onData(chunk: Uint8Array): void {
 		if (this.#isFinished || this.#head?.type !== 'relayed') {
 			return;
@@ -215,7 +237,7 @@
 		}
 	}
 
-	#end(outcome: 'answered' | 'refused' | 'failed' | 'unreachable' | 'aborted', result: string): void {
+	#end(outcome: ForwardingOutcome, result: string): void {
 		const {context, request, onEnded} = this.#options;
 		this.#isFinished = true;
 		context.forwarder.recordEnd(this.#peer, outcome);
--- a/packages/host/src/requests/forwarded-request-listener.ts
+++ b/packages/host/src/requests/forwarded-request-listener.ts
@@ -2,6 +2,7 @@
 import type {Socket} from 'node:net';
 import type {Bytes, Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {HeaderList, ReceivedRequest, ResponseWriter} from '../ports.js';
+import {hostProtocolVersion} from '../members/host-protocol.js';
 import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 import {type ForwardedHead, decodeForwardedRequest, encodeForwardedHead} from './forwarded-request.js';
 
@@ -146,7 +147,13 @@
 				return;
 			}
 
-			const {request: clientRequest, body, ...forwarding} = decoded.value;
+			const {request: clientRequest, body, protocol, ...forwarding} = decoded.value;
+			if (protocol > hostProtocolVersion) {
+				log.warn('forwarded-request-invalid', {reason: `protocol ${protocol} is newer than ${hostProtocolVersion}`});
+				refuse(503, `the forwarded request needs protocol ${protocol}, the peer knows ${hostProtocolVersion}`);
+				return;
+			}
+
 			onRequest({
 				request: clientRequest, body, receivedAt, responseWriter, requestsAhead: 0, forwarding,
 			});
--- a/packages/host/src/requests/forwarded-request.ts
+++ b/packages/host/src/requests/forwarded-request.ts
@@ -37,6 +37,8 @@
 const forwardedRequestSchema = v.object({
 	request: requestSchema,
 	body: v.instance(Uint8Array),
+	/** Version of the protocol between hosts; absent in requests of earlier builds. */
+	protocol: v.optional(v.number(), 0),
 	/** Name of the host that received the request from the client and charged its quota. */
 	origin: v.string(),
 	/** The service that the host has selected. */
--- a/packages/host/src/requests/peer-forwarder.ts
+++ b/packages/host/src/requests/peer-forwarder.ts
@@ -6,6 +6,7 @@
 import {
 	BackendConnectionPool, type Exchange, type ExchangeHandler, defaultConnectionLimits,
 } from './backend-connection-pool.js';
+import type {HostCapability} from '../members/host-protocol.js';
 import {type ForwardedRequest, encodeForwardedRequest, forwardedRequestPath} from './forwarded-request.js';
 
 /** Hosts of other regions answer within a few hundred milliseconds. */
@@ -17,6 +18,9 @@
 /** A peer that could not be reached or takes no requests gets none for this long. */
 const peerBackoff: Milliseconds = 500;
 
+/** How a forwarded request ended; the peer was `unable` if it does not know such requests. */
+export type ForwardingOutcome = 'answered' | 'refused' | 'unable' | 'failed' | 'unreachable' | 'aborted';
+
 export type PeerForwarderOptions = {
 	readonly description: HostDescription;
 	readonly random: RandomSource;
@@ -32,6 +36,8 @@
 	readonly #connections: BackendConnectionPool;
 	readonly #runningRequests = new Map<string, number>();
 	readonly #backoffUntil = new Map<string, Milliseconds>();
+	/** Peers that do not know forwarded requests. */
+	readonly #unableIncarnations = new Map<string, string>();
 
 	constructor(options: PeerForwarderOptions) {
 		this.#options = options;
@@ -58,7 +64,7 @@
 			&& !excludedPeers.has(name)
 			&& now() >= (this.#backoffUntil.get(name) ?? 0)
 			&& this.#runningRequestsAt(name) < maximumRequestsPerPeer);
-		return selectForwardingHost(peers, {region: description.region, random, runningRequests: name => this.#runningRequestsAt(name)});
+		return selectForwardingHost(this.#selectAble(peers), {region: description.region, random, runningRequests: name => this.#runningRequestsAt(name)});
 	}
 
 	/**
@@ -90,7 +96,7 @@
 	 * @param peer - The peer.
 	 * @param outcome - How it ended, for the metrics.
 	 */
-	recordEnd(peer: HostDescription, outcome: 'answered' | 'refused' | 'failed' | 'unreachable' | 'aborted'): void {
+	recordEnd(peer: HostDescription, outcome: ForwardingOutcome): void {
 		const running = this.#runningRequestsAt(peer.name) - 1;
 		if (running > 0) {
 			this.#runningRequests.set(peer.name, running);
@@ -105,6 +111,15 @@
 		this.#options.metrics.incrementCounter('forwarded_requests', {outcome});
 	}
 
+	/**
+	 * Records that a peer does not know forwarded requests, because it is of an earlier build.
+	 *
+	 * @param peer - The peer.
+	 */
+	recordUnable(peer: HostDescription): void {
+		this.#unableIncarnations.set(peer.name, peer.incarnation);
+	}
+
 	/** Closes all idle connections. */
 	dispose(): void {
 		this.#connections.dispose();
@@ -113,4 +128,10 @@
 	#runningRequestsAt(name: string): number {
 		return this.#runningRequests.get(name) ?? 0;
 	}
+
+	// Those that announce the capability; if there are none, those of builds that announce nothing, unless they were found unable.
+	#selectAble(peers: readonly HostDescription[]): readonly HostDescription[] {
+		const announced = peers.filter(({capabilities}) => capabilities?.includes('forwarding' satisfies HostCapability) === true);
+		return announced.length > 0 ? announced : peers.filter(({name, incarnation, capabilities}) => capabilities === undefined && this.#unableIncarnations.get(name) !== incarnation);
+	}
 }
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -9,6 +9,7 @@
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {Result} from 'true-myth';
 import * as v from 'valibot';
+import {hostProtocolVersion} from '../members/host-protocol.js';
 import type {ChangeBatch} from '../ports.js';
 import {listen} from '../requests/client-listener.js';
 import {forwardedRequestPath} from '../requests/forwarded-request.js';
@@ -59,8 +60,8 @@
 const contactQuestionSchema = v.object({server: v.string(), incarnation: v.string(), age: v.number()});
 
 const snapshotRouter = trpc.router({
-	snapshot: trpc.procedure.query(({ctx}) => ctx.source.snapshot()),
-	changes: trpc.procedure.input(value => v.parse(knownStateSchema, value)).query(({ctx, input}) => ctx.source.changesSince(input)),
+	snapshot: trpc.procedure.query(({ctx}) => ({...ctx.source.snapshot(), protocol: hostProtocolVersion})),
+	changes: trpc.procedure.input(value => v.parse(knownStateSchema, value)).query(({ctx, input}) => ({...ctx.source.changesSince(input), protocol: hostProtocolVersion})),
 	streamOrigin: trpc.procedure.input(value => v.parse(originQuestionSchema, value)).query(({ctx, input}) => ctx.source.streamOrigin(input)),
 	serverContact: trpc.procedure.input(value => v.parse(contactQuestionSchema, value)).query(async ({ctx, input}) => ctx.source.serverContact(input)),
 	hosts: trpc.procedure.input(value => v.parse(linkKindSchema, value)).query(({ctx, input}) => ctx.source.hosts(input)),
