Send complete messages in the test of the relay follower, and order imports

The test encoded a message without its lists, which the type does not allow; the encoder reads the reported hosts since hosts state their build.

--- a/packages/host/__tests__/messages-of-other-builds.test.ts
+++ b/packages/host/__tests__/messages-of-other-builds.test.ts
@@ -27,7 +27,9 @@
 
 test('a message with states, roles and fields of a later build is readable', () => {
 	const sent = decode(encodeHostMessage(message)) as Record<string, unknown>;
-	const received = decodeHostMessage(encode({...sent, state: 'hibernating', role: 'archive', forecast: [1], isDetached: false}));
+	const received = decodeHostMessage(encode({
+		...sent, state: 'hibernating', role: 'archive', forecast: [1], isDetached: false,
+	}));
 	assert.is(received?.state, 'starting');
 	assert.is(received?.role, 'relay');
 	assert.is(received?.configuration, 3);
--- a/packages/host/__tests__/relay-follower.test.ts
+++ b/packages/host/__tests__/relay-follower.test.ts
@@ -6,6 +6,7 @@
 import {
 	type HostMessage, type PeerClient, ClusterState, RelayFollower, decodeHostMessage, encodeHostMessage,
 } from '../src/index.js';
+import {noEvents} from '../src/members/gossip-events.js';
 
 const test = suite('RelayFollower');
 const listener = {
@@ -17,8 +18,8 @@
 
 function createMessage(stateVersion: number, updates: HostMessage['updates']): HostMessage {
 	return decodeHostMessage(encodeHostMessage({
-		name: 'relay', incarnation: '1', state: 'serving', configuration: 0, revision: 9 + stateVersion, stateVersion, updates,
-	} as HostMessage))!;
+		...noEvents, name: 'relay', incarnation: '1', state: 'serving', role: 'relay', hostCount: 1, hasStoreContact: false, configuration: 0, revision: 9 + stateVersion, stateVersion, isWhole: false, charged: {}, loads: {}, quarantined: [], updates,
+	}))!;
 }
 
 // Guards against issue 32's inc1 on hosts that do not read the store: the relay's datagram waited while the host was suspended.
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -4,10 +4,10 @@
 import type {Socket} from 'node:net';
 import type {ClientLimits} from '@lacewingpoint/routing';
 import type {Bytes, Milliseconds} from '@lacewingpoint/shared';
-import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 import type {
 	ClientProtocol, ClientRequest, HeaderList, ReceivedRequest, ResponseWriter,
 } from '../ports.js';
+import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 
 export type ClientListenerOptions = {
 	readonly address: string;
--- a/packages/host/src/requests/peer-forwarder.ts
+++ b/packages/host/src/requests/peer-forwarder.ts
@@ -3,10 +3,10 @@
 import type {
 	Disposable, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
+import type {HostCapability} from '../members/host-protocol.js';
 import {
 	BackendConnectionPool, type Exchange, type ExchangeHandler, defaultConnectionLimits,
 } from './backend-connection-pool.js';
-import type {HostCapability} from '../members/host-protocol.js';
 import {type ForwardedRequest, encodeForwardedRequest, forwardedRequestPath} from './forwarded-request.js';
 
 /** Hosts of other regions answer within a few hundred milliseconds. */
