Divide the slots of brittle servers among the hosts

What callers saw: servers that said in each response that they fall over if they turn too many requests away fell over again and again under a load somewhat above their room; Server-Brittle was read by nobody. Cause: hosts send until servers reject, and each learns of the others' requests only later. Change: a host sends to a brittle server while at most half of its slots are taken, as far as it knows, and beyond that only its own part of the slots, which rendezvous hashing deals out without messages. Other requests wait at the hosts. Nothing changes for servers that are not brittle.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -89,7 +89,7 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now,
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now,
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
@@ -378,7 +378,10 @@
 		this.#forwarding.serverLinks.review();
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
-		this.#clusterState.learnedCapacity.removeUnknown(({id, incarnation}) => this.#clusterState.servers.findEntry(id)?.incarnation === incarnation);
+		for (const knowledge of [this.#clusterState.learnedCapacity, this.#clusterState.brittleServers]) {
+			knowledge.removeUnknown(({id, incarnation}) => this.#clusterState.servers.findEntry(id)?.incarnation === incarnation);
+		}
+
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -182,6 +182,8 @@
 	readonly pause: Milliseconds | undefined;
 	/** The rate that the server takes from all hosts together; `undefined` if it names none, NaN if the value is unreadable. */
 	readonly requestsPerSecond: number | undefined;
+	/** How many rejections for want of room in a second the server survives; `undefined` if it names none, NaN if the value is unreadable. */
+	readonly survivableRejections: number | undefined;
 };
 
 /** A model server's report of its weights. */
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -74,6 +74,7 @@
 const fetchBandwidthShare = 0.6;
 
 export type DispatcherOptions = {
+	readonly hostName: string;
 	readonly failureDomain: string;
 	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
@@ -85,6 +86,7 @@
 export class Dispatcher implements Disposable {
 	readonly #clusterState: ClusterState;
 	readonly #enginePlacer: EnginePlacer;
+	readonly #hostName: string;
 	readonly #failureDomain: string;
 	readonly #maxWeightsStaleness: () => Milliseconds;
 	readonly #random: RandomSource;
@@ -100,6 +102,7 @@
 	constructor(clusterState: ClusterState, options: DispatcherOptions) {
 		this.#clusterState = clusterState;
 		this.#enginePlacer = new EnginePlacer(clusterState.promptCache);
+		this.#hostName = options.hostName;
 		this.#failureDomain = options.failureDomain;
 		this.#maxWeightsStaleness = options.maxWeightsStaleness;
 		this.#random = options.random;
@@ -135,7 +138,7 @@
 			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: shortestWait};
 		}
 
-		const belowCapacity = entries.filter(entry => this.#clusterState.loads.totalLoad(entry.id, this.#now()).requests < this.#clusterState.learnedCapacity.limit(entry, this.#now()));
+		const belowCapacity = entries.filter(entry => this.#hasCapacity(entry));
 		if (belowCapacity.length === 0) {
 			return {type: 'full', estimatedWait: assumedServiceTime};
 		}
@@ -232,6 +235,23 @@
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, this.#now())));
 	}
 
+	#hasCapacity(entry: ServerEntry): boolean {
+		const {loads, learnedCapacity, brittleServers, hosts} = this.#clusterState;
+		const now = this.#now();
+		const totalRequests = loads.totalLoad(entry.id, now).requests;
+		if (totalRequests >= learnedCapacity.limit(entry, now)) {
+			return false;
+		}
+
+		return !brittleServers.isBrittle(entry, now) || brittleServers.mayTake({
+			server: entry,
+			ownRequests: loads.localLoad(entry.id).requests,
+			totalRequests,
+			hostName: this.#hostName,
+			peerNames: hosts.listServing(now).map(({name}) => name).filter(name => name !== this.#hostName),
+		}, now);
+	}
+
 	// How long a server wants no request, because it asked for a pause or named a limit.
 	#waitTime(entry: ServerEntry): Milliseconds {
 		const now = this.#now();
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,7 +2,7 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -43,6 +43,7 @@
 	readonly health = new ServerHealth(healthOptions);
 	readonly serverNotices = new ServerNotices();
 	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
+	readonly brittleServers = new BrittleServers();
 	readonly streamOrigins = new StreamOrigins();
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
--- a/packages/host/src/state/server-notice-recorder.ts
+++ b/packages/host/src/state/server-notice-recorder.ts
@@ -55,6 +55,7 @@
 		}
 
 		this.#recordLimit(target, notice, sentAt);
+		this.#recordBrittleness(target, notice);
 		if (notice.pause === undefined) {
 			return;
 		}
@@ -74,6 +75,19 @@
 		});
 	}
 
+	#recordBrittleness(target: ConnectionTarget, {survivableRejections, isStamped, instanceId}: ServerNotice): void {
+		const {clusterState, log, now} = this.#options;
+		if (Number.isNaN(survivableRejections)) {
+			log.warn('server-brittle', {server: target.id, outcome: 'ignored'});
+			return;
+		}
+
+		const isKnownSender = isStamped || instanceId === target.id;
+		if ((survivableRejections !== undefined || isKnownSender) && clusterState.brittleServers.recordResponse(target, survivableRejections, now())) {
+			log.info('server-brittle', {server: target.id, incarnation: target.incarnation, rejections: survivableRejections ?? null});
+		}
+	}
+
 	#recordLimit(target: ConnectionTarget, {requestsPerSecond, isStamped, instanceId}: ServerNotice, sentAt: Milliseconds): void {
 		const {clusterState, gossip, log, now} = this.#options;
 		if (Number.isNaN(requestsPerSecond)) {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -4,6 +4,7 @@
 export {
 	type ExecutedPart, type PartAdmission, type PromptPartQuarantineOptions, type QuarantinedPart, PromptPartQuarantine, defaultPromptPartQuarantineOptions,
 } from './prompt-part-quarantine.js';
+export {type BrittleLoad, BrittleServers} from './brittle-servers.js';
 export {type RetryBudgetOptions, RetryBudget} from './retry-budget.js';
 export type {
 	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, WeightedService, Workspace,
