--- a/packages-private/local-cluster/src/revision-build.ts
+++ b/packages-private/local-cluster/src/revision-build.ts
@@ -8,7 +8,7 @@
 import {build} from 'esbuild';
 import {currentBuildDirectory} from './local-process.js';
 
-const repository = fileURLToPath(new URL('../../../', import.meta.url));
+const repository = fileURLToPath(new URL('../../..', import.meta.url));
 const run = promisify(execFile);
 
 /**
@@ -31,7 +31,8 @@
 	await rm(directory, {recursive: true, force: true});
 	await mkdir(sources, {recursive: true});
 	const archive = join(directory, 'sources.tar');
-	await run('git', ['archive', '--output', archive, commit, 'packages', 'platform'], {cwd: repository});
+	// The clone may belong to another user than the one that runs the tests.
+	await run('git', ['-c', `safe.directory=${repository}`, 'archive', '--output', archive, commit, 'packages', 'platform'], {cwd: repository});
 	await run('tar', ['-xf', archive, '-C', sources]);
 	await build({
 		entryPoints: {'lacewingpoint-host': join(sources, 'platform/src/main.ts')},
