Do not send a request that must not be repeated again to a server that refused it

Cause: when every usable server had refused a request, it was sent again to one of them. A server that writes its refusal a second time where the next answer is due then names the request itself, so that the host believed the copy while the request was being executed: it was executed at a second server, or the client was told that it had not run.

--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -16,6 +16,7 @@
 import type {RoutedRequest} from './routed-request.js';
 import {createServerRequest} from './server-request.js';
 import {StallDetector} from './stall-detector.js';
+import type {TriedServers} from './tried-servers.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
 /** A server that has requests in flight and has sent no data for this long is considered crashed. */
@@ -39,6 +40,7 @@
 	readonly route: Route;
 	readonly response: RelayedResponse;
 	readonly retries: RetryAllowance;
+	readonly triedServers: TriedServers;
 	readonly listener: AttemptListener;
 };
 
@@ -310,6 +312,7 @@
 			clusterState.weightsTracker.recordLoading(entry.id, now() + assumedLoadingTime, now());
 		}
 
+		this.#options.triedServers.recordRefusal(entry.id);
 		this.#endAttempt(attempt, `not run (${attempt.status}, id: ${identifyRefusal(head, this.#request.received.request.id)})`);
 		attempt.exchange?.abort({isDelivered: true});
 		if (this.#retries.claimAfterRejection()) {
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -12,6 +12,7 @@
 import {RequestCompletion, outOfTime} from './request-completion.js';
 import {RetryAllowance} from './retry-allowance.js';
 import {RoutedRequest} from './routed-request.js';
+import {TriedServers} from './tried-servers.js';
 import {
 	decideWait, defaultRetryAfter, limitRetryAfter, maximumWaitAfterRejections, minimumRemainingTime,
 } from './wait-decision.js';
@@ -32,7 +33,7 @@
 	readonly #response: RelayedResponse;
 	readonly #quotaCharge: QuotaCharge;
 	readonly #completion: RequestCompletion;
-	readonly #triedServers = new Set<string>();
+	readonly #triedServers = new TriedServers();
 	readonly #triedPeers = new Set<string>();
 
 	#retries = new RetryAllowance(0, () => false);
@@ -81,7 +82,7 @@
 		this.#originVersion = forwarding?.requiredVersion;
 		this.#retries = new RetryAllowance(Math.min(route.maxServers, forwarding?.executionsLeft ?? Number.POSITIVE_INFINITY), () => this.#acquireRetryBudget());
 		const attempts = new AttemptRunner({
-			context: this.#context, request: this.#request, route, response: this.#response, retries: this.#retries, listener: this,
+			context: this.#context, request: this.#request, route, response: this.#response, retries: this.#retries, triedServers: this.#triedServers, listener: this,
 		});
 		this.#attempts = attempts;
 		this.#completion.observeAttempts(attempts);
@@ -215,7 +216,7 @@
 			service,
 			workspace: workspace?.name,
 			isIsolated: workspace?.isIsolated === true,
-			excludedServers: this.#triedServers,
+			excludedServers: this.#triedServers.excluded,
 			requiredVersion: this.#response.softwareVersion ?? this.#originVersion,
 		});
 	}
@@ -320,9 +321,8 @@
 			return;
 		}
 
-		if (placement.type === 'none' && this.#triedServers.size > 0 && this.#retries.executions === 0) {
+		if (placement.type === 'none' && this.#retries.executions === 0 && this.#triedServers.reopen(this.#request.isRetryable)) {
 			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
-			this.#triedServers.clear();
 			placement = this.#place();
 			if (placement.type !== 'paused') {
 				this.#enqueue(maximumWaitAfterRejections(remainingTime));
