Split the files that several parts extend, and remove two import circles

The dispatcher keeps the queues; which servers may get a request (ServerFilter, with further constraints) and the placement of generations moved to packages/host/src/placement. No behaviour changes.

--- a/packages/host/__tests__/server-witnesses.test.ts
+++ b/packages/host/__tests__/server-witnesses.test.ts
@@ -5,7 +5,8 @@
 import * as assert from 'uvu/assert';
 import {ClusterState} from '../src/state/cluster-state.js';
 import type {PeerClient} from '../src/state/peer-snapshots.js';
-import {type ServerContact, ServerWitnesses} from '../src/state/server-witnesses.js';
+import type {ServerContact} from '../src/state/server-contact.js';
+import {ServerWitnesses} from '../src/state/server-witnesses.js';
 
 const test = suite('ServerWitnesses');
 
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -8,7 +8,8 @@
 import {quarantineOptions} from './state/cluster-state-options.js';
 import {StoreWatch} from './state/store-watch.js';
 import {ClusterState} from './state/cluster-state.js';
-import {type ClientListener, serveClients} from './requests/client-listener.js';
+import {serveInterfaces} from './client-interfaces.js';
+import type {ClientListener} from './requests/client-listener.js';
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
 import {type Forwarding, createForwarding} from './forwarding.js';
@@ -35,9 +36,6 @@
 /** Time between reviews of the links to other hosts, removals of expired state and requests for missing state. */
 const maintenanceInterval: Milliseconds = 100;
 
-/** Share of the memory that request bodies may use. */
-const bodyMemoryShare = 0.15;
-
 /** The router process of one host: it connects the request pipeline, the cluster state, the gossip with peers and the weights rollout. */
 export class Host {
 	readonly #dependencies: HostDependencies;
@@ -89,7 +87,7 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now,
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [],
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
@@ -204,24 +202,13 @@
 	async start(): Promise<void> {
 		const {settings, adapter, log, random, now} = this.#dependencies;
 		await this.#fleet.start();
-		this.#clientListeners = await Promise.all(adapter.interfaces.map(async ({address, protocol}) => serveClients({
-			address,
-			protocol,
+		this.#clientListeners = await serveInterfaces(this.#dependencies, {
 			limits: () => this.#clusterState.configuration?.limits,
 			isStopping: () => this.#isStopping,
-			bodyMemoryLimit: settings.memory * bodyMemoryShare / adapter.interfaces.length,
-			now,
 			onRequest: received => {
 				this.#onRequest(received);
 			},
-			onRejected: (id, status, reason) => {
-				this.#metrics.incrementCounter('requests', {route: 'none', outcome: 'rejected', status: String(status)});
-				const outcome = 'rejected';
-				log.info('request', {
-					id, outcome, status, cause: reason,
-				});
-			},
-		})));
+		});
 		this.#disposables.add(await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource, (request, response) => {
 			this.#forwarding.listener.handle(request, response);
 		}));
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -6,7 +6,6 @@
 	Bytes, LayerError, Milliseconds, Tokens,
 } from '@lacewingpoint/shared';
 import type {Result} from 'true-myth';
-import type {ForwardingTerms} from './requests/forwarded-request.js';
 
 /** Alternating header names and values, as they are on the wire. */
 export type HeaderList = readonly string[];
@@ -317,6 +316,18 @@
 	onDrain(listener: () => void): void;
 };
 
+/** What a host has to observe when it executes a request for a peer. */
+export type ForwardingTerms = {
+	/** Name of the host that received the request from the client and charged its quota. */
+	readonly origin: string;
+	/** The service that the host has selected. */
+	readonly service: string;
+	/** How many servers may still execute the request. */
+	readonly executionsLeft: number;
+	/** The software version at which a stream has to go on. */
+	readonly requiredVersion?: string | undefined;
+};
+
 /** A request whose body was read completely. */
 export type ReceivedRequest = {
 	readonly request: ClientRequest;
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -1,11 +1,12 @@
 import type {Route} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ChosenServer} from '../placement/placement-request.js';
 import type {HeaderList, ResponseHead} from '../ports.js';
 import {
-	type Attempt, type AttemptListener, type AttemptRecord, createAttempt, describeAttempt, isEventStream, responseFraming,
+	type Attempt, type AttemptListener, type AttemptRecord, isEventStream, responseFraming,
 } from './attempt.js';
+import {AttemptLedger} from './attempt-ledger.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
-import type {ChosenServer} from './dispatcher.js';
 import type {PipelineContext} from './pipeline-context.js';
 import type {RelayedResponse} from './relayed-response.js';
 import {sharedPartIds} from './request-admission.js';
@@ -52,13 +53,12 @@
 	readonly #response: RelayedResponse;
 	readonly #retries: RetryAllowance;
 	readonly #responseObserver: ResponseObserver;
-	readonly #records: AttemptRecord[] = [];
+	readonly #ledger: AttemptLedger;
 	readonly #stallDetector = new StallDetector((duration, isFinal) => {
 		this.#onStall(duration, isFinal);
 	});
 
 	#attempt: Attempt | undefined;
-	#firstSentAt: Milliseconds | undefined;
 	#isPaused = false;
 
 	constructor(options: AttemptRunnerOptions) {
@@ -67,6 +67,7 @@
 		this.#request = options.request;
 		this.#response = options.response;
 		this.#retries = options.retries;
+		this.#ledger = new AttemptLedger(options.context, options.request.received);
 		this.#responseObserver = new ResponseObserver({
 			context: options.context, received: options.request.received, route: options.route, service: options.request.service, isStream: options.request.isStream,
 		});
@@ -77,7 +78,7 @@
 	}
 
 	get firstSentAt(): Milliseconds | undefined {
-		return this.#firstSentAt;
+		return this.#ledger.firstSentAt;
 	}
 
 	get firstByteAt(): Milliseconds | undefined {
@@ -85,7 +86,7 @@
 	}
 
 	get records(): readonly AttemptRecord[] {
-		return this.#records;
+		return this.#ledger.records;
 	}
 
 	/**
@@ -94,16 +95,9 @@
 	 * @param chosen - The server.
 	 */
 	run(chosen: ChosenServer): void {
-		const {now, clusterState} = this.#context;
-		const {entry} = chosen;
-		const attempt = createAttempt(chosen, this.#request.received.request, now());
+		const attempt = this.#ledger.begin(chosen);
 		this.#attempt = attempt;
 		this.#retries.attempts++;
-		this.#firstSentAt ??= attempt.sentAt;
-		clusterState.loads.addRequest(entry.id, attempt.load);
-		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
-		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
-		this.#context.onRequestPlaced(chosen, this.#request.received);
 		this.#context.arrivals.pass(() => {
 			// Its client may have left meanwhile.
 			if (!attempt.isFinished) {
@@ -152,7 +146,7 @@
 	 * @param record - How it ended.
 	 */
 	addRecord(record: AttemptRecord): void {
-		this.#records.push(record);
+		this.#ledger.addRecord(record);
 	}
 
 	/** Stops watching for stalls. */
@@ -164,7 +158,7 @@
 	#send(attempt: Attempt): void {
 		const {backend, connections, dispatcher} = this.#context;
 		const {chosen} = attempt;
-		if (!dispatcher.isAvailable(chosen.entry)) {
+		if (!dispatcher.serverFilter.isAvailable(chosen.entry)) {
 			this.#endAttempt(attempt, 'not sent: the server is leaving');
 			this.#retries.attempts--;
 			this.#options.listener.onRetry();
@@ -385,19 +379,8 @@
 			return;
 		}
 
-		const {clusterState, now, dispatcher} = this.#context;
-		const {received} = this.#request;
 		attempt.isFinished = true;
 		this.#stallDetector.stop();
-		if (!attempt.hasFirstByte && attempt.chosen.engine !== undefined) {
-			this.#context.onPrefillEnded(attempt.chosen, received, false);
-		}
-
-		clusterState.loads.removeRequest(attempt.chosen.entry.id, attempt.load);
-		clusterState.health.recordRequestEnded(attempt.chosen.entry.id);
-		this.#records.push(describeAttempt(attempt, received.receivedAt, {result, endedAt: now()}));
-		queueMicrotask(() => {
-			dispatcher.dispatchQueued();
-		});
+		this.#ledger.end(attempt, result);
 	}
 }
--- a/packages/host/src/requests/forwarded-request.ts
+++ b/packages/host/src/requests/forwarded-request.ts
@@ -2,7 +2,7 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import * as v from 'valibot';
-import type {ClientRequest, HeaderList} from '../ports.js';
+import type {ClientRequest, ForwardingTerms, HeaderList} from '../ports.js';
 
 /** Path at which hosts take requests that a peer forwards, on the address of their snapshots. */
 export const forwardedRequestPath = '/forwarded';
@@ -50,10 +50,7 @@
 });
 
 /** A request as one host forwards it to another. */
-export type ForwardedRequest = Omit<v.InferOutput<typeof forwardedRequestSchema>, 'request' | 'body'> & {readonly request: ClientRequest; readonly body: Uint8Array};
-
-/** What a host has to observe when it executes a request for a peer. */
-export type ForwardingTerms = Pick<ForwardedRequest, 'origin' | 'service' | 'executionsLeft' | 'requiredVersion'>;
+export type ForwardedRequest = ForwardingTerms & {readonly protocol: number; readonly request: ClientRequest; readonly body: Uint8Array};
 
 const relayedHeadSchema = v.object({status: v.number(), headers: v.array(v.string())});
 
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -6,9 +6,10 @@
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {BrokenRequest} from '../state/server-crash-detector.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
+import type {ChosenServer} from '../placement/placement-request.js';
 import type {ArrivalBarrier} from './arrival-barrier.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
-import type {ChosenServer, Dispatcher} from './dispatcher.js';
+import type {Dispatcher} from './dispatcher.js';
 import type {PeerForwarder} from './peer-forwarder.js';
 
 /** The components of a host that all its requests share, and callbacks to the host. */
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -1,9 +1,10 @@
 import type {Route} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ReceivedRequest} from '../ports.js';
+import type {ChosenServer, PlacementResult} from '../placement/placement-request.js';
 import type {AttemptListener} from './attempt.js';
 import {AttemptRunner} from './attempt-runner.js';
-import type {ChosenServer, PendingRequest, PlacementResult} from './dispatcher.js';
+import type {PendingRequest} from './dispatcher.js';
 import {ForwardedAttempt} from './forwarded-attempt.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {QuotaCharge} from './quota-charge.js';
@@ -317,7 +318,7 @@
 			return;
 		}
 
-		if (placement.type === 'none' && this.#context.dispatcher.hasUnreachableServer(this.#request.service) && this.#forward()) {
+		if (placement.type === 'none' && this.#context.dispatcher.serverFilter.hasUnreachableServer(this.#request.service) && this.#forward()) {
 			return;
 		}
 
--- a/packages/host/src/requests/server-request.ts
+++ b/packages/host/src/requests/server-request.ts
@@ -1,7 +1,7 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {BackendProtocol} from '../ports.js';
+import type {ChosenServer} from '../placement/placement-request.js';
 import type {OutgoingRequest} from './backend-connection-pool.js';
-import type {ChosenServer} from './dispatcher.js';
 import type {RoutedRequest} from './routed-request.js';
 
 /** Subtracted from the deadline sent to the server, so that the response still reaches the client in time. */
--- a/packages/host/src/requests/wait-decision.ts
+++ b/packages/host/src/requests/wait-decision.ts
@@ -1,5 +1,5 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
-import type {PlacementResult} from './dispatcher.js';
+import type {PlacementResult} from '../placement/placement-request.js';
 
 /**
  * The share of its remaining time that a request may spend in the queue. A request dispatched later could hardly be served in time,
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -7,10 +7,11 @@
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
 import {
-	ageTolerance, assumedRemainingUse, cacheMemoryShare, healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
+	cacheMemoryShare, healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
 } from './cluster-state-options.js';
 import {applyObservedWeights, listObservedWeights} from './observed-weights.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
+import {TargetVersions} from './target-versions.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
 const reregistrationGrace: Milliseconds = 2000;
@@ -51,7 +52,7 @@
 	readonly serverLimits = new ServerLimits(defaultServerLimitsOptions);
 	readonly weightsTracker = new WeightsTracker(weightsTrackerOptions);
 	readonly #listener: ClusterStateListener;
-	readonly #maxWeightsStaleness: () => Milliseconds;
+	readonly #targetVersions: TargetVersions;
 	readonly #log: Logger;
 	readonly #now: () => Milliseconds;
 	#routes: RouteIndex | undefined;
@@ -71,10 +72,14 @@
 	 * @param listener - Called on changes.
 	 */
 	constructor(log: Logger, now: () => Milliseconds, maxWeightsStaleness: () => Milliseconds, listener: ClusterStateListener) {
-		this.#maxWeightsStaleness = maxWeightsStaleness;
 		this.#listener = listener;
 		this.#log = log;
 		this.#now = now;
+		this.#targetVersions = new TargetVersions(this.weightsTracker, {
+			log, now, maxWeightsStaleness, onChanged: change => {
+				this.#recordStateChange(change);
+			},
+		});
 	}
 
 	get routes(): RouteIndex | undefined {
@@ -162,7 +167,7 @@
 				...(configuration !== undefined && configuration.version > known.configuration ? [{type: 'configuration', revision: this.#configurationRevision, configuration} as const] : []),
 				...changedServers.map(({entry, revision}) => ({type: 'server', revision, entry} as const)),
 				...listObservedWeights(this, changedServers),
-				...this.#describeTargetVersions(),
+				...this.#targetVersions.describe(),
 			],
 			revision: this.#revision,
 			serverIds: servers.map(({entry}) => entry.id),
@@ -178,7 +183,7 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#describeTargetVersions());
+		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#targetVersions.describe());
 		for (const description of this.hosts.listRelays(this.#now())) {
 			changes.push({type: 'host', revision: 0, description});
 		}
@@ -224,12 +229,6 @@
 		this.#listener.onServersChanged();
 	}
 
-	#describeTargetVersions(): Array<StateChange & {readonly type: 'weights'}> {
-		return [...this.weightsTracker.targetVersions()].flatMap(([model, targets]) => targets.map(({version, revision, knownSince, isAssumed}) => ({
-			type: 'weights', revision, model, version, age: this.#now() - knownSince, isAgeAssumed: isAssumed,
-		} as const)));
-	}
-
 	#removeUnlisted(ids: ReadonlySet<string>, revision: number, source: string): void {
 		for (const id of this.servers.removeUnlisted(ids, revision, this.#now())) {
 			this.#removeServer(id, revision, source);
@@ -267,7 +266,7 @@
 			}
 
 			case 'weights': {
-				this.#applyTargetVersion(change, source, unchangedUntil);
+				this.#targetVersions.apply(change, source, unchangedUntil);
 				break;
 			}
 
@@ -321,32 +320,6 @@
 		this.#recordStateChange(undefined);
 	}
 
-	#applyTargetVersion(change: StateChange & {readonly type: 'weights'}, source: string, unchangedUntil: Milliseconds): void {
-		const {model, version, revision} = change;
-		if (change.age === undefined && this.weightsTracker.isTargetVersion(model, version)) {
-			return;
-		}
-
-		// The store does not tell when a version was published. It counts as old as it can be.
-		const possibleAge = this.#now() - unchangedUntil;
-		const age = change.age ?? Math.min(possibleAge, Math.max(this.#maxWeightsStaleness() - assumedRemainingUse, 0));
-		const isAssumed = change.isAgeAssumed ?? (change.age === undefined && possibleAge > ageTolerance);
-		const target = {
-			version, revision, knownSince: this.#now() - age, isAssumed,
-		};
-		const wasAssumed = this.weightsTracker.isAgeAssumed(model, version);
-		const isNew = this.weightsTracker.addTargetVersion(model, target);
-		if (isNew) {
-			this.#log.info('weights-named', {
-				model, version, revision, age: Math.round(age), isAssumed, source,
-			});
-		}
-
-		if (isNew || wasAssumed !== this.weightsTracker.isAgeAssumed(model, version)) {
-			this.#recordStateChange({...change, age, isAgeAssumed: isAssumed});
-		}
-	}
-
 	#applyServer(entry: ServerEntry, revision: number, source: string): void {
 		const previous = this.servers.findEntry(entry.id);
 		const change = this.servers.applyEntry(entry, revision);
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -13,7 +13,7 @@
 import type {ChangeBatch} from '../ports.js';
 import {listen} from '../requests/client-listener.js';
 import {forwardedRequestPath} from '../requests/forwarded-request.js';
-import type {ContactQuestion, ServerContact} from './server-witnesses.js';
+import type {ContactQuestion, ServerContact} from './server-contact.js';
 import {addTransferTime} from './transfer-time.js';
 
 /** What a host knows already. */
--- a/packages/host/src/state/prompt-placement-tracker.ts
+++ b/packages/host/src/state/prompt-placement-tracker.ts
@@ -1,6 +1,6 @@
 import type {PromptPart} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
-import type {ChosenServer} from '../requests/dispatcher.js';
+import type {ChosenServer} from '../placement/placement-request.js';
 import type {HostGossip} from '../members/host-gossip.js';
 import type {ReceivedRequest} from '../ports.js';
 import type {ClusterState} from './cluster-state.js';
--- a/packages/host/src/state/server-witnesses.ts
+++ b/packages/host/src/state/server-witnesses.ts
@@ -3,6 +3,7 @@
 import type {ConnectionTarget} from '../requests/backend-connection-pool.js';
 import type {ClusterState} from './cluster-state.js';
 import type {PeerClient} from './peer-snapshots.js';
+import type {ContactQuestion, ServerContact} from './server-contact.js';
 
 /** The number of peers that are asked about one server. */
 const witnessCount = 2;
@@ -10,22 +11,6 @@
 /** The time within which a rejection shows that a server was overloaded when it went down. */
 const overloadWindow: Milliseconds = 1000;
 
-/** A question for what a peer knows of a server that the asking host does not reach. */
-export type ContactQuestion = {
-	readonly server: string;
-	readonly incarnation: string;
-	/** Time since the server broke off a request of the asking host, in milliseconds. */
-	readonly age: Milliseconds;
-};
-
-/** What a host knows of a server. */
-export type ServerContact = {
-	/** Whether it reaches the server; `unknown` if it has no links to servers itself, or does not know the process. */
-	readonly contact: 'reached' | 'unreachable' | 'unknown';
-	/** Whether the server has rejected a request of the host for want of capacity just before. */
-	readonly isOverloaded: boolean;
-};
-
 /** Why a server is out of reach, as far as this host and its peers see. */
 export type UnreachableCause = 'crashed' | 'link-lost' | 'overloaded';
 
