--- a/packages/shared/src/metrics.ts
+++ b/packages/shared/src/metrics.ts
@@ -1,9 +1,14 @@
-import {type Histogram, build} from 'hdr-histogram-js';
+// The library's index also loads its WebAssembly and log formats, which take a tenth of the processor time of a host's start.
+import histogramModule from 'hdr-histogram-js/dist/Int32Histogram.js';
 
 /** Names and values of the labels of a time series. */
 export type Labels = Readonly<Record<string, string>>;
 
 const percentiles = [50, 90, 95, 99, 99.9];
+const {default: Int32Histogram} = histogramModule;
+type Histogram = InstanceType<typeof Int32Histogram>;
+
+const significantDigits = 2;
 const microsecondsPerMillisecond = 1000;
 /** Ten minutes. Longer durations are recorded as this value. */
 const maxTrackableMicroseconds = 600_000_000;
@@ -50,7 +55,7 @@
 	 */
 	recordDuration(name: string, milliseconds: number, labels: Labels = {}): void {
 		const key = seriesName(name, labels);
-		const entry = this.#histograms.get(key) ?? {name, labels, histogram: build({highestTrackableValue: maxTrackableMicroseconds, numberOfSignificantValueDigits: 2})};
+		const entry = this.#histograms.get(key) ?? {name, labels, histogram: new Int32Histogram(1, maxTrackableMicroseconds, significantDigits)};
 		this.#histograms.set(key, entry);
 		entry.histogram.recordValue(Math.min(Math.max(Math.round(milliseconds * microsecondsPerMillisecond), 1), maxTrackableMicroseconds));
 	}
