Check a configuration before it is published

Cause: the store accepts every configuration that is valid by its schema; routes that can never match and limits that contradict each other show only when requests fail. The review is code of its own in packages/routing.

--- a/packages/command-line/src/commands.ts
+++ b/packages/command-line/src/commands.ts
@@ -2,6 +2,7 @@
 import {type LayerError, describeError, getErrorMessage} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import {buildAuditTrail} from './audit-trail.js';
+import {checkConfiguration, describeCheck} from './configuration-check.js';
 import {explainRequest} from './explanation.js';
 import {readHostStatus} from './host-status.js';
 import {type LogRecord, parseLogRecords} from './log-records.js';
@@ -50,6 +51,10 @@
 		return checkSettings(context, rest[1]);
 	}
 
+	if (command === 'configuration' && first === 'check' && rest[1] !== undefined) {
+		return reviewConfigurationFile(context, rest[1], rest[2]);
+	}
+
 	return fail(context, {layer: 'command-line', code: 'bad-input', message: `unknown command or missing argument: ${commandArguments.join(' ')}; try --help`}, exitCodes.badInput);
 }
 
@@ -124,3 +129,27 @@
 	context.print(context.isJson ? JSON.stringify(settings.value) : `${path} is valid`);
 	return exitCodes.success;
 }
+
+async function reviewConfigurationFile(context: CommandContext, path: string, inForcePath: string | undefined): Promise<ExitCode> {
+	let texts: string[];
+	try {
+		texts = await Promise.all([path, ...(inForcePath === undefined ? [] : [inForcePath])].map(async file => context.readText(file)));
+	} catch (error) {
+		return fail(context, {layer: 'command-line', code: 'bad-input', message: getErrorMessage(error)}, exitCodes.badInput);
+	}
+
+	const check = checkConfiguration(texts[0]!, texts[1]);
+	if (check.isErr) {
+		return fail(context, check.error, exitCodes.badInput);
+	}
+
+	const {version, findings, differences} = check.value;
+	const lines = context.isJson
+		? [...findings, ...differences ?? [], {version}].map(item => JSON.stringify(item))
+		: describeCheck(check.value);
+	for (const line of lines) {
+		context.print(line);
+	}
+
+	return findings.some(({severity}) => severity === 'error') ? exitCodes.failure : exitCodes.success;
+}
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -12,6 +12,8 @@
 	  audit [<log>...]          List which hosts applied or made which changes, and when
 	  status <address>...       Show the status of hosts, given their metrics addresses
 	  settings check <file>     Validate a settings file
+	  configuration check <file> [<in force>]
+	                            Check a configuration before it is published, and compare it with the one in force
 
 	Without log files, standard input is read.
 
@@ -20,8 +22,8 @@
 
 	Exit codes
 	  0  success
-	  1  failure
-	  2  invalid arguments, settings or log files
+	  1  failure, or errors found in a configuration
+	  2  invalid arguments, settings, log files or configurations
 	  3  request not found in the logs
 	  4  host unreachable, or its response has no metrics of a host
 `, {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,6 +9,9 @@
 export type {
 	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, WeightedService, Workspace,
 } from './configuration.js';
+export {
+	type ConfigurationDifference, type ConfigurationEntry, type ConfigurationFinding, type FieldDifference, compareConfigurations, reviewConfiguration,
+} from './configuration-review/index.js';
 export {RouteIndex} from './route-index.js';
 export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -10,7 +10,9 @@
 export {type Labels, Metrics} from './metrics.js';
 export {type RandomSource, createSeededRandom} from './random-source.js';
 export {startRepeatingTask} from './repeating-task.js';
-export {type SettingsError, type SettingsFault, parseSettings} from './settings-parser.js';
+export {
+	type SettingsError, type SettingsFault, locateSetting, parseSettings,
+} from './settings-parser.js';
 export {
 	type Bytes, type Milliseconds, type Tokens, bytesPerMebibyte, millisecondsPerSecond,
 } from './units.js';
--- a/packages/shared/src/settings-parser.ts
+++ b/packages/shared/src/settings-parser.ts
@@ -80,3 +80,16 @@
 
 	return Result.ok(validation.output);
 }
+
+/**
+ * Finds where a value stands in a settings text.
+ *
+ * @param text - The settings, as JSON with comments.
+ * @param keys - The keys and indexes from the root to the value.
+ * @returns Line and column from 1: of the value, or of the nearest entry around it that exists.
+ */
+export function locateSetting(text: string, keys: ReadonlyArray<string | number>): {readonly line: number; readonly column: number} {
+	const tree = parseTree(text);
+	const node = tree === undefined ? undefined : findNearestNode(tree, keys);
+	return positionAt(text, node?.offset ?? 0);
+}
