Send slow requests that may be repeated to a second server, within a limit of the operators

Cause: a request waits for its server to the end even if that server alone is slow; a few such answers make up the slowest percentiles. Change: secondTries.maximumShare in the settings. The attempt runner is split: StallWatch, attempt records and what a refusal tells of its server are modules of their own.

--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -289,6 +289,8 @@
 	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
 	readonly bounds: HostBounds;
+	/** The largest number of second tries of slow requests, as a share of the requests; 0 for none. */
+	readonly secondTryShare: number;
 };
 
 /** What a platform has to implement for a host. */
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -1,4 +1,4 @@
-import type {Quarantine} from '@lacewingpoint/routing';
+import {type Quarantine, SecondTryPolicy, defaultSecondTryOptions} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {Forwarding} from './forwarding.js';
 import type {HostDependencies} from './host-dependencies.js';
@@ -51,11 +51,13 @@
 		backend: adapter.backend,
 		quarantine,
 		promptPartGuard: fleet.promptPartGuard,
+		secondTries: settings.secondTryShare > 0 ? new SecondTryPolicy({...defaultSecondTryOptions, maximumShare: settings.secondTryShare}, random.next()) : undefined,
 		random,
 		log,
 		metrics,
 		now,
 		earliestArrival: () => components.earliestArrival(),
+		isOverloaded: () => false,
 		isDetached: () => forwarding.serverLinks.isDetached,
 		retryBudget: service => retryBudgets.forService(service),
 		hostCount: () => fleet.gossip.hostCount,
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -3,38 +3,27 @@
 import type {ChosenServer} from '../placement/placement-request.js';
 import type {HeaderList, ResponseHead} from '../ports.js';
 import {
-	type Attempt, type AttemptListener, type AttemptRecord, isEventStream, responseFraming,
+	type Attempt, type AttemptListener, type AttemptRecord, responseFraming,
 } from './attempt.js';
 import {AttemptLedger} from './attempt-ledger.js';
+import {recordFailedExecution, recordHead, recordUnreachable} from './attempt-records.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {PipelineContext} from './pipeline-context.js';
 import type {RelayedResponse} from './relayed-response.js';
-import {sharedPartIds} from './request-admission.js';
 import type {AttemptProgress} from './request-completion.js';
-import {identifyRefusal, isCredibleRefusal} from './refusal.js';
+import {identifyRefusal, isCredibleRefusal, recordRefusal} from './refusal.js';
 import {ResponseObserver} from './response-observer.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {RoutedRequest} from './routed-request.js';
+import {SecondTry} from './second-try.js';
 import {createServerRequest} from './server-request.js';
-import {StallDetector} from './stall-detector.js';
+import {StallWatch} from './stall-watch.js';
 import type {TriedServers} from './tried-servers.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
-/** A server that has requests in flight and has sent no data for this long is considered crashed. */
-const serverStallTimeout: Milliseconds = 350;
-
-/**
- * A model server that rejects a request while a newer target version of its weights is known is assumed to be loading that version.
- * It gets no requests for this long, unless the holder of the weights lease announces its state earlier.
- */
-const assumedLoadingTime: Milliseconds = 300;
-
 /** A server that has sent anything, in any response, this long after a request was written has received the request. */
 const deliveryTime: Milliseconds = 50;
 
-/** Status of a server that has no capacity for a request. */
-const rejectedStatus = 503;
-
 export type AttemptRunnerOptions = {
 	readonly context: PipelineContext;
 	readonly request: RoutedRequest;
@@ -47,17 +36,16 @@
 
 /** Makes the attempts of one request, one at a time: sends it to a server, relays the response and decides whether a failure allows another. */
 export class AttemptRunner implements AttemptProgress {
+	/** The attempts so far; those that were forwarded to peers are added to it. */
+	readonly ledger: AttemptLedger;
 	readonly #options: AttemptRunnerOptions;
 	readonly #context: PipelineContext;
 	readonly #request: RoutedRequest;
 	readonly #response: RelayedResponse;
 	readonly #retries: RetryAllowance;
 	readonly #responseObserver: ResponseObserver;
-	readonly #ledger: AttemptLedger;
-	readonly #stallDetector = new StallDetector((duration, isFinal) => {
-		this.#onStall(duration, isFinal);
-	});
-
+	readonly #secondTry: SecondTry;
+	readonly #stallWatch: StallWatch;
 	#attempt: Attempt | undefined;
 	#isPaused = false;
 
@@ -67,7 +55,32 @@
 		this.#request = options.request;
 		this.#response = options.response;
 		this.#retries = options.retries;
-		this.#ledger = new AttemptLedger(options.context, options.request.received);
+		this.#stallWatch = new StallWatch({
+			context: options.context,
+			request: options.request,
+			route: options.route,
+			response: options.response,
+			retries: options.retries,
+			isPaused: () => this.#isPaused,
+			onStalled: (reason, isServerStalled) => {
+				this.#onFailure({wasWritten: true, reason}, isServerStalled);
+			},
+		});
+		this.ledger = new AttemptLedger(options.context, options.request.received);
+		this.#secondTry = new SecondTry({
+			context: options.context,
+			request: options.request,
+			ledger: this.ledger,
+			retries: options.retries,
+			triedServers: options.triedServers,
+			chooseServer: () => options.listener.chooseSecondServer(),
+			send: attempt => {
+				this.#send(attempt);
+			},
+			onOverlapEnded: () => {
+				this.#replaceBySecondTry('replaced');
+			},
+		});
 		this.#responseObserver = new ResponseObserver({
 			context: options.context, received: options.request.received, route: options.route, service: options.request.service, isStream: options.request.isStream,
 		});
@@ -78,7 +91,7 @@
 	}
 
 	get firstSentAt(): Milliseconds | undefined {
-		return this.#ledger.firstSentAt;
+		return this.ledger.firstSentAt;
 	}
 
 	get firstByteAt(): Milliseconds | undefined {
@@ -86,7 +99,7 @@
 	}
 
 	get records(): readonly AttemptRecord[] {
-		return this.#ledger.records;
+		return this.ledger.records;
 	}
 
 	/**
@@ -95,7 +108,7 @@
 	 * @param chosen - The server.
 	 */
 	run(chosen: ChosenServer): void {
-		const attempt = this.#ledger.begin(chosen);
+		const attempt = this.ledger.begin(chosen);
 		this.#attempt = attempt;
 		this.#retries.attempts++;
 		this.#context.arrivals.pass(() => {
@@ -104,7 +117,10 @@
 				this.#send(attempt);
 			}
 		});
-		this.#updateStallDetector(attempt);
+		this.#stallWatch.update(attempt);
+		if (!this.#response.hasStarted) {
+			this.#secondTry.arm(attempt);
+		}
 	}
 
 	/** Continues to read the response after the client has caught up. */
@@ -116,12 +132,23 @@
 	}
 
 	/**
-	 * Ends the running attempt, if there is one. The listener is not called.
+	 * Ends the running attempts, if there are any. The listener is not called.
 	 *
-	 * @param result - How the attempt ended, for the log.
+	 * @param result - How they ended, for the log.
 	 * @returns Whether an attempt was running that the server may have executed.
 	 */
 	abort(result: string): boolean {
+		this.#secondTry.cancel(result, 'abandoned');
+		return this.#abortAttempt(result);
+	}
+
+	/** Stops all timers. */
+	stop(): void {
+		this.#secondTry.cancel('the request has ended', 'abandoned');
+		this.#stallWatch.stop();
+	}
+
+	#abortAttempt(result: string): boolean {
 		const attempt = this.#attempt;
 		if (attempt === undefined || attempt.isFinished) {
 			return false;
@@ -140,25 +167,16 @@
 		return true;
 	}
 
-	/**
-	 * Adds an attempt that was forwarded to a peer, for the log.
-	 *
-	 * @param record - How it ended.
-	 */
-	addRecord(record: AttemptRecord): void {
-		this.#ledger.addRecord(record);
-	}
-
-	/** Stops watching for stalls. */
-	stopDetector(): void {
-		this.#stallDetector.stop();
-	}
-
 	// Writes the request, unless the server has begun to leave meanwhile.
 	#send(attempt: Attempt): void {
 		const {backend, connections, dispatcher} = this.#context;
 		const {chosen} = attempt;
 		if (!dispatcher.serverFilter.isAvailable(chosen.entry)) {
+			if (this.#secondTry.is(attempt)) {
+				this.#secondTry.cancel('not sent: the server is leaving', 'failed');
+				return;
+			}
+
 			this.#endAttempt(attempt, 'not sent: the server is leaving');
 			this.#retries.attempts--;
 			this.#options.listener.onRetry();
@@ -179,62 +197,38 @@
 			onFailure: failure => {
 				if (attempt === this.#attempt) {
 					this.#onFailure(failure);
+				} else if (this.#secondTry.is(attempt)) {
+					this.#secondTry.cancel(failure.reason, 'failed');
 				}
 			},
 		});
 	}
 
-	#updateStallDetector(attempt: Attempt): void {
-		const {isRetryable, isStream} = this.#request;
-		if (!isRetryable || !this.#response.canBeContinued || this.#retries.isLastExecution) {
-			this.#stallDetector.stop();
-		} else if (!attempt.hasFirstByte) {
-			this.#stallDetector.awaitFirstByte(this.#options.route.objective, attempt.chosen.engine?.predictedTimeToFirstToken ?? 0);
-		} else if (isStream) {
-			this.#stallDetector.awaitNextEvent();
-		} else {
-			this.#stallDetector.stop();
-		}
-	}
-
-	#onStall(duration: Milliseconds, isFinal: boolean): void {
-		const attempt = this.#attempt;
-		if (attempt?.isSent !== true || attempt.isFinished || this.#isPaused || this.#request.remainingTime() < this.#options.route.objective / 2) {
-			return;
-		}
-
-		const {clusterState, now} = this.#context;
-		const isServerStalled = clusterState.health.stallDuration(attempt.chosen.entry.id, now()) >= serverStallTimeout;
-		if (isServerStalled || isFinal) {
-			this.#onFailure({wasWritten: true, reason: `no data for ${Math.round(duration)} ms`}, isServerStalled);
-		}
-	}
-
 	#onHead(attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, rawHeaders: HeaderList): void {
 		const {backend, clusterState, metrics, now} = this.#context;
 		const {request} = this.#request.received;
-		const head = backend.parseResponseHead(status, headers);
 		const {entry} = attempt.chosen;
-		clusterState.health.recordDataReceived(entry.id, now());
-		attempt.head = head;
-		attempt.status = status;
-		attempt.isEventStream = this.#request.isStream && status === 200 && isEventStream(headers);
-		if (head.weightsVersion !== undefined && request.generation !== undefined && (head.instanceId ?? entry.id) === entry.id) {
-			clusterState.recordObservedVersion(entry.id, request.generation.model, head.weightsVersion);
-		}
-
+		const head = recordHead(this.#context, this.#request, attempt, status, headers);
 		if (head.isNotExecuted && isCredibleRefusal(head, attempt, this.#request, metrics)) {
 			this.#onNotExecuted(attempt, head);
 			return;
 		}
 
-		if (head.requestId !== request.id || !head.hasServerStamp) {
+		const isOwnResponse = head.requestId === request.id && head.hasServerStamp;
+		if (isOwnResponse && status < 500) {
+			this.#settleOn(attempt);
+		} else if (this.#secondTry.is(attempt)) {
+			this.#secondTry.cancel(`response ${status} that is not taken`, 'failed');
+			return;
+		}
+
+		if (!isOwnResponse) {
 			this.#onFailure({wasWritten: true, reason: head.hasServerStamp || head.isNotExecuted ? 'response to another request' : `response ${status} without a server stamp`});
 			return;
 		}
 
 		this.#retries.executions++;
-		if (status >= 500 && this.#options.route.repeatability === 'idempotent' && this.#claimRetry()) {
+		if (status >= 500 && this.#options.route.repeatability === 'idempotent' && (this.#secondTry.isRunning || this.#claimRetry())) {
 			this.#retries.executions--;
 			this.#onFailure({wasWritten: true, reason: `server responded with status ${status}`});
 			return;
@@ -254,13 +248,42 @@
 		this.#response.start({status, isEventStream: attempt.isEventStream, weightsVersion: attempt.chosen.engine?.weightsVersion}, backend.responseHeaders(rawHeaders));
 	}
 
+	// Ends the other attempt, if there are two.
+	#settleOn(attempt: Attempt): void {
+		if (this.#secondTry.is(attempt)) {
+			this.#replaceBySecondTry('won');
+		} else {
+			this.#secondTry.cancel('slower than the first try', 'lost');
+		}
+	}
+
+	#replaceBySecondTry(outcome: 'won' | 'replaced'): void {
+		if (this.#abortAttempt('slower than the second try')) {
+			this.#retries.executions++;
+		}
+
+		this.#continueWithSecondTry(outcome);
+	}
+
+	// Makes the second try the only attempt, if it is running.
+	#continueWithSecondTry(outcome: 'won' | 'replaced' = 'replaced'): boolean {
+		const second = this.#secondTry.take(outcome);
+		if (second === undefined) {
+			return false;
+		}
+
+		this.#attempt = second;
+		this.#stallWatch.update(second);
+		return true;
+	}
+
 	#onData(attempt: Attempt, chunk: Uint8Array): void {
 		if (attempt.isFinished || attempt.head === undefined || attempt !== this.#attempt) {
 			return;
 		}
 
 		this.#responseObserver.recordData(attempt);
-		this.#updateStallDetector(attempt);
+		this.#stallWatch.update(attempt);
 		if (!this.#response.write(chunk, {isEventStream: attempt.isEventStream, softwareVersion: attempt.chosen.entry.softwareVersion ?? ''})) {
 			this.#isPaused = true;
 			attempt.exchange?.pause();
@@ -292,23 +315,21 @@
 	}
 
 	#onNotExecuted(attempt: Attempt, head: ResponseHead): void {
-		const {clusterState, now} = this.#context;
-		const {entry, engine} = attempt.chosen;
-		if (attempt.status === rejectedStatus) {
-			clusterState.health.recordRejection(entry.id, now());
-		}
-
-		if (head.isMisdirected && head.instanceId !== undefined && head.instanceId !== entry.id) {
-			clusterState.health.recordUnreachable(entry.id, now());
+		const {request} = this.#request.received;
+		recordRefusal(head, attempt, this.#context, request.generation?.model);
+		this.#options.triedServers.recordRefusal(attempt.chosen.entry.id);
+		const result = `not run (${attempt.status}, id: ${identifyRefusal(head, request.id)})`;
+		if (this.#secondTry.is(attempt)) {
+			this.#secondTry.cancel(result, 'refused');
+			return;
 		}
 
-		if (engine !== undefined && clusterState.weightsTracker.outdatedTime(this.#request.received.request.generation!.model, engine.weightsVersion, now()) > 0) {
-			clusterState.weightsTracker.recordLoading(entry.id, now() + assumedLoadingTime, now());
+		this.#endAttempt(attempt, result);
+		attempt.exchange?.abort({isDelivered: true});
+		if (this.#continueWithSecondTry()) {
+			return;
 		}
 
-		this.#options.triedServers.recordRefusal(entry.id);
-		this.#endAttempt(attempt, `not run (${attempt.status}, id: ${identifyRefusal(head, this.#request.received.request.id)})`);
-		attempt.exchange?.abort({isDelivered: true});
 		if (this.#retries.claimAfterRejection()) {
 			this.#options.listener.onRetry();
 		} else {
@@ -326,7 +347,7 @@
 
 	#onFailure(failure: ExchangeFailure, isServerStalled = false): void {
 		const attempt = this.#attempt;
-		if (attempt === undefined || !this.abort(failure.reason)) {
+		if (attempt === undefined || !this.#abortAttempt(failure.reason)) {
 			return;
 		}
 
@@ -338,30 +359,26 @@
 	}
 
 	#onUnreachable(attempt: Attempt, reason: string): void {
-		const server = attempt.chosen.entry.id;
-		this.#recordUnreachable(server);
-		this.#context.log.info('server-unreachable', {server, reason, id: this.#request.received.request.id});
-		this.#options.listener.onUnreachable();
+		const {id} = attempt.chosen.entry;
+		recordUnreachable(this.#context, id);
+		this.#context.log.info('server-unreachable', {server: id, reason, id: this.#request.received.request.id});
+		if (!this.#continueWithSecondTry()) {
+			this.#options.listener.onUnreachable();
+		}
 	}
 
 	#onExecutionFailed(attempt: Attempt, reason: string, isServerStalled: boolean): void {
-		const {clusterState, now} = this.#context;
-		const {received, fingerprint} = this.#request;
-		const server = attempt.chosen.entry.id;
-		clusterState.health.recordOutcome(server, true, now());
-		this.#context.onAttemptFailed(server, {
-			id: received.request.id, fingerprint, sharedParts: sharedPartIds(received.request), hasSurvivedResponse: attempt.hasSurvivedResponse,
-		});
-		if (isServerStalled) {
-			this.#recordUnreachable(server);
-		}
-
+		recordFailedExecution(this.#context, this.#request, attempt, isServerStalled);
 		const countsAsExecution = attempt.head === undefined || !this.#response.hasStarted || attempt.status === 0;
 		if (countsAsExecution) {
 			this.#retries.executions++;
 		}
 
 		this.#response.discardPartialEvent();
+		if (this.#continueWithSecondTry()) {
+			return;
+		}
+
 		if (this.#claimRetry()) {
 			this.#options.listener.onRetry();
 		} else {
@@ -369,18 +386,13 @@
 		}
 	}
 
-	#recordUnreachable(server: string): void {
-		this.#context.clusterState.health.recordUnreachable(server, this.#context.now());
-		this.#context.onServerUnreachable(server);
-	}
-
 	#endAttempt(attempt: Attempt, result: string): void {
 		if (attempt.isFinished) {
 			return;
 		}
 
 		attempt.isFinished = true;
-		this.#stallDetector.stop();
-		this.#ledger.end(attempt, result);
+		this.#stallWatch.stop();
+		this.ledger.end(attempt, result);
 	}
 }
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -10,6 +10,8 @@
 	onAnswered(status: number): void;
 	/** Another attempt is to be made. */
 	onRetry(): void;
+	/** @returns Another server for a second try beside the running one; `undefined` if none has room. */
+	chooseSecondServer(): ChosenServer | undefined;
 	/** A server could not be reached; the request was not sent. */
 	onUnreachable(): void;
 	/** No other attempt is allowed. */
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -95,6 +95,23 @@
 		return this.#placePlain(sampleServers(belowCapacity, new Set(), this.#random), placementRequest.service);
 	}
 
+	/**
+	 * Describes how much room a service has.
+	 *
+	 * @param service - Name of the service.
+	 * @returns The requests at its available servers as a share of their slots, and whether requests are queued for them here.
+	 */
+	describeRoom(service: string): {readonly loadShare: number; readonly hasQueue: boolean} {
+		let requests = 0;
+		let slots = 0;
+		for (const entry of this.#clusterState.servers.listAvailable(service)) {
+			requests += this.#clusterState.loads.totalLoad(entry.id, this.#now()).requests;
+			slots += entry.slots;
+		}
+
+		return {loadShare: slots === 0 ? 1 : requests / slots, hasQueue: this.#queueFor(service).size > 0};
+	}
+
 	/**
 	 * Adds a request to the queue of a service.
 	 *
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -1,4 +1,6 @@
-import type {Quarantine, RetryBudget, StreamOriginReport} from '@lacewingpoint/routing';
+import type {
+	Quarantine, RetryBudget, SecondTryPolicy, StreamOriginReport,
+} from '@lacewingpoint/routing';
 import type {
 	Logger, Metrics, Milliseconds, RandomSource,
 } from '@lacewingpoint/shared';
@@ -23,6 +25,8 @@
 	readonly forwarder: PeerForwarder;
 	readonly quarantine: Quarantine;
 	readonly promptPartGuard: PromptPartGuard;
+	/** Decides on second tries; `undefined` if the operators have set no limit for them. */
+	readonly secondTries: SecondTryPolicy | undefined;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -31,6 +35,8 @@
 	earliestArrival(): Milliseconds;
 	/** @returns Whether this host has lost its links to all servers. */
 	isDetached(): boolean;
+	/** @returns Whether this host is behind with its work. */
+	isOverloaded(): boolean;
 	/** @returns The retry budget of a service. */
 	retryBudget(service: string): RetryBudget;
 	/** @returns The number of hosts that share the retry budgets, including this one. */
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -89,6 +89,7 @@
 		this.#completion.observeAttempts(attempts);
 		if (forwarding === undefined) {
 			retryBudget(this.#request.service).recordRequest(now());
+			this.#context.secondTries?.recordRequest();
 		}
 
 		responseWriter.onDisconnect(() => {
@@ -145,6 +146,11 @@
 		this.#placeOrEnqueue();
 	}
 
+	chooseSecondServer(): ChosenServer | undefined {
+		const placement = this.#place();
+		return placement.type === 'chosen' ? placement.chosen : undefined;
+	}
+
 	onUnreachable(): void {
 		this.#unreachableServers++;
 		if (this.#unreachableServers >= unreachableServersBeforeForwarding && this.#forward()) {
@@ -275,7 +281,7 @@
 			requiredVersion: this.#response.softwareVersion ?? this.#originVersion,
 			listener: this,
 			onEnded: record => {
-				this.#attempts!.addRecord(record);
+				this.#attempts!.ledger.addRecord(record);
 			},
 		});
 		return true;
@@ -377,7 +383,7 @@
 
 	#onFinished(): void {
 		clearTimeout(this.#deadlineTimer);
-		this.#attempts?.stopDetector();
+		this.#attempts?.stop();
 		if (this.#isQueued) {
 			this.#isQueued = false;
 			this.#context.dispatcher.removeFromQueue(this.#request.service, this);
--- a/packages/host/src/requests/response-observer.ts
+++ b/packages/host/src/requests/response-observer.ts
@@ -68,6 +68,7 @@
 		attempt.hasFirstByte = true;
 		attempt.firstDataAt = now();
 		const timeToFirstByte = now() - attempt.sentAt;
+		context.secondTries?.recordResponseTime(route.name, timeToFirstByte, engine?.predictedTimeToFirstToken ?? 0, now());
 		if (engine !== undefined) {
 			context.onPrefillEnded(attempt.chosen, received, true);
 			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
--- a/packages/host/src/requests/retry-allowance.ts
+++ b/packages/host/src/requests/retry-allowance.ts
@@ -35,6 +35,21 @@
 		return this.attempts < this.maxServers + extraAttempts + extraAttemptsWhenUnreachable;
 	}
 
+	/** Whether two servers may execute the request at the same time. */
+	get mayTryTwice(): boolean {
+		return this.executions + 2 <= this.maxServers && this.attempts < this.maxServers + extraAttempts;
+	}
+
+	/** @returns Whether another attempt is allowed beside the running one; if so, it is counted and taken from the budget. */
+	claimSecondTry(): boolean {
+		if (!this.mayTryTwice || !this.#acquireBudget()) {
+			return false;
+		}
+
+		this.attempts++;
+		return true;
+	}
+
 	/** @returns Whether an attempt is allowed after a server rejected the request without executing it; if so, it is taken from the budget. */
 	claimAfterRejection(): boolean {
 		return this.attempts < this.maxServers + extraAttempts && this.#acquireBudget();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -10,6 +10,9 @@
 	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, WeightedService, Workspace,
 } from './configuration.js';
 export {RouteIndex} from './route-index.js';
+export {
+	type ExpectedResponse, type SecondTryConditions, type SecondTryDecision, type SecondTryOptions, DecayingQuantiles, SecondTryPolicy, defaultSecondTryOptions,
+} from './second-tries/index.js';
 export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
 export {type PromptLocation, type PromptSource, PromptSources} from './prompt-sources.js';
--- a/packages/settings/src/product-settings.ts
+++ b/packages/settings/src/product-settings.ts
@@ -15,10 +15,17 @@
 	answerTokens: v.optional(positiveIntegerSchema, 1024),
 });
 
-/** Settings that the platform's own file does not cover: the completions API and observability. */
+const secondTriesSchema = v.strictObject({
+	/** Largest number of second tries, as a share of the requests. They also count against the retry budget. */
+	maximumShare: v.pipe(v.number(), v.gtValue(0), v.maxValue(0.5)),
+});
+
+/** Settings that the platform's own file does not cover: the completions API, second tries and observability. */
 export const productSettingsSchema = v.strictObject({
 	/** Omitted if the host does not serve the completions API. */
 	completions: v.optional(completionsSchema),
+	/** Second tries of slow requests that may be repeated. Omitted if there are to be none. */
+	secondTries: v.optional(secondTriesSchema),
 	/** Port of the metrics endpoint. Keep in sync with `deploy/system.toml`. */
 	metricsPort: v.optional(portSchema, 9464),
 	/** Size of the buffer for log lines not written yet, in bytes. Lines that do not fit are dropped. */
