--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -13,6 +13,9 @@
 	type ConfigurationDifference, type ConfigurationEntry, type ConfigurationFinding, type FieldDifference, compareConfigurations, reviewConfiguration,
 } from './configuration-review/index.js';
 export {RouteIndex} from './route-index.js';
+export {
+	type ExpectedResponse, type SecondTryConditions, type SecondTryDecision, type SecondTryOptions, DecayingQuantiles, SecondTryPolicy, defaultSecondTryOptions,
+} from './second-tries/index.js';
 export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
 export {type PromptLocation, type PromptSource, PromptSources} from './prompt-sources.js';
