Count a host's links as regained only after a connection that stays open

Cause: a detached host counted as back after one accepted connection. Change: the probe of a detached host waits 100 ms for the connection to end before it counts.

--- a/packages/host/src/forwarding.ts
+++ b/packages/host/src/forwarding.ts
@@ -46,7 +46,7 @@
 			metrics,
 			random,
 			now,
-			canConnect: async server => connections.canConnect(server),
+			canConnect: async (server, openTime) => connections.canConnect(server, openTime),
 			onChanged(isDetached) {
 				if (isDetached) {
 					connections.closeAllIdle();
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -283,17 +283,36 @@
 	 * Tries to open a connection, and closes it again.
 	 *
 	 * @param target - The server to connect to.
-	 * @returns Whether the server accepted it within the connect timeout.
+	 * @param openTime - How long the connection has to stay open; 0 if it is enough that it was accepted.
+	 * @returns Whether the server accepted it within the connect timeout, and it stayed open.
 	 */
-	async canConnect(target: ConnectionTarget): Promise<boolean> {
+	async canConnect(target: ConnectionTarget, openTime: Milliseconds = 0): Promise<boolean> {
 		return new Promise(resolve => {
 			connectToServer(target.address, this.#connectOptions, outcome => {
 				this.#options.onConnectionOpened();
-				if (outcome.isOk) {
-					outcome.value.destroy();
+				if (outcome.isErr) {
+					resolve(false);
+					return;
 				}
 
-				resolve(outcome.isOk);
+				const socket = outcome.value;
+				const finish = (isOpen: boolean) => {
+					clearTimeout(timer);
+					socket.destroy();
+					resolve(isOpen);
+				};
+
+				const timer = setTimeout(() => {
+					finish(true);
+				}, openTime);
+				// Without a reader, the end of the connection is not noticed.
+				socket.resume();
+				socket.on('error', () => {
+					finish(false);
+				});
+				socket.on('close', () => {
+					finish(false);
+				});
 			});
 		});
 	}
--- a/packages/host/src/state/server-link-monitor.ts
+++ b/packages/host/src/state/server-link-monitor.ts
@@ -11,14 +11,17 @@
 /** Time between connection attempts of a detached host, each to a server picked at random. */
 const probeInterval: Milliseconds = 250;
 
+/** How long a probed connection has to stay open: some links accept connections and reset them at once. */
+const probeOpenTime: Milliseconds = 100;
+
 export type ServerLinkMonitorOptions = {
 	readonly clusterState: ClusterState;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly random: RandomSource;
 	readonly now: () => Milliseconds;
-	/** @returns Whether the server accepts a connection. */
-	canConnect(server: ConnectionTarget): Promise<boolean>;
+	/** @returns Whether the server accepts a connection that stays open for the given time. */
+	canConnect(server: ConnectionTarget, openTime: Milliseconds): Promise<boolean>;
 	/** Called when the host has lost its links to all servers, or has regained some. */
 	onChanged(isDetached: boolean): void;
 };
@@ -60,7 +63,7 @@
 	}
 
 	/**
-	 * Records that a server has accepted a connection or responded.
+	 * Records that a server has responded, or has kept a connection open.
 	 *
 	 * @param server - The server's id.
 	 */
@@ -91,7 +94,7 @@
 
 	async #probe(server: ConnectionTarget): Promise<void> {
 		this.#isProbing = true;
-		if (await this.#options.canConnect(server)) {
+		if (await this.#options.canConnect(server, probeOpenTime)) {
 			this.recordReached(server.id);
 		}
 
