--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -328,8 +328,13 @@
 			return;
 		}
 
-		if (placement.type === 'none' && this.#retries.executions === 0 && this.#triedServers.reopen(this.#request.isRetryable)) {
+		if (placement.type === 'none' && this.#retries.executions === 0 && this.#triedServers.excluded.size > 0) {
 			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
+			if (!this.#triedServers.reopen(this.#request.isRetryable)) {
+				this.#completion.fail('servers refused the request', limitRetryAfter(defaultRetryAfter, remainingTime));
+				return;
+			}
+
 			placement = this.#place();
 			if (placement.type !== 'paused') {
 				this.#enqueue(maximumWaitAfterRejections(remainingTime));
