--- a/packages/host/src/requests/second-try.ts
+++ b/packages/host/src/requests/second-try.ts
@@ -135,6 +135,11 @@
 			return;
 		}
 
+		if (!hasSharedParts(chosen, request)) {
+			this.#count('not-cached');
+			return;
+		}
+
 		const decision = this.#policy!.claim({
 			route: request.route!.name,
 			...context.dispatcher.describeRoom(request.service),
@@ -178,3 +183,9 @@
 function predictedTime(attempt: Attempt): Milliseconds {
 	return attempt.chosen.engine?.predictedTimeToFirstToken ?? 0;
 }
+
+// Prefilling the shared parts of a prompt once more would cost the servers more than the slow answer costs its caller.
+function hasSharedParts({engine}: ChosenServer, {received}: RoutedRequest): boolean {
+	const sharedTokens = received.request.generation?.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0) ?? 0;
+	return engine === undefined || engine.cachedTokens + engine.fetchedTokens >= sharedTokens;
+}
