Reject requests that an overloaded host cannot serve before they are read

A host whose clients send several times what it can do began every request and spent its processor time on requests whose clients had given up: goodput collapsed and came back only twenty seconds after the demand had fallen, look-ups failed, and hosts fell behind with the configuration. The host now measures the delay of its event loop, the busy time for each request that its client waited for, and its memory. While it is behind, it limits the requests that it admits by rank, with a guaranteed part for each rank and max-min fairness among workspaces, and answers others with 503 from the head alone, with a spread Retry-After.

--- a/packages/completions/src/completion-protocol.ts
+++ b/packages/completions/src/completion-protocol.ts
@@ -42,6 +42,10 @@
 	return index === -1 ? undefined : head.rawHeaders[index + 1];
 }
 
+function findCredential(head: RequestHead): string | undefined {
+	return /^Bearer +(?<key>\S+)\s*$/iv.exec(findHeader(head, 'authorization') ?? '')?.groups?.key;
+}
+
 function removeQuery(target: string): string {
 	const query = target.indexOf('?');
 	return query === -1 ? target : target.slice(0, query);
@@ -71,7 +75,7 @@
 				host,
 				method: head.method,
 				target: head.target,
-				credential: /^Bearer +(?<key>\S+)\s*$/iv.exec(findHeader(head, 'authorization') ?? '')?.groups?.key,
+				credential: findCredential(head),
 				generation: undefined,
 				deadline: undefined,
 				lastEventId: findHeader(head, 'last-event-id'),
@@ -82,6 +86,10 @@
 			return Result.ok(request);
 		},
 
+		previewHead: head => ({
+			id: findHeader(head, 'x-request-id'), host: findHeader(head, 'host'), credential: findCredential(head), deadline: undefined,
+		}),
+
 		decodeBody(request, body) {
 			if (!completionPath.test(removeQuery(request.target))) {
 				return Result.ok(request);
--- a/packages/host/src/client-interfaces.ts
+++ b/packages/host/src/client-interfaces.ts
@@ -11,7 +11,7 @@
  * @param options - The limits of the current configuration, whether the host is stopping, and the receiver of the requests.
  * @returns The listening servers.
  */
-export async function serveInterfaces(dependencies: HostDependencies, options: Pick<ClientListenerOptions, 'limits' | 'isStopping' | 'onRequest'>): Promise<readonly ClientListener[]> {
+export async function serveInterfaces(dependencies: HostDependencies, options: Pick<ClientListenerOptions, 'limits' | 'isStopping' | 'guard' | 'onRequest'>): Promise<readonly ClientListener[]> {
 	const {
 		settings, adapter, log, metrics, now,
 	} = dependencies;
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -13,6 +13,7 @@
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
 import {type Forwarding, createForwarding} from './forwarding.js';
+import {createOverloadGuard} from './overload/create-overload-guard.js';
 import {Fleet} from './members/fleet.js';
 import {GossipSocket} from './members/gossip-socket.js';
 import {toStateUpdate} from './members/host-messages.js';
@@ -59,6 +60,8 @@
 	readonly #disposables = new DisposableStore();
 	#clientListeners: readonly ClientListener[] = [];
 	#runningRequests = 0;
+	/** Without those whose clients have not waited for the outcome. */
+	#finishedRequests = 0;
 	#isStopping = false;
 	#bounds: HostBounds;
 
@@ -169,8 +172,9 @@
 		this.#pipelineContext = createPipelineContext({
 			dependencies, clusterState: this.#clusterState, dispatcher: this.#dispatcher, connections: this.#connectionPool, forwarding: this.#forwarding, fleet: this.#fleet,
 			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, earliestArrival,
-			onRequestFinished: () => {
+			onRequestFinished: isAbandoned => {
 				this.#runningRequests--;
+				this.#finishedRequests += isAbandoned ? 0 : 1;
 			},
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
@@ -205,6 +209,9 @@
 		this.#clientListeners = await serveInterfaces(this.#dependencies, {
 			limits: () => this.#clusterState.configuration?.limits,
 			isStopping: () => this.#isStopping,
+			guard: createOverloadGuard(this.#dependencies, this.#disposables, {
+				routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
+			}),
 			onRequest: received => {
 				this.#onRequest(received);
 			},
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -227,6 +227,15 @@
 /** The request line and the headers of a request. */
 export type RequestHead = {readonly method: string; readonly target: string; readonly rawHeaders: readonly string[]};
 
+/** What the head of a request shows at little cost, for the decision whether the request is read at all. */
+export type RequestPreview = {
+	readonly id: string | undefined;
+	readonly host: string | undefined;
+	readonly credential: string | undefined;
+	/** How long the client waits; `undefined` if it does not state it. */
+	readonly deadline: Milliseconds | undefined;
+};
+
 /** A response that the router generates itself. */
 export type ErrorResponse = {
 	/** Id of the request; `undefined` if it could not be decoded. */
@@ -239,6 +248,8 @@
 /** The wire format of a client interface. The requests of all interfaces go through the same pipeline. */
 export type ClientProtocol = {
 	decodeHead(head: RequestHead): Result<ClientRequest, RequestDecodeError>;
+	/** @returns What the head shows; nothing is validated. */
+	previewHead(head: RequestHead): RequestPreview;
 	/** @returns The request, completed with what its body contains. */
 	decodeBody(request: ClientRequest, body: Uint8Array): Result<ClientRequest, RequestDecodeError>;
 	/** @returns The headers of a server's response, in the form in which this interface sends them to the client. */
@@ -288,6 +299,8 @@
 	/** Datagram addresses of the same hosts. */
 	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
+	/** Processor time that the host may use, in cores; `undefined` if it is not limited, so that the host does not guard against overload. */
+	readonly processorLimit?: number | undefined;
 	readonly bounds: HostBounds;
 };
 
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -26,8 +26,8 @@
 	readonly crashDetector: ServerCrashDetector;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
 	earliestArrival(): Milliseconds;
-	/** Called once the outcome of a request is final. */
-	onRequestFinished(): void;
+	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
+	onRequestFinished(isAbandoned: boolean): void;
 };
 
 /**
@@ -76,8 +76,8 @@
 		onServerUnreachable(server) {
 			crashDetector.recordUnreachable(server);
 		},
-		onRequestFinished() {
-			components.onRequestFinished();
+		onRequestFinished(isAbandoned) {
+			components.onRequestFinished(isAbandoned);
 			fleet.gossip.recordTotalsChanged('all');
 		},
 	};
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -7,6 +7,7 @@
 import type {
 	ClientProtocol, ClientRequest, HeaderList, ReceivedRequest, ResponseWriter,
 } from '../ports.js';
+import {type OverloadGuard, type Rejection, rejectionMessages} from '../overload/overload-guard.js';
 import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 
 export type ClientListenerOptions = {
@@ -15,6 +16,8 @@
 	/** Limit on the total size of all request bodies held in memory. */
 	readonly bodyMemoryLimit: Bytes;
 	readonly now: () => Milliseconds;
+	/** Decides from the head whether a request is rejected unread; absent if the host does not guard against overload. */
+	readonly guard?: Pick<OverloadGuard, 'evaluate'> | undefined;
 	/** @returns The limits of the current configuration; `undefined` before a configuration is known. */
 	limits(): ClientLimits | undefined;
 	/** @returns Whether connections are to be closed after the current response. */
@@ -129,6 +132,13 @@
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
 	}, (request: IncomingMessage, response: ServerResponse) => {
+		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
+		const rejection = options.guard?.evaluate(head.target, () => options.protocol.previewHead(head));
+		if (rejection !== undefined) {
+			sendRejection(request, response, rejection, options);
+			return;
+		}
+
 		const receivedAt = options.now();
 		const connection = openConnections.get(request.socket)!;
 		const requestsAhead = connection.openExchanges;
@@ -136,7 +146,6 @@
 		const responseWriter = new HttpResponseWriter(response, delivery, options);
 		openResponses.add(responseWriter);
 		delivery.onEnded(() => openResponses.delete(responseWriter));
-		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
 		const reject = (id: string | undefined, status: number, reason: string) => {
 			options.onRejected(id, status, reason);
 			// The unread rest of the body must not be parsed as the next request.
@@ -235,6 +244,28 @@
 	};
 }
 
+/** A longer body is not read to its end to keep the connection of a rejected request. */
+const discardedBodyLimit: Bytes = 16_384;
+
+// Does without the state that is kept for requests which are served.
+function sendRejection(request: IncomingMessage, response: ServerResponse, {reason, retryAfter}: Rejection, {protocol, isStopping}: ClientListenerOptions): void {
+	const {headers, body} = protocol.errorResponse({
+		id: undefined, status: 503, message: rejectionMessages[reason], retryAfter,
+	});
+	const bodyLength = request.headers['transfer-encoding'] === undefined ? Number(request.headers['content-length'] ?? 0) : Number.POSITIVE_INFINITY;
+	if (bodyLength > discardedBodyLimit || isStopping()) {
+		response.shouldKeepAlive = false;
+	}
+
+	response.sendDate = false;
+	response.on('error', () => {/* The client has disconnected. */});
+	request.on('error', () => {/* The client has disconnected. */});
+	response.writeHead(503, [...headers, 'Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))]);
+	response.end(body);
+	// Unread, it would be parsed as the next request.
+	request.resume();
+}
+
 /**
  * Starts a server and waits until it listens. Rejects if the address cannot be used.
  *
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -53,6 +53,6 @@
 	findStreamOrigin(service: string, requestId: string | undefined): Promise<string | undefined>;
 	/** Called when a server could not be reached or has stalled. */
 	onServerUnreachable(server: string): void;
-	/** Called once the outcome of a request is final. */
-	onRequestFinished(): void;
+	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
+	onRequestFinished(isAbandoned: boolean): void;
 };
--- a/packages/host/src/requests/request-completion.ts
+++ b/packages/host/src/requests/request-completion.ts
@@ -9,6 +9,9 @@
 /** The reason for a failure at the deadline, which is reported to the client with a status of its own. */
 export const outOfTime = 'out of time';
 
+/** The outcome of a request whose client has disconnected. */
+const clientGone = 'client-gone';
+
 /** What has become of a request when its client disconnects: it was never sent, is at a server or peer, or its response has begun. */
 export type AbandonedStage = 'waiting' | 'sent' | 'answering';
 
@@ -110,7 +113,7 @@
 	 */
 	abandon(stage: AbandonedStage): void {
 		this.#options.context.metrics.incrementCounter('clients_gone', {stage});
-		this.#finish('client-gone', 0, stage);
+		this.#finish(clientGone, 0, stage);
 	}
 
 	#finish(outcome: string, status: number, cause?: string, retryAfter?: Milliseconds): void {
@@ -137,6 +140,6 @@
 			weightsVersion: response.weightsVersion,
 			attempts: this.#attempts?.records ?? [],
 		});
-		context.onRequestFinished();
+		context.onRequestFinished(outcome === clientGone || cause === outOfTime);
 	}
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -41,3 +41,6 @@
 	type ClientLocation, type ForwardingChoice, selectForwardingHost, selectNearbyHosts,
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
+export {
+	type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, AdmissionShares, OverloadController, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+} from './overload/index.js';
