Deliver responses that have ended before a planned stop closes the connections

A stopping host ended once no request was running. Responses that had ended but were still being sent, and requests that had just been read, were cut off: the weights lease was released in between, and closing an HTTP server of Node.js destroys connections whose last response has ended without being sent. The host now stops listening first and waits, until the deadline of the stop, for the responses to all requests whose heads were read. The log event 'stopped' names the number that is left.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -10,6 +10,7 @@
 import {ClusterState} from './state/cluster-state.js';
 import {serveInterfaces} from './client-interfaces.js';
 import type {ClientListener} from './requests/client-listener.js';
+import {drainListeners} from './requests/listener-drain.js';
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
 import {type Forwarding, createForwarding} from './forwarding.js';
@@ -322,8 +323,9 @@
 			});
 		}
 
+		const undelivered = await drainListeners(this.#clientListeners, deadline, now);
 		await this.#weightsController.release();
-		log.info('stopped', {requests: this.#runningRequests, took: Math.round(now() - startedAt)});
+		log.info('stopped', {requests: this.#runningRequests, undelivered, took: Math.round(now() - startedAt)});
 		this.#fleet.gossip.broadcastState();
 		await this.dispose();
 	}
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -1,7 +1,7 @@
 import {
 	type IncomingMessage, type Server, type ServerResponse, createServer,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {type Socket, Server as NetServer} from 'node:net';
 import type {ClientLimits} from '@lacewingpoint/routing';
 import type {Bytes, Milliseconds} from '@lacewingpoint/shared';
 import type {
@@ -42,6 +42,10 @@
 	applyLimits(): void;
 	/** @returns The number of open connections. */
 	connectionCount(): number;
+	/** Takes no more connections. Those that are open, and the requests on them, go on. */
+	stopListening(): void;
+	/** @returns The number of requests whose heads were read and whose responses are not delivered yet. */
+	undeliveredResponses(): number;
 	/** Stops listening and closes all connections. */
 	dispose(): Promise<void>;
 };
@@ -233,6 +237,11 @@
 	return {
 		applyLimits,
 		connectionCount: () => openSockets.size,
+		stopListening() {
+			// The method of an HTTP server also destroys connections whose last response has ended but is not sent completely.
+			NetServer.prototype.close.call(server);
+		},
+		undeliveredResponses: () => openResponses.size,
 		async dispose() {
 			server.close();
 			for (const responseWriter of openResponses) {
