Decide which slow readers a host closes

Bytes held for clients that read slowly were not limited over all connections, and a client that took a byte now and then held its response for ever. The decision is separate from input and output; the listener does not use it yet.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -42,5 +42,5 @@
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
 export {
-	type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, AdmissionShares, OverloadController, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
 } from './overload/index.js';
