--- a/packages/routing/src/overload/overload-controller.ts
+++ b/packages/routing/src/overload/overload-controller.ts
@@ -18,11 +18,11 @@
 	accumulatedDelays: 3, adjustmentInterval: 100, calmTime: 1000, minimumRate: 1, slowestIncrease: 0.4,
 };
 
-/** Share of the time until a response is late for which it may wait for the event loop: it does so when it is read, sent and answered. */
-const delayShare = 0.5;
+/** A request waits for the event loop this often before its response begins: when it is read, sent and answered. */
+const waitsPerRequest = 3;
 
 /** Target of the event loop's delay while no latency objective is known. */
-const defaultTargetDelay: Milliseconds = 150;
+const defaultTargetDelay: Milliseconds = 100;
 
 /**
  * Chooses the delay of the event loop from which a host counts as behind.
@@ -31,7 +31,7 @@
  * @returns The target.
  */
 export function chooseTargetDelay(objectives: readonly Milliseconds[]): Milliseconds {
-	return objectives.length === 0 ? defaultTargetDelay : Math.min(...objectives) * delayShare;
+	return objectives.length === 0 ? defaultTargetDelay : Math.min(...objectives) / waitsPerRequest;
 }
 
 /** What a measurement of the host shows. */
