--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -47,3 +47,6 @@
 	type ClientLocation, type ForwardingChoice, selectForwardingHost, selectNearbyHosts,
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
+export {
+	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+} from './overload/index.js';
