--- a/packages/host/src/requests/second-try.ts
+++ b/packages/host/src/requests/second-try.ts
@@ -135,7 +135,7 @@
 			return;
 		}
 
-		if (!hasSharedParts(chosen, request)) {
+		if (!hasSharedParts(first.chosen, request) || !hasSharedParts(chosen, request)) {
 			this.#count('not-cached');
 			return;
 		}
@@ -184,7 +184,7 @@
 	return attempt.chosen.engine?.predictedTimeToFirstToken ?? 0;
 }
 
-// Prefilling the shared parts of a prompt once more would cost the servers more than the slow answer costs its caller.
+// Prefilling the shared parts of a prompt once more, or in vain, would cost the servers more than the slow answer costs its caller.
 function hasSharedParts({engine}: ChosenServer, {received}: RoutedRequest): boolean {
 	const sharedTokens = received.request.generation?.parts.slice(0, -1).reduce((sum, {tokens}) => sum + tokens, 0) ?? 0;
 	return engine === undefined || engine.cachedTokens + engine.fetchedTokens >= sharedTokens;
