Keep undici's dispatcher for the built-in fetch in the bundle of the host

Cause: since the bundle had a part of undici only, the calls between hosts that use fetch loaded the HTTP parser that is built into Node.js as a second one. Change: the bundle sets undici's own dispatcher, as the whole library does.

--- a/scripts/build.js
+++ b/scripts/build.js
@@ -30,6 +30,8 @@
 			contents: `
 				import Dispatcher from 'undici/lib/dispatcher/dispatcher.js';
 				import request from 'undici/lib/api/api-request.js';
+				// Becomes the dispatcher of the built-in fetch, which otherwise compiles an HTTP parser of its own.
+				import 'undici/lib/global.js';
 				export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 				export {default as Client} from 'undici/lib/dispatcher/client.js';
 				Object.assign(Dispatcher.prototype, {request});
