Use all prompt stores: save to the one in the server's failure domain, fetch from the nearest that holds the parts

Cause: of several prompt stores, one in each failure domain, only the first of the configuration was used, so that two thirds of the servers saved to and fetched from another domain. Change: a placement gets all stores. A server saves to the store of its own domain (the first store if its domain has none) unless that one holds the shared parts, and fetches from the store that holds most, of equal ones from its own domain. With one store nothing changes: existing tests pass one store as a list of one.

--- a/packages-private/measure/src/simulated-host.ts
+++ b/packages-private/measure/src/simulated-host.ts
@@ -188,7 +188,7 @@
 		const generation: GenerationRequest = {
 			parts: request.parts, promptTokens: request.promptTokens, outputTokens: request.outputTokens, objective: request.kind.objective, cacheSaltFor: version => `v${version}`,
 		};
-		const context = {failureDomain: 'a', store: {address: storeAddress, failureDomain: 'a'}, now: events.now};
+		const context = {failureDomain: 'a', stores: [{address: storeAddress, failureDomain: 'a'}], now: events.now};
 		if (policy === 'lacewingpoint' || policy === 'no sample' || policy === 'no notes') {
 			return this.#placer.choosePlacement(generation, policy === 'lacewingpoint' ? this.#sampleCandidates(request, candidates) : candidates, {...context, prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
 		}
--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -107,7 +107,7 @@
 			return () => {
 				placer.choosePlacement({
 					parts, promptTokens: 9000, outputTokens: 10, objective: 500, cacheSaltFor: version => `v${version}`,
-				}, candidates, {failureDomain: 'a', store: {address: 'store', failureDomain: 'a'}, now: 1000});
+				}, candidates, {failureDomain: 'a', stores: [{address: 'store', failureDomain: 'a'}], now: 1000});
 			};
 		}))),
 		fitLine('memory of a configuration', {unit: 'bytes', per: 'route'}, measurePoints([100, 400, 1600], count => measureMemory(() => new RouteIndex({
--- a/packages/host/src/placement/generation-placement.ts
+++ b/packages/host/src/placement/generation-placement.ts
@@ -85,7 +85,7 @@
 			return {type: 'none'};
 		}
 
-		const promptStore = this.#clusterState.configuration?.services.find(candidate => candidate.promptStore !== undefined)?.promptStore;
+		const stores = (this.#clusterState.configuration?.services ?? []).flatMap(({promptStore}) => promptStore ?? []);
 		const cacheSalt = placementRequest.isIsolated ? `${generation.model} ${placementRequest.workspace ?? ''}` : generation.model;
 		const placement = this.#enginePlacer.choosePlacement({
 			parts: generation.parts,
@@ -95,7 +95,7 @@
 			cacheSaltFor: version => `${cacheSalt} ${version}`,
 		}, candidates, {
 			failureDomain: this.#options.failureDomain,
-			store: promptStore,
+			stores,
 			now,
 			prefillBacklogLimit: this.#clusterState.engineObservations.prefillBacklogLimit(placementRequest.service, now),
 			fetchTokensPerMillisecond: estimateFetchRate(profile),
--- a/packages/routing/__tests__/engine-placement.test.ts
+++ b/packages/routing/__tests__/engine-placement.test.ts
@@ -16,7 +16,7 @@
 const generation: GenerationRequest = {
 	parts: [{id: 'guide', tokens: 2500}, {id: 'sheet', tokens: 3800}, {id: 'own', tokens: 2900}], promptTokens: 9200, outputTokens: 50, objective: 500, cacheSaltFor: version => `m ${version}`,
 };
-const context = {failureDomain: 'a', store: undefined, now: 10_000};
+const context = {failureDomain: 'a', stores: [], now: 10_000};
 const shared = generation.parts.slice(0, 2);
 const loadOf = (requests: number, prefillTokens: number) => ({requests, prefillTokens, memoryTokens: 0});
 
@@ -47,13 +47,30 @@
 	const index = new PromptCacheIndex();
 	const store = {address: 'store:1', failureDomain: 'a'};
 	const placer = new EnginePlacer(index);
-	assert.is(placer.choosePlacement(generation, [candidate('a')], {...context, store})!.saveTo, 'store:1');
+	assert.is(placer.choosePlacement(generation, [candidate('a')], {...context, stores: [store]})!.saveTo, 'store:1');
 	index.recordParts('store:1', 'm 1', shared, 0);
-	const placement = placer.choosePlacement(generation, [candidate('b')], {...context, store})!;
+	const placement = placer.choosePlacement(generation, [candidate('b')], {...context, stores: [store]})!;
 	assert.is(placement.saveTo, undefined);
 	assert.is(placement.fetchFrom, 'store:1');
 });
 
+// A store of prompt parts in each failure domain: what crosses domains takes twice as long and has a price.
+test('of several prompt stores, the one in the domain of the server is used, and another only for what that one lacks', () => {
+	const index = new PromptCacheIndex();
+	const stores = ['a', 'b', 'c'].map(failureDomain => ({address: `store-${failureDomain}:1`, failureDomain}));
+	const placer = new EnginePlacer(index);
+	const place = (failureDomain: string) => placer.choosePlacement(generation, [candidate('s', {failureDomain})], {...context, failureDomain, stores})!;
+	assert.equal(['a', 'b', 'c', 'd'].map(domain => place(domain).saveTo), ['store-a:1', 'store-b:1', 'store-c:1', 'store-a:1']);
+	index.recordParts('store-b:1', 'm 1', shared, 0);
+	assert.equal([place('c').fetchFrom, place('c').saveTo], ['store-b:1', 'store-c:1']);
+	assert.equal([place('b').fetchFrom, place('b').saveTo], ['store-b:1', undefined]);
+	index.recordParts('store-c:1', 'm 1', shared, 0);
+	assert.equal([place('c').fetchFrom, place('c').saveTo], ['store-c:1', undefined]);
+	assert.ok(place('c').fetchTime < place('a').fetchTime);
+	index.clearLocation('store-b:1');
+	assert.equal([place('b').fetchFrom, place('b').saveTo], ['store-c:1', 'store-b:1']);
+});
+
 test('parts cached under another version of the weights do not count', () => {
 	const index = new PromptCacheIndex();
 	index.recordParts('a', 'm 1', shared, 0);
--- a/packages/routing/__tests__/prompt-sources.test.ts
+++ b/packages/routing/__tests__/prompt-sources.test.ts
@@ -36,7 +36,7 @@
 			index.recordParts(location, 'salt', parts.slice(0, count), isReady ? now - 1 : now + 500);
 		}
 
-		const sources = new PromptSources(index, {salt: 'salt', parts}, servers, store, now);
+		const sources = new PromptSources(index, {salt: 'salt', parts}, servers, [store], now);
 		for (const server of servers) {
 			assert.equal(sources.findSource(server.id), findSourceByComparison(index, servers, server.id));
 			assert.equal(sources.localMatch(server.id), index.matchPrefix(server.id, 'salt', parts));
@@ -46,7 +46,7 @@
 
 test('a part has one owner among the servers, whatever their order', () => {
 	const servers = createServers(13);
-	const owners = [servers, servers.toReversed()].map(listed => new PromptSources(new PromptCacheIndex(), {salt: 'salt', parts}, listed, undefined, now).findOwner(parts[1]!));
+	const owners = [servers, servers.toReversed()].map(listed => new PromptSources(new PromptCacheIndex(), {salt: 'salt', parts}, listed, [], now).findOwner(parts[1]!));
 	const weights = servers.map(server => rendezvousWeight(hashText('document'), server.id));
 	const expected = servers[weights.indexOf(Math.max(...weights))]!.id;
 	assert.equal(owners, [expected, expected]);
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -43,7 +43,8 @@
 export type PlacementContext = {
 	/** The host's own failure domain; traffic between domains has a cost. */
 	readonly failureDomain: string;
-	readonly store: PromptStoreLocation | undefined;
+	/** The prompt stores; a server saves to the one in its own failure domain, if there is one, and otherwise to the first. */
+	readonly stores: readonly PromptStoreLocation[];
 	readonly now: Milliseconds;
 	/** The rate of a fetch; the default of the options if absent. */
 	readonly fetchTokensPerMillisecond?: number | undefined;
@@ -209,7 +210,7 @@
 	#createVersionContext(generation: GenerationRequest, weightsVersion: number, candidates: readonly EngineCandidate[], context: PlacementContext): VersionContext {
 		const salt = generation.cacheSaltFor(weightsVersion);
 		const servers = candidates.filter(candidate => candidate.weightsVersion === weightsVersion);
-		return {salt, sources: new PromptSources(this.#index, {salt, parts: generation.parts}, servers, context.store, context.now)};
+		return {salt, sources: new PromptSources(this.#index, {salt, parts: generation.parts}, servers, context.stores, context.now)};
 	}
 
 	#evaluateCandidate(generation: GenerationRequest, candidate: EngineCandidate, {salt, sources}: VersionContext, context: PlacementContext): EnginePlacement {
@@ -233,10 +234,10 @@
 			+ (candidate.isFailing ? options.failingServerCost : 0)
 			+ (this.#exceedsBacklogLimit(candidate, uncachedTokens, context) ? candidate.load.requests * options.pauseCostPerRequest : 0);
 		const sharedParts = generation.parts.slice(0, -1);
-		const stored = context.store === undefined ? undefined : this.#index.matchPrefix(context.store.address, salt, sharedParts);
-		const isStored = stored === undefined || stored.partCount === sharedParts.length;
-		// The server may have evicted what the index lists for it. The store is then the fallback; naming it costs nothing otherwise.
-		const fallback = stored !== undefined && stored.partCount > 0 && stored.availableAt <= context.now ? context.store?.address : undefined;
+		const store = context.stores.find(({failureDomain}) => failureDomain === candidate.failureDomain) ?? context.stores[0];
+		const isStored = store === undefined || this.#index.matchPrefix(store.address, salt, sharedParts).partCount === sharedParts.length;
+		// The server may have evicted what the index lists for it. A store is then the fallback; naming it costs nothing otherwise.
+		const fallback = sources.findStore(candidate.failureDomain)?.address;
 		return {
 			server: candidate.id,
 			weightsVersion: candidate.weightsVersion,
@@ -247,7 +248,7 @@
 			fetchTime,
 			slowness: candidate.slowness,
 			fetchFrom: fetchedTokens > 0 ? source?.address : fallback,
-			saveTo: isStored ? undefined : context.store?.address,
+			saveTo: isStored ? undefined : store.address,
 			predictedTimeToFirstToken,
 			cost,
 			dispatchNotBefore: source !== undefined && source.tokens >= localMatch.tokens ? 0 : this.#index.matchPrefix(candidate.id, salt, sharedParts).availableAt,
--- a/packages/routing/src/prompt-sources.ts
+++ b/packages/routing/src/prompt-sources.ts
@@ -19,7 +19,9 @@
 	/** The prefix of the prompt that each server holds. */
 	readonly #matches: ReadonlyMap<string, PromptMatch>;
 	readonly #servers: readonly PromptLocation[];
-	readonly #promptStore: PromptSource | undefined;
+	readonly #failureDomains: ReadonlyMap<string, string>;
+	/** The prompt stores that hold a prefilled prefix. */
+	readonly #stores: readonly PromptSource[];
 	/** The two servers with the longest fetchable prefixes; the second is the source for the first, which cannot fetch from itself. */
 	readonly #bestServer: Candidate | undefined;
 	readonly #nextBestServer: Candidate | undefined;
@@ -31,21 +33,24 @@
 	 * @param prompt.salt - The cache salt; parts are shared only under the same salt.
 	 * @param prompt.parts - The parts of the prompt.
 	 * @param servers - The servers that run the same version of the weights.
-	 * @param store - The prompt store, if there is one.
+	 * @param stores - The prompt stores.
 	 * @param now - Current monotonic time; only parts that are already prefilled can be fetched.
 	 */
 	constructor(
 		index: PromptCacheIndex,
 		prompt: {readonly salt: string; readonly parts: readonly PromptPart[]},
 		servers: readonly PromptLocation[],
-		store: Omit<PromptLocation, 'id'> | undefined,
+		stores: ReadonlyArray<Omit<PromptLocation, 'id'>>,
 		now: Milliseconds,
 	) {
 		const {salt, parts} = prompt;
 		this.#servers = servers;
 		this.#matches = new Map(servers.map(server => [server.id, index.matchPrefix(server.id, salt, parts)]));
-		const stored = store === undefined ? undefined : index.matchPrefix(store.address, salt, parts);
-		this.#promptStore = store === undefined || stored === undefined || stored.tokens === 0 || stored.availableAt > now ? undefined : {...store, tokens: stored.tokens};
+		this.#failureDomains = new Map(servers.map(server => [server.id, server.failureDomain]));
+		this.#stores = stores.flatMap(({address, failureDomain}) => {
+			const {tokens, availableAt} = index.matchPrefix(address, salt, parts);
+			return tokens === 0 || availableAt > now ? [] : [{address, failureDomain, tokens}];
+		});
 		let best: Candidate | undefined;
 		let nextBest: Candidate | undefined;
 		for (const server of servers) {
@@ -77,16 +82,17 @@
 	}
 
 	/**
-	 * Finds the location from which a server would fetch. The prompt store is preferred to a server that holds no more, since servers
-	 * are busy.
+	 * Finds the location from which a server would fetch. A prompt store is preferred to a server that holds no more, since servers
+	 * are busy; of stores that hold as much, the one in the server's failure domain.
 	 *
 	 * @param server - The id of one of the servers.
 	 * @returns The location, `undefined` when no other one holds a prefilled part.
 	 */
 	findSource(server: string): PromptSource | undefined {
 		const other = this.#bestServer?.location.id === server ? this.#nextBestServer : this.#bestServer;
-		if (other === undefined || other.tokens <= (this.#promptStore?.tokens ?? 0)) {
-			return this.#promptStore;
+		const store = this.findStore(this.#failureDomains.get(server)!);
+		if (other === undefined || other.tokens <= (store?.tokens ?? 0)) {
+			return store;
 		}
 
 		return {address: other.location.address, failureDomain: other.location.failureDomain, tokens: other.tokens};
@@ -118,4 +124,21 @@
 		this.#owners.set(part.id, owner);
 		return owner;
 	}
+
+	/**
+	 * Finds the prompt store from which a server in a failure domain would fetch.
+	 *
+	 * @param failureDomain - The server's failure domain.
+	 * @returns The store that holds most, `undefined` when none holds a prefilled part.
+	 */
+	findStore(failureDomain: string): PromptSource | undefined {
+		let best: PromptSource | undefined;
+		for (const store of this.#stores) {
+			if (best === undefined || store.tokens > best.tokens || (store.tokens === best.tokens && store.failureDomain === failureDomain && best.failureDomain !== failureDomain)) {
+				best = store;
+			}
+		}
+
+		return best;
+	}
 }
