Learn the speed of model servers and the pace of each from the first tokens of their answers

Cause: the time to prefill a token and the base latency were constants (80 tokens a ms), the slowness of a server was one moving average that expired after 5 s, and an unknown server had the assumed speed. The limit of 350 ms on the silence of a server was a constant too, so that one that was prefilling a long prompt counted as crashed. Change: EngineSpeedEstimate learns both from short and long prefills (medians; trusted gradually), ServerPaces the pace of each server, apart for lasting differences and passing ones; unknown, new and restarted servers have the median. SilenceLimit learns how long the servers of a service are silent before a response; it replaces the constant for model servers, never below it.

--- a/packages/host/src/placement/generation-placement.ts
+++ b/packages/host/src/placement/generation-placement.ts
@@ -1,5 +1,5 @@
 import {
-	type EngineCandidate, type EngineProfile, type ServerEntry, EnginePlacer, defaultEnginePlacementOptions, defaultSampleSize, findPartOwners, sampleServers,
+	type EngineCandidate, type EngineProfile, type ServerEntry, EnginePlacer, defaultSampleSize, findPartOwners, sampleServers,
 } from '@lacewingpoint/routing';
 import {
 	type Milliseconds, type RandomSource, type Tokens, millisecondsPerSecond,
@@ -23,6 +23,9 @@
 /** The share of a link's bandwidth that one fetch reaches, since fetches of other servers share the link. */
 const fetchBandwidthShare = 0.6;
 
+/** A server is used only as a last resort after this many times the silence from which its requests are given up. */
+const stalledServerFactor = 2;
+
 export type GenerationPlacementOptions = {
 	readonly failureDomain: string;
 	readonly random: RandomSource;
@@ -58,6 +61,9 @@
 	 */
 	place(placementRequest: PlacementRequest, profile: EngineProfile, usableEntries: readonly ServerEntry[], queuedTokens: Tokens): PlacementResult {
 		const now = this.#options.now();
+		const {engineObservations} = this.#clusterState;
+		const stallTimeout = engineObservations.silenceLimit(placementRequest.service) * stalledServerFactor;
+		const speed = engineObservations.speed(placementRequest.service);
 		const generation = placementRequest.request.generation!;
 		const entries = sampleServers(usableEntries, this.#findOwners(usableEntries, generation), this.#options.random);
 		const candidates: EngineCandidate[] = [];
@@ -74,9 +80,9 @@
 					slots: entry.slots,
 					memoryTokens: profile.memoryTokens,
 					load: this.#clusterState.loads.totalLoad(entry.id, now),
-					slowness: this.#clusterState.health.slowness(entry.id, now),
+					slowness: engineObservations.slowness(placementRequest.service, entry.id, now),
 					isRolloutDraining: this.#clusterState.weightsTracker.isRolloutDraining(entry.id, now),
-					isFailing: this.#clusterState.health.evaluateStatus(entry.id, now) === 'failing',
+					isFailing: this.#clusterState.health.evaluateStatus(entry.id, now, stallTimeout) === 'failing',
 				});
 			}
 		}
@@ -97,11 +103,12 @@
 			failureDomain: this.#options.failureDomain,
 			stores,
 			now,
-			prefillBacklogLimit: this.#clusterState.engineObservations.prefillBacklogLimit(placementRequest.service, now),
+			speed,
+			prefillBacklogLimit: engineObservations.prefillBacklogLimit(placementRequest.service, now),
 			fetchTokensPerMillisecond: estimateFetchRate(profile),
 		});
 		if (placement === undefined) {
-			return {type: 'full', estimatedWait: (queuedTokens + generation.promptTokens) * defaultEnginePlacementOptions.prefillTimePerToken / candidates.length};
+			return {type: 'full', estimatedWait: (queuedTokens + generation.promptTokens) * speed.prefillTimePerToken / candidates.length};
 		}
 
 		if (placement.dispatchNotBefore > now) {
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -20,7 +20,7 @@
 import type {TriedServers} from './tried-servers.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
-/** A server that has requests in flight and has sent no data for this long is considered crashed. */
+/** A server that has requests in flight and has sent no data for this long is considered crashed. For model servers, the limit is learned. */
 const serverStallTimeout: Milliseconds = 350;
 
 /**
@@ -204,7 +204,8 @@
 		}
 
 		const {clusterState, now} = this.#context;
-		const isServerStalled = clusterState.health.stallDuration(attempt.chosen.entry.id, now()) >= serverStallTimeout;
+		const limit = attempt.chosen.engine === undefined ? serverStallTimeout : clusterState.engineObservations.silenceLimit(this.#request.service);
+		const isServerStalled = clusterState.health.stallDuration(attempt.chosen.entry.id, now()) >= limit;
 		if (isServerStalled || isFinal) {
 			this.#onFailure({wasWritten: true, reason: `no data for ${Math.round(duration)} ms`}, isServerStalled);
 		}
@@ -215,7 +216,7 @@
 		const {request} = this.#request.received;
 		const head = backend.parseResponseHead(status, headers);
 		const {entry} = attempt.chosen;
-		clusterState.health.recordDataReceived(entry.id, now());
+		this.#responseObserver.recordHead(attempt);
 		attempt.head = head;
 		attempt.status = status;
 		attempt.isEventStream = this.#request.isStream && status === 200 && isEventStream(headers);
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -154,7 +154,7 @@
 			failureDomain: entry.failureDomain,
 			slots: entry.slots,
 			requests: this.#clusterState.loads.totalLoad(entry.id, now).requests,
-			slowness: this.#clusterState.health.slowness(entry.id, now),
+			slowness: this.#clusterState.engineObservations.slowness(service, entry.id, now),
 			isFailing: this.#clusterState.health.evaluateStatus(entry.id, now) === 'failing',
 		}));
 		const chosen = chooseLeastLoadedServer(candidates, this.#failureDomain);
--- a/packages/host/src/requests/response-observer.ts
+++ b/packages/host/src/requests/response-observer.ts
@@ -30,6 +30,19 @@
 		return this.#firstByteAt;
 	}
 
+	/**
+	 * Records that the head of a response arrived.
+	 *
+	 * @param attempt - The attempt that it belongs to.
+	 */
+	recordHead({chosen}: Attempt): void {
+		const {context: {clusterState, now}, service} = this.#options;
+		const silence = clusterState.health.recordDataReceived(chosen.entry.id, now());
+		if (chosen.engine !== undefined) {
+			clusterState.engineObservations.recordSilence(service, silence);
+		}
+	}
+
 	/**
 	 * Records that a piece of the response body arrived.
 	 *
@@ -62,7 +75,7 @@
 	}
 
 	#recordFirstByte(attempt: Attempt): void {
-		const {context, received, route} = this.#options;
+		const {context, received, route, service} = this.#options;
 		const {clusterState, metrics, now} = context;
 		const {entry, engine} = attempt.chosen;
 		attempt.hasFirstByte = true;
@@ -72,9 +85,14 @@
 			context.onPrefillEnded(attempt.chosen, received, true);
 			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
 			attempt.load = {...attempt.load, prefillTokens: 0};
-			// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
-			const unscaledTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
-			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(unscaledTime, 1), now());
+			clusterState.engineObservations.recordFirstToken(service, {
+				server: entry.id,
+				prefillTokens: engine.prefillTokens,
+				time: timeToFirstByte - engine.fetchTime,
+				// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
+				expectedTime: (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness,
+				isUndisturbed: engine.isLightlyLoaded && engine.fetchedTokens === 0,
+			}, now());
 		}
 
 		if (this.#firstByteAt === undefined) {
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -365,6 +365,7 @@
 	#clearServerState(id: string): void {
 		this.promptCache.clearLocation(id);
 		this.health.clearServer(id);
+		this.engineObservations.clearServer(id);
 		this.weightsTracker.clearServer(id);
 	}
 }
--- a/packages/routing/__tests__/server-health.test.ts
+++ b/packages/routing/__tests__/server-health.test.ts
@@ -59,14 +59,4 @@
 	assert.is(health.evaluateStatus('b', 200), 'paused');
 });
 
-test('slowness follows the ratio of measured to predicted time', () => {
-	const health = create();
-	for (let request = 0; request < 30; request++) {
-		health.recordSlowness('slow', 4, request);
-	}
-
-	assert.ok(health.slowness('slow', 30) > 3.5);
-	assert.is(health.slowness('other', 30), 1);
-});
-
 test.run();
--- a/packages/routing/src/engine-placement.ts
+++ b/packages/routing/src/engine-placement.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds, Tokens} from '@lacewingpoint/shared';
+import {type EngineSpeed, defaultEngineSpeed} from './engines/engine-speed.js';
 import type {PromptCacheIndex, PromptPart} from './prompt-cache-index.js';
 import {type PromptSource, PromptSources} from './prompt-sources.js';
 import type {ServerLoad} from './server-loads.js';
@@ -48,6 +49,8 @@
 	readonly now: Milliseconds;
 	/** The rate of a fetch; the default of the options if absent. */
 	readonly fetchTokensPerMillisecond?: number | undefined;
+	/** The usual speed of the servers; the assumed one if absent. */
+	readonly speed?: EngineSpeed | undefined;
 	/** The prompt tokens that may wait for prefill at a server with running streams, before their pauses are too long. */
 	readonly prefillBacklogLimit?: Tokens | undefined;
 };
@@ -67,6 +70,10 @@
 	readonly fetchTime: Milliseconds;
 	/** The slowness of the server that the prediction is based on. */
 	readonly slowness: number;
+	/** Prompt tokens that the server has to prefill until the first token, those of earlier requests included. */
+	readonly prefillTokens: Tokens;
+	/** Few other requests were running at the server. */
+	readonly isLightlyLoaded: boolean;
 	/** The address from which the server fetches cached parts. */
 	readonly fetchFrom: string | undefined;
 	/** The address of the prompt store to which the server saves the shared parts. */
@@ -81,10 +88,6 @@
 };
 
 export type EnginePlacementOptions = {
-	/** The time to first token without prefill or queue; each server's slowness scales it. */
-	readonly baseLatency: Milliseconds;
-	/** The time to prefill a token, the fixed part of the steps included; each server's slowness scales it. */
-	readonly prefillTimePerToken: Milliseconds;
 	/** Chunked prefill: the number of prompt tokens processed in one step. */
 	readonly prefillChunkTokens: Tokens;
 	/** The duration that each running request adds to a step. */
@@ -117,8 +120,6 @@
 };
 
 export const defaultEnginePlacementOptions: EnginePlacementOptions = {
-	baseLatency: 35,
-	prefillTimePerToken: 0.0125,
 	prefillChunkTokens: 1024,
 	stepTimePerRequest: 0.1,
 	batchDelayWeight: 0.05,
@@ -176,7 +177,7 @@
 		let nextBestCost: number | undefined;
 		const contexts = new Map<number, VersionContext>();
 		for (const candidate of candidates) {
-			if (!this.#hasCapacity(generation, candidate)) {
+			if (!this.#hasCapacity(generation, candidate, context)) {
 				continue;
 			}
 
@@ -194,16 +195,17 @@
 		return best === undefined ? undefined : {...best, nextBestCost};
 	}
 
-	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate): boolean {
+	#hasCapacity(generation: GenerationRequest, candidate: EngineCandidate, context: PlacementContext): boolean {
 		const memory = candidate.load.memoryTokens + estimateMemoryTokens(generation);
-		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens);
+		const queueTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens, context);
 		return candidate.load.requests === 0
 			|| (candidate.load.requests < candidate.slots && memory <= candidate.memoryTokens * this.#options.usableMemoryShare && queueTime <= this.#options.maximumQueueTime);
 	}
 
 	// Each chunk of a prompt is prefilled within a step of the whole batch, whose duration grows with the number of running requests.
-	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens): Milliseconds {
-		const {prefillTimePerToken, prefillChunkTokens, stepTimePerRequest} = this.#options;
+	#estimatePrefillTime(candidate: EngineCandidate, tokens: Tokens, {speed}: PlacementContext): Milliseconds {
+		const {prefillChunkTokens, stepTimePerRequest} = this.#options;
+		const {prefillTimePerToken} = speed ?? defaultEngineSpeed;
 		return tokens * (prefillTimePerToken + (stepTimePerRequest * candidate.load.requests / prefillChunkTokens)) * candidate.slowness;
 	}
 
@@ -221,9 +223,10 @@
 		const uncachedTokens = Math.max(generation.promptTokens - localMatch.tokens - fetchedTokens, 0);
 		const fetchFactor = source === undefined || source.failureDomain === candidate.failureDomain ? 1 : options.crossDomainFetchFactor;
 		const fetchTime = fetchedTokens === 0 ? 0 : options.fetchSetupTime + (fetchedTokens * fetchFactor / (context.fetchTokensPerMillisecond ?? options.fetchTokensPerMillisecond));
-		const prefillTime = this.#estimatePrefillTime(candidate, candidate.load.prefillTokens + uncachedTokens);
+		const prefillTokens = candidate.load.prefillTokens + uncachedTokens;
+		const prefillTime = this.#estimatePrefillTime(candidate, prefillTokens, context);
 		const pendingTime = localMatch.partCount > 0 ? Math.max(localMatch.availableAt - context.now, 0) : 0;
-		const predictedTimeToFirstToken = (options.baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
+		const predictedTimeToFirstToken = ((context.speed ?? defaultEngineSpeed).baseLatency * candidate.slowness) + Math.max(prefillTime, pendingTime) + fetchTime;
 		const cost = predictedTimeToFirstToken
 			+ (candidate.load.requests * options.stepTimePerRequest * generation.outputTokens * options.batchDelayWeight)
 			+ (fetchTime * (options.fetchTimeWeight - 1))
@@ -247,6 +250,8 @@
 			uncachedTokens,
 			fetchTime,
 			slowness: candidate.slowness,
+			prefillTokens,
+			isLightlyLoaded: candidate.load.requests <= candidate.slots / 2,
 			fetchFrom: fetchedTokens > 0 ? source?.address : fallback,
 			saveTo: isStored ? undefined : store.address,
 			predictedTimeToFirstToken,
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -25,7 +25,14 @@
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
 	EnginePlacer, defaultEnginePlacementOptions, estimateMemoryTokens,
 } from './engine-placement.js';
-export {EngineObservations} from './engine-observations.js';
+export {type FirstTokenObservation, EngineObservations} from './engine-observations.js';
+export {
+	type EngineSpeed, type EngineSpeedOptions, type ObservedFirstToken, EngineSpeedEstimate, defaultEngineSpeed, defaultEngineSpeedOptions,
+} from './engines/engine-speed.js';
+export {
+	type PaceReport, type ServerPaceOptions, ServerPaces, defaultServerPaceOptions,
+} from './engines/server-paces.js';
+export {type SilenceLimitOptions, SilenceLimit, defaultSilenceLimitOptions} from './engines/silence-limit.js';
 export {type ObservedPause, type PrefillBacklogLimitOptions, PrefillBacklogLimit} from './prefill-backlog-limit.js';
 export {
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
--- a/packages/routing/src/server-health.ts
+++ b/packages/routing/src/server-health.ts
@@ -4,7 +4,7 @@
 	/** How long a server gets no requests after it was unreachable; doubles with each further failure in a row. */
 	readonly initialBackoff: Milliseconds;
 	readonly maximumBackoff: Milliseconds;
-	/** Weight of the newest sample in the moving averages of failures and slowness, from 0 to 1. */
+	/** Weight of the newest sample in the moving average of failures, from 0 to 1. */
 	readonly smoothingFactor: number;
 	/** A server whose failure rate is above this is used only as a last resort. */
 	readonly failureRateThreshold: number;
@@ -12,7 +12,7 @@
 	readonly stallTimeout: Milliseconds;
 	/** A peer's report that a server is unreachable is ignored when this host received data from the server within this time. */
 	readonly recentContactWindow: Milliseconds;
-	/** Failure rate and slowness that have not been updated for this long no longer count, so that the server is fully used again. */
+	/** A failure rate that has not been updated for this long no longer counts, so that the server is fully used again. */
 	readonly statisticsExpiry: Milliseconds;
 };
 
@@ -23,15 +23,11 @@
 	consecutiveFailures: number;
 	pausedUntil: Milliseconds;
 	failureRate: number;
-	slowness: number;
 	updatedAt: Milliseconds;
 };
 
-/** Bounds of a recorded ratio, so that a single slow or fast request has a limited effect. */
-const slownessBounds = {lowest: 0.5, highest: 10};
-
 /**
- * Passive health checks: derives the health of each server from the outcomes of its requests. Detects a server that fails or delays
+ * Passive health checks: derives the health of each server from the outcomes of its requests. Detects a server that fails
  * part of its requests while it reports itself as healthy, and one that stalls or disappears before the store reports it.
  */
 export class ServerHealth {
@@ -76,13 +72,18 @@
 	 *
 	 * @param server - The server's id.
 	 * @param now - Current monotonic time.
+	 * @returns How long the server had sent nothing although requests were in flight.
 	 */
-	recordDataReceived(server: string, now: Milliseconds): void {
+	recordDataReceived(server: string, now: Milliseconds): Milliseconds {
 		const contact = this.#contacts.get(server);
-		if (contact !== undefined) {
-			contact.receivedAt = now;
-			contact.waitingSince = contact.requestsInFlight > 0 ? now : undefined;
+		if (contact === undefined) {
+			return 0;
 		}
+
+		const silence = now - (contact.waitingSince ?? now);
+		contact.receivedAt = now;
+		contact.waitingSince = contact.requestsInFlight > 0 ? now : undefined;
+		return silence;
 	}
 
 	/**
@@ -154,20 +155,6 @@
 		}
 	}
 
-	/**
-	 * Records how long a server took compared to the prediction.
-	 *
-	 * @param server - The server's id.
-	 * @param ratio - Measured time divided by predicted time.
-	 * @param now - Current monotonic time.
-	 */
-	recordSlowness(server: string, ratio: number, now: Milliseconds): void {
-		const statistics = this.#getStatistics(server, now);
-		const bounded = Math.min(Math.max(ratio, slownessBounds.lowest), slownessBounds.highest);
-		statistics.slowness += this.#options.smoothingFactor * (bounded - statistics.slowness);
-		statistics.updatedAt = now;
-	}
-
 	/**
 	 * Discards everything known about a server, for example after its restart.
 	 *
@@ -219,10 +206,11 @@
 	 *
 	 * @param server - The server's id.
 	 * @param now - Current monotonic time.
+	 * @param stallTimeout - The time without data after which the server is a last resort.
 	 * @returns `good`, `failing` (to be used as a last resort) or `paused` (not to be used).
 	 */
-	evaluateStatus(server: string, now: Milliseconds): 'good' | 'failing' | 'paused' {
-		if (this.stallDuration(server, now) > this.#options.stallTimeout) {
+	evaluateStatus(server: string, now: Milliseconds, stallTimeout = this.#options.stallTimeout): 'good' | 'failing' | 'paused' {
+		if (this.stallDuration(server, now) > stallTimeout) {
 			return 'failing';
 		}
 
@@ -239,18 +227,6 @@
 		return isCurrent && statistics.failureRate > this.#options.failureRateThreshold ? 'failing' : 'good';
 	}
 
-	/**
-	 * Returns how slow a server is compared to predictions.
-	 *
-	 * @param server - The server's id.
-	 * @param now - Current monotonic time.
-	 * @returns The moving average of measured over predicted time; 1 when unknown.
-	 */
-	slowness(server: string, now: Milliseconds): number {
-		const statistics = this.#statistics.get(server);
-		return statistics === undefined || now - statistics.updatedAt > this.#options.statisticsExpiry ? 1 : statistics.slowness;
-	}
-
 	#pause(server: string, now: Milliseconds, duration: Milliseconds): void {
 		const statistics = this.#getStatistics(server, now);
 		statistics.pausedUntil = now + duration;
@@ -262,14 +238,13 @@
 		if (existing !== undefined) {
 			if (now - existing.updatedAt > this.#options.statisticsExpiry) {
 				existing.failureRate = 0;
-				existing.slowness = 1;
 			}
 
 			return existing;
 		}
 
 		const statistics: ServerStatistics = {
-			consecutiveFailures: 0, pausedUntil: 0, failureRate: 0, slowness: 1, updatedAt: now,
+			consecutiveFailures: 0, pausedUntil: 0, failureRate: 0, updatedAt: now,
 		};
 		this.#statistics.set(server, statistics);
 		return statistics;
