Share the learned paces of model servers between hosts

Cause: a host that rarely meets a server does not know whether it is slow. Change: an optional gossip field with the mean logarithm and the number of observations of a few servers. A relay combines those of one server, and queues at most 64 for a peer. Reports on unknown servers and unreadable ones are dropped.

--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -56,7 +56,7 @@
 		loading: [],
 		unreachable: [], leaving: [],
 		emptying: [],
-		deaths: [], limits: [], origins: [], executed: [], quarantined: [],
+		deaths: [], limits: [], origins: [], executed: [], paces: [], quarantined: [],
 		hosts: [],
 		departed: [],
 		updates: [],
--- a/packages/host/__tests__/host-messages.test.ts
+++ b/packages/host/__tests__/host-messages.test.ts
@@ -5,7 +5,7 @@
 const test = suite('host messages');
 
 const message: HostMessage = {
-	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], quarantined: [], hosts: [], departed: [], updates: [],
+	name: 'edge-nbo-a-1', incarnation: '0123456789ab', state: 'serving', role: 'member', hostCount: 1, hasStoreContact: false, configuration: 17, revision: 120_000, isWhole: false, charged: {}, loads: {}, placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], paces: [], quarantined: [], hosts: [], departed: [], updates: [],
 };
 
 test('decodes what was encoded', () => {
@@ -35,6 +35,7 @@
 		}],
 		origins: [{service: 'models', version: 'v1.1', streams: [200_000_000_000_000]}],
 		executed: [{part: 9, age: 120}],
+		paces: [{server: 'i-1', mean: -0.25, count: 3}],
 		quarantined: [{part: 8, age: 900, trialInterval: 30_000}],
 		departed: ['edge-nbo-a-2'],
 		updates: [{version: 9, change: {type: 'server-gone', revision: 119_999, id: 'i-9'}}],
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -17,6 +17,7 @@
 import {GossipSocket} from './members/gossip-socket.js';
 import {toStateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
+import {PaceReporter} from './state/pace-reporter.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {HostDependencies} from './host-dependencies.js';
 import type {HostBounds, ReceivedRequest} from './ports.js';
@@ -49,6 +50,7 @@
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
 	readonly #weightsController: WeightsController;
+	readonly #paceReporter: PaceReporter;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
 	readonly #forwarding: Forwarding;
@@ -146,6 +148,7 @@
 		this.#storeWatch = new StoreWatch({
 			store: adapter.store, clusterState: this.#clusterState, log, random, now, earliestArrival,
 		});
+		this.#paceReporter = new PaceReporter(this.#clusterState, gossip, settings.description.name);
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#forwarding = createForwarding({
 			dependencies,
@@ -363,6 +366,7 @@
 		this.#clockMonitor.check();
 		this.#fleet.review();
 		this.#forwarding.serverLinks.review();
+		this.#paceReporter.review(this.#dependencies.now());
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		for (const knowledge of [this.#clusterState.learnedCapacity, this.#clusterState.brittleServers]) {
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -1,24 +1,29 @@
 import type {HostReportChanges, NamedLimit} from '@lacewingpoint/coordination';
-import type {ExecutedPart, StreamOriginReport, SuspectCrash} from '@lacewingpoint/routing';
+import type {
+	ExecutedPart, PaceReport, StreamOriginReport, SuspectCrash,
+} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage, PromptPlacement} from './host-messages.js';
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4,
+	placements: 12, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4, paces: 8,
 } as const;
 
+/** Summaries of more servers than this are dropped rather than queued for one peer; others follow. */
+const queuedPaces = 64;
+
 /** A crash with the time at which this host learned of it. */
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
 type StateVersionUpdate = HostMessage['updates'][number];
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'origins' | 'executed' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'origins' | 'executed' | 'paces' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], paces: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
@@ -29,6 +34,7 @@
 	readonly #origins: Array<{readonly service: string; readonly version: string; readonly stream: number}> = [];
 	/** When the last response began that a server survived, by prompt part. */
 	readonly #executedAt = new Map<number, Milliseconds>();
+	readonly #paces = new Map<string, PaceReport>();
 	#hosts: HostMessage['hosts'] = [];
 	#departed: string[] = [];
 	readonly #updates: Array<{readonly update: StateVersionUpdate; readonly recordedAt: Milliseconds}> = [];
@@ -47,11 +53,12 @@
 	 *
 	 * @param events - The events to forward.
 	 */
-	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying'>): void {
+	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'paces'>): void {
 		this.#placements.push(...events.placements);
 		this.#weights.push(...events.weights);
 		this.#loading.push(...events.loading);
 		this.#leaving.push(...events.leaving);
+		this.#addPaces(events.paces);
 		for (const server of events.unreachable) {
 			this.#unreachable.add(server);
 		}
@@ -140,6 +147,7 @@
 			limits: this.#limits.splice(0, limits.limits).map(({limit, recordedAt}) => ({...limit, age: limit.age + now - recordedAt})),
 			origins: this.#takeOrigins(),
 			executed: this.#takeExecutedParts(now),
+			paces: this.#takePaces(),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
 			updates: this.#updates.splice(0, limits.updates).map(({update, recordedAt}) => addWaitingTime(update, now - recordedAt)),
@@ -164,6 +172,27 @@
 		return [...reports.values()];
 	}
 
+	// Summaries of one server are combined.
+	#addPaces(reports: readonly PaceReport[]): void {
+		for (const report of reports) {
+			const queued = this.#paces.get(report.server);
+			const count = report.count + (queued?.count ?? 0);
+			if (queued !== undefined || this.#paces.size < queuedPaces) {
+				const sum = (report.mean * report.count) + ((queued?.mean ?? 0) * (queued?.count ?? 0));
+				this.#paces.set(report.server, {server: report.server, mean: sum / count, count});
+			}
+		}
+	}
+
+	#takePaces(): PaceReport[] {
+		const taken = [...this.#paces.values()].slice(0, limits.paces);
+		for (const {server} of taken) {
+			this.#paces.delete(server);
+		}
+
+		return taken;
+	}
+
 	#takeExecutedParts(now: Milliseconds): ExecutedPart[] {
 		const taken = [...this.#executedAt].slice(0, limits.executed);
 		for (const [part] of taken) {
@@ -175,7 +204,7 @@
 
 	/** Whether events remain of the kinds that are split over several messages. */
 	get #hasList(): boolean {
-		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+		return this.#executedAt.size > 0 || this.#paces.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
 	}
 }
 
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -4,6 +4,7 @@
 import type {ClusterState} from '../state/cluster-state.js';
 import type {CrashReportReview} from '../state/crash-report-review.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
+import {mergePaces} from '../state/pace-reporter.js';
 import type {HostGossip} from './host-gossip.js';
 import type {LinkSelection} from './peer-link.js';
 import type {HostMessage} from './host-messages.js';
@@ -73,7 +74,7 @@
 			weightsTracker.recordRolloutDraining(server, now);
 		}
 
-		this.#gossip.forwardEvents(message, sender.name, recipients);
+		this.#gossip.forwardEvents({...message, paces: mergePaces(this.#clusterState, message.paces, now)}, sender.name, recipients);
 		if (message.deaths.length > 0) {
 			void this.#mergeCrashes(sender, message, recipients);
 		}
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -247,7 +247,7 @@
 	 */
 	forwardEvents(events: GossipEvents, source: string, selection: LinkSelection): void {
 		const urgentEvents = events.loading.length + events.unreachable.length + events.leaving.length;
-		if (urgentEvents + events.placements.length + events.weights.length + events.emptying.length === 0) {
+		if (urgentEvents + events.placements.length + events.weights.length + events.emptying.length + events.paces.length === 0) {
 			return;
 		}
 
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -123,6 +123,8 @@
 	})), []),
 	/** The software versions at which streams began, by hashes of their requests' ids. */
 	origins: v.optional(v.array(v.object({service: v.string(), version: v.string(), streams: v.array(v.number())})), []),
+	/** How slow servers were in a number of requests compared to the assumed speed of their service: the mean natural logarithm. */
+	paces: v.optional(v.array(v.object({server: v.string(), mean: v.number(), count: v.number()})), []),
 	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
 	executed: v.optional(v.array(v.object({part: v.number(), age: v.number()})), []),
 	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
--- a/packages/routing/__tests__/uneven-engines.test.ts
+++ b/packages/routing/__tests__/uneven-engines.test.ts
@@ -119,16 +119,16 @@
 	assert.ok(other.slowness(service, 's4', now) < 1.5);
 	const reports = busy.takePaceReports(40);
 	assert.is(reports.length, 16);
-	for (const {service: name, ...report} of reports) {
-		other.mergePaceReport(name, report, now);
+	for (const report of reports) {
+		assert.ok(other.mergePaceReport(service, report, now));
 	}
 
 	assert.ok(other.slowness(service, 's4', now) > 1.5 * other.slowness(service, 's5', now));
 	assert.equal(other.takePaceReports(40).map(report => report.server).toSorted(), ['s1', 's2', 's3']);
 	assert.is(busy.takePaceReports(40).length, 0);
 	const before = other.slowness(service, 's5', now);
-	other.mergePaceReport(service, {server: 's5', mean: Number.NaN, count: 4}, now);
-	other.mergePaceReport(service, {server: 's5', mean: 1, count: -4}, now);
+	assert.not(other.mergePaceReport(service, {server: 's5', mean: Number.NaN, count: 4}, now));
+	assert.not(other.mergePaceReport(service, {server: 's5', mean: 1, count: -4}, now));
 	assert.is(other.slowness(service, 's5', now), before);
 	other.mergePaceReport(service, {server: 's5', mean: 1000, count: 1e9}, now);
 	assert.ok(other.slowness(service, 's5', now) <= 10);
--- a/packages/routing/src/engine-observations.ts
+++ b/packages/routing/src/engine-observations.ts
@@ -123,11 +123,16 @@
 	/**
 	 * Takes what this host has observed of the paces of servers since the last report.
 	 *
-	 * @param maximumCount - The largest number of servers of each service.
-	 * @returns Summaries by service.
+	 * @param maximumCount - The largest number of servers.
+	 * @returns One summary for each server.
 	 */
-	takePaceReports(maximumCount: number): Array<PaceReport & {readonly service: string}> {
-		return [...this.#services].flatMap(([service, {paces}]) => paces.takeReports(maximumCount).map(report => ({...report, service})));
+	takePaceReports(maximumCount: number): PaceReport[] {
+		const reports: PaceReport[] = [];
+		for (const {paces} of this.#services.values()) {
+			reports.push(...paces.takeReports(maximumCount - reports.length));
+		}
+
+		return reports;
 	}
 
 	/**
@@ -136,9 +141,10 @@
 	 * @param service - The service's name.
 	 * @param report - The summary.
 	 * @param now - Current monotonic time.
+	 * @returns Whether the summary was readable.
 	 */
-	mergePaceReport(service: string, report: PaceReport, now: Milliseconds): void {
-		this.#getService(service).paces.mergeReport(report, now);
+	mergePaceReport(service: string, report: PaceReport, now: Milliseconds): boolean {
+		return this.#getService(service).paces.mergeReport(report, now);
 	}
 
 	/**
--- a/packages/routing/src/engines/server-paces.ts
+++ b/packages/routing/src/engines/server-paces.ts
@@ -116,12 +116,16 @@
 	 *
 	 * @param report - Its observations of one server.
 	 * @param now - Current monotonic time.
+	 * @returns Whether the report was readable.
 	 */
-	mergeReport({server, mean, count}: PaceReport, now: Milliseconds): void {
+	mergeReport({server, mean, count}: PaceReport, now: Milliseconds): boolean {
 		const bounded = Math.min(Math.max(mean, Math.log(ratioBounds.lowest)), Math.log(ratioBounds.highest));
-		if (Number.isFinite(bounded) && count > 0) {
-			this.#merge(this.#getPace(server, now), bounded, Math.min(count, this.#options.memory), now);
+		if (!Number.isFinite(bounded) || !(count > 0)) {
+			return false;
 		}
+
+		this.#merge(this.#getPace(server, now), bounded, Math.min(count, this.#options.memory), now);
+		return true;
 	}
 
 	/**
