Emulate engines of uneven speed, and compare the placement with and without learned paces

Change: sites after the figures of the two new customers; a quarter of the engines of one has 0.55 of the speed and the others 1.2, and 15 in 100 are slowed for 600 ms by 2.5.

--- a/packages-private/measure/__tests__/experiment.test.ts
+++ b/packages-private/measure/__tests__/experiment.test.ts
@@ -1,7 +1,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, florDeChimborazo, instituto, institutoGrown, runExperiment, tanaRidge,
+	type EngineParameters, type EngineRequest, EventQueue, ModelEngine, florDeChimborazo, glenrath, instituto, institutoGrown, runExperiment, tanaRidge,
 } from '../src/index.js';
 
 const test = suite('simulated experiments');
@@ -139,4 +139,16 @@
 	assert.ok(sampled.p95 <= baseline.p95 / 2, `${sampled.p95} ms and ${baseline.p95} ms`);
 });
 
+// Glenrath: a quarter of the engines has less than half the speed of the others, and all are slowed by neighbors at times.
+test('on engines of uneven speed, learned paces keep more streams without late pauses, and no fewer first tokens on time', () => {
+	const run = (policy: 'lacewingpoint' | 'no paces') => runExperiment({
+		site: glenrath, policy, pattern: 'calm', loadFactor: 1.4, durationSeconds: 8, seed: 1,
+	});
+	const learned = run('lacewingpoint');
+	const assumed = run('no paces');
+	assert.ok(learned.latePauses < assumed.latePauses, `${learned.latePauses} ${assumed.latePauses}`);
+	assert.ok(learned.withinObjective >= assumed.withinObjective, `${learned.withinObjective} ${assumed.withinObjective}`);
+	assert.ok(learned.p50 < assumed.p50);
+});
+
 test.run();
--- a/packages-private/measure/src/experiment.ts
+++ b/packages-private/measure/src/experiment.ts
@@ -5,6 +5,7 @@
 import {
 	type GenerationOutcome, type PauseOutcome, type PolicyName, SimulatedHost,
 } from './simulated-host.js';
+import {createSlowdown} from './uneven-speed.js';
 import {type RequestKind, type Site, Workload} from './workload.js';
 
 /** Load patterns: the change that happens half-way through a run. */
@@ -41,6 +42,8 @@
 	readonly hitRate: number;
 	/** Most tokens prefilled by one server, relative to the mean of all servers. */
 	readonly imbalance: number;
+	/** The longest time that one server worked, relative to the mean of all servers. */
+	readonly busyImbalance: number;
 	/** Share of completed responses with a pause over the objective. */
 	readonly latePauses: number;
 	/** Lowest `withinObjective` of all request kinds. */
@@ -82,7 +85,7 @@
 	const events = new EventQueue();
 	// The workload has a random source of its own, so that every policy gets the same requests.
 	const workload = new Workload(site, createSeededRandom(seed));
-	const engines = Array.from({length: site.engineCount}, (_, index) => new ModelEngine(`engine-${index}`, site.engineParameters, events));
+	const engines = Array.from({length: site.engineCount}, (_, index) => new ModelEngine(`engine-${index}`, site.engineParameters, events, createSlowdown(site.unevenSpeed, index, seed, () => events.now)));
 	const outcomes: GenerationOutcome[] = [];
 	const pauses: PauseOutcome[] = [];
 	let requestCount = 0;
@@ -234,6 +237,7 @@
 		p99: percentile(0.99),
 		hitRate: cachedTokens / Math.max(promptTokens, 1),
 		imbalance: Math.max(...prefilledTokens) * prefilledTokens.length / prefilledTokens.reduce((sum, tokens) => sum + tokens, 1),
+		busyImbalance: Math.max(...engines.map(engine => engine.busyTime)) * engines.length / engines.reduce((sum, engine) => sum + engine.busyTime, 1),
 		latePauses: pauses.filter(({request, longestPause}) => longestPause > request.kind.pauseObjective).length / Math.max(pauses.length, 1),
 		worstKind: Math.min(...kinds.map(kind => shareWithinObjective(outcomes.filter(outcome => outcome.request.kind === kind)))),
 	};
--- a/packages-private/measure/src/index.ts
+++ b/packages-private/measure/src/index.ts
@@ -7,6 +7,6 @@
 export {measureSlopes} from './slopes.js';
 export {type DataPoint, type LinearFit, fitLine} from './linear-fit.js';
 export {
-	type RequestKind, type Site, florDeChimborazo, instituto, institutoGrown, tanaRidge,
+	type RequestKind, type Site, florDeChimborazo, glenrath, instituto, institutoGrown, tanaRidge, villasenor,
 } from './workload.js';
 export {type SimulatedFleetHost, SimulatedFleet} from './simulated-fleet.js';
--- a/packages-private/measure/src/main.ts
+++ b/packages-private/measure/src/main.ts
@@ -2,7 +2,9 @@
 import meow from 'meow';
 import {type ExperimentResult, loadPatterns, runExperiment} from './experiment.js';
 import {policyNames} from './simulated-host.js';
-import {florDeChimborazo, instituto, tanaRidge} from './workload.js';
+import {
+	florDeChimborazo, glenrath, instituto, tanaRidge, villasenor,
+} from './workload.js';
 
 const cli = meow(`
 	Usage
@@ -27,13 +29,13 @@
 const formatPercent = (share: number) => `${(100 * share).toFixed(1)}%`;
 
 function printRow(cells: readonly string[]): void {
-	const widths = [18, 13, 15, 9, 9, 9, 6, 6, 6, 7, 10, 11];
+	const widths = [18, 13, 15, 9, 9, 9, 6, 6, 6, 7, 10, 8, 11];
 	process.stdout.write(`${cells.map((cell, index) => index < 3 ? cell.padEnd(widths[index]!) : cell.padStart(widths[index]!)).join(' ')}\n`);
 }
 
-printRow(['site', 'pattern', 'policy', 'on time', 'worst', 'unserved', 'p50', 'p95', 'p99', 'hits', 'imbalance', 'late pauses']);
+printRow(['site', 'pattern', 'policy', 'on time', 'worst', 'unserved', 'p50', 'p95', 'p99', 'hits', 'imbalance', 'busiest', 'late pauses']);
 const rows: Array<Readonly<Record<string, unknown>> & {readonly result: ExperimentResult}> = [];
-for (const site of [tanaRidge, instituto, florDeChimborazo]) {
+for (const site of [tanaRidge, instituto, florDeChimborazo, glenrath, villasenor]) {
 	for (const pattern of loadPatterns) {
 		for (const policy of policyNames) {
 			const result = runExperiment({
@@ -42,7 +44,7 @@
 			rows.push({
 				site: site.name, pattern, policy, result,
 			});
-			printRow([site.name, pattern, policy, formatPercent(result.withinObjective), formatPercent(result.worstKind), formatPercent(result.unserved), result.p50.toFixed(0), result.p95.toFixed(0), result.p99.toFixed(0), formatPercent(result.hitRate), result.imbalance.toFixed(2), formatPercent(result.latePauses)]);
+			printRow([site.name, pattern, policy, formatPercent(result.withinObjective), formatPercent(result.worstKind), formatPercent(result.unserved), result.p50.toFixed(0), result.p95.toFixed(0), result.p99.toFixed(0), formatPercent(result.hitRate), result.imbalance.toFixed(2), result.busyImbalance.toFixed(2), formatPercent(result.latePauses)]);
 		}
 	}
 }
--- a/packages-private/measure/src/model-engine.ts
+++ b/packages-private/measure/src/model-engine.ts
@@ -54,6 +54,8 @@
 	readonly id: string;
 	weightsVersion = 1;
 	prefilledTokens = 0;
+	/** The duration of all steps. */
+	busyTime: Milliseconds = 0;
 	readonly #parameters: EngineParameters;
 	readonly #events: EventQueue;
 	readonly #cache = new Map<string, Tokens>();
@@ -63,9 +65,17 @@
 	#isStepping = false;
 	#isRunning = true;
 	#crashCount = 0;
+	readonly #slowdown: () => number;
 	#onDrained: (() => void) | undefined;
 
-	constructor(id: string, parameters: EngineParameters, events: EventQueue) {
+	/**
+	 * @param id - The engine's name.
+	 * @param parameters - Its performance.
+	 * @param events - The simulated time.
+	 * @param slowdown - Returns a factor on the duration of the step that begins now.
+	 */
+	constructor(id: string, parameters: EngineParameters, events: EventQueue, slowdown: () => number = () => 1) {
+		this.#slowdown = slowdown;
 		this.id = id;
 		this.#parameters = parameters;
 		this.#events = events;
@@ -164,7 +174,9 @@
 		const chunkTokens = prefillTokensPerStep - remainingTokens;
 		const crashCount = this.#crashCount;
 		this.#isStepping = true;
-		this.#events.schedule(stepTime + (stepTimePerRequest * this.#runningRequests.length) + (chunkTokens / prefillTokensPerMillisecond), () => {
+		const duration = stepTime + (stepTimePerRequest * this.#runningRequests.length) + (chunkTokens / prefillTokensPerMillisecond);
+		this.busyTime += duration * this.#slowdown();
+		this.#events.schedule(duration * this.#slowdown(), () => {
 			if (crashCount !== this.#crashCount) {
 				return;
 			}
--- a/packages-private/measure/src/simulated-host.ts
+++ b/packages-private/measure/src/simulated-host.ts
@@ -7,11 +7,12 @@
 import type {Site, WorkloadRequest} from './workload.js';
 
 /** The placement policies to compare. */
-export const policyNames = ['lacewingpoint', 'no sample', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
+export const policyNames = ['lacewingpoint', 'no sample', 'no paces', 'no observations', 'no notes', 'least requests', 'round robin'] as const;
 
 /**
- * A placement policy. `no sample` is the placement of lacewingpoint among all servers, `no observations` the one without the learned
- * limit of the backlog that delays running streams; `no notes` is the placement on hosts that do not exchange placements and loads.
+ * A placement policy. `no sample` is the placement of lacewingpoint among all servers without paces, `no observations` the one without the learned
+ * limit of the backlog that delays running streams and without paces, `no paces` the one that assumes the
+ * same speed of all servers; `no notes` is the placement on hosts that do not exchange placements and loads.
  */
 export type PolicyName = (typeof policyNames)[number];
 
@@ -125,6 +126,7 @@
 
 		const engine = engines.find(candidate => candidate.id === placement.server)!;
 		const load = {prefillTokens: placement.uncachedTokens, memoryTokens: estimateMemoryTokens(pending.request)};
+		const sentAt = events.now;
 		let remainingLoad = load;
 		const removeLoad = () => {
 			this.serverLoads.removeRequest(engine.id, remainingLoad);
@@ -138,6 +140,7 @@
 			outputTokens: pending.request.outputTokens,
 			fetchedTokens: placement.fetchedTokens > 0 ? placement.cachedTokens + placement.fetchedTokens : 0,
 			onFirstToken: cachedTokens => {
+				this.#recordFirstToken(placement, events.now - sentAt);
 				this.serverLoads.completePrefill(engine.id, remainingLoad.prefillTokens);
 				remainingLoad = {...remainingLoad, prefillTokens: 0};
 				this.#options.onOutcome({request: pending.request, timeToFirstToken: events.now - pending.arrivedAt, cachedTokens});
@@ -161,6 +164,18 @@
 		return true;
 	}
 
+	get #learnsPaces(): boolean {
+		return this.#options.policy === 'lacewingpoint' || this.#options.policy === 'no notes';
+	}
+
+	#recordFirstToken(placement: EnginePlacement, time: Milliseconds): void {
+		if (this.#learnsPaces) {
+			this.#observations.recordFirstToken(serviceName, {
+				server: placement.server, prefillTokens: placement.prefillTokens, time, expectedTime: placement.predictedTimeToFirstToken / placement.slowness, isUndisturbed: placement.isLightlyLoaded && placement.fetchedTokens === 0,
+			}, this.#options.events.now);
+		}
+	}
+
 	#retry(pending: PendingRequest): void {
 		pending.attempts++;
 		if (pending.attempts > 1) {
@@ -189,8 +204,8 @@
 			parts: request.parts, promptTokens: request.promptTokens, outputTokens: request.outputTokens, objective: request.kind.objective, cacheSaltFor: version => `v${version}`,
 		};
 		const context = {failureDomain: 'a', stores: [{address: storeAddress, failureDomain: 'a'}], now: events.now};
-		if (policy === 'lacewingpoint' || policy === 'no sample' || policy === 'no notes') {
-			return this.#placer.choosePlacement(generation, policy === 'lacewingpoint' ? this.#sampleCandidates(request, candidates) : candidates, {...context, prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
+		if (policy === 'lacewingpoint' || policy === 'no sample' || policy === 'no notes' || policy === 'no paces') {
+			return this.#placer.choosePlacement(generation, policy === 'lacewingpoint' || policy === 'no paces' ? this.#sampleCandidates(request, candidates) : candidates, {...context, speed: this.#observations.speed(serviceName), prefillBacklogLimit: this.#observations.prefillBacklogLimit(serviceName, events.now)});
 		}
 
 		if (policy === 'no observations') {
@@ -221,7 +236,7 @@
 			slots: site.engineParameters.slots,
 			memoryTokens: site.engineParameters.memoryTokens,
 			load: this.serverLoads.totalLoad(engine.id, events.now),
-			slowness: 1,
+			slowness: this.#observations.slowness(serviceName, engine.id, events.now),
 			isRolloutDraining: false,
 			isFailing: false,
 		}));
--- a/packages-private/measure/src/workload.ts
+++ b/packages-private/measure/src/workload.ts
@@ -1,6 +1,7 @@
 import type {PromptPart} from '@lacewingpoint/routing';
 import type {Milliseconds, RandomSource, Tokens} from '@lacewingpoint/shared';
 import type {EngineParameters} from './model-engine.js';
+import type {UnevenSpeed} from './uneven-speed.js';
 
 /** A kind of generation request. */
 export type RequestKind = {
@@ -32,6 +33,8 @@
 	readonly name: string;
 	readonly engineCount: number;
 	readonly engineParameters: EngineParameters;
+	/** Absent if all engines have the speed of the parameters. */
+	readonly unevenSpeed?: UnevenSpeed | undefined;
 	readonly weightsLoadTime: Milliseconds;
 	readonly maxConcurrentLoads: number;
 	readonly requestKinds: readonly RequestKind[];
@@ -120,6 +123,49 @@
 	],
 };
 
+/** Glenrath: long farm histories and short notes on engines of uneven speed, with little memory. */
+export const glenrath: Site = {
+	name: 'Glenrath',
+	engineCount: 63,
+	engineParameters: {
+		slots: 24, memoryTokens: 92_308, stepTime: 5.05, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 40.8, prefillTokensPerStep: 1024, tokensPerEvent: 6,
+	},
+	unevenSpeed: {
+		slowInterval: 4, slowSpeed: 0.55, fastSpeed: 1.2, disturbedShare: 0.15, disturbanceFactor: 2.5, disturbanceTime: 600,
+	},
+	weightsLoadTime: 600,
+	maxConcurrentLoads: 18,
+	requestKinds: [
+		{
+			name: 'history check', requestsPerSecond: 98.1, objective: 615, pauseObjective: 300, deadline: 5126, rank: 0, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 9, documentCount: 900, popularityExponent: 0.3,
+		},
+		{
+			name: 'note draft', requestsPerSecond: 129, objective: 307, pauseObjective: 300, deadline: 15_326, rank: 1,
+			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 49, documentCount: 600, popularityExponent: 0.3,
+		},
+	],
+};
+
+/** Villasenor: long manifest summaries and short queries on engines of equal speed, with little memory. */
+export const villasenor: Site = {
+	name: 'Villasenor',
+	engineCount: 98,
+	engineParameters: {
+		slots: 12, memoryTokens: 101_176, stepTime: 3.74, stepTimePerRequest: 0.05, prefillTokensPerMillisecond: 81.9, prefillTokensPerStep: 2048, tokensPerEvent: 6,
+	},
+	weightsLoadTime: 760,
+	maxConcurrentLoads: 28,
+	requestKinds: [
+		{
+			name: 'manifest digest', requestsPerSecond: 265, objective: 815, pauseObjective: 400, deadline: 4076, rank: 1, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 6, documentCount: 1500, popularityExponent: 0.3,
+		},
+		{
+			name: 'seal query', requestsPerSecond: 227, objective: 257, pauseObjective: 400, deadline: 10_260, rank: 0,
+			instructionTokens: 119, documentTokens: 79, uniqueTokens: 628, outputTokens: 32, documentCount: 1000, popularityExponent: 0.3,
+		},
+	],
+};
+
 /** A generation request of a client. */
 export type WorkloadRequest = {
 	readonly id: number;
