Document and show the learned paces; report a quarter as many

The log of a request has the slowness that its placement assumed, the metrics the number of slow servers. 10 servers a second instead of 40 of all hosts together: with 40, a relay of 16 members at 550 hosts would send them 22 KB a second more (calculated).

--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -103,6 +103,7 @@
 		server: entry.id,
 		version: entry.softwareVersion,
 		predicted: roundTime(engine?.predictedTimeToFirstToken),
+		slowness: engine === undefined ? undefined : Math.round(engine.slowness * 100) / 100,
 		cost: roundTime(engine?.cost),
 		nextBest: roundTime(engine?.nextBestCost),
 		cached: engine?.cachedTokens,
--- a/packages/host/src/state/pace-reporter.ts
+++ b/packages/host/src/state/pace-reporter.ts
@@ -8,7 +8,7 @@
 const reportedServers = 4;
 
 /** The number of servers that all hosts together report in a second, so that the bytes received by a host do not depend on the size of the fleet. */
-const reportsPerSecond = 40;
+const reportsPerSecond = 10;
 
 /** Reports to the peers what this host has observed of the paces of model servers, the less often the more hosts there are. */
 export class PaceReporter {
--- a/packages/host/src/state/state-gauges.ts
+++ b/packages/host/src/state/state-gauges.ts
@@ -1,6 +1,9 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from './cluster-state.js';
 
+/** A model server counts as slow from this multiple of the time that is expected of its service. */
+const slowServer = 1.5;
+
 /**
  * Reads the metrics that describe what a host knows of the fleet.
  *
@@ -19,6 +22,7 @@
 		servers: entries.length,
 		servers_leaving: entries.filter(entry => clusterState.serverNotices.isLeaving(entry)).length,
 		servers_limited: entries.filter(entry => clusterState.serverLimits.findRequestsPerSecond(entry) !== undefined).length,
+		servers_slow: entries.filter(entry => clusterState.engineObservations.slowness(entry.service, entry.id, now) >= slowServer).length,
 		servers_paused: entries.filter(entry => clusterState.serverNotices.pausedUntil(entry, now) !== undefined).length,
 	};
 }
