--- a/packages/routing/src/engines/server-paces.ts
+++ b/packages/routing/src/engines/server-paces.ts
@@ -9,6 +9,8 @@
 	readonly memory: number;
 	/** The weight of the service's median in the pace of one server, in observations. */
 	readonly medianWeight: number;
+	/** The spread of single observations of one server, as a logarithm. Differences from the median that it may cause do not count. */
+	readonly observationSpread: number;
 	/** The number of observations that halves each time this long passes. */
 	readonly halfLife: Milliseconds;
 	/** A server this many times slower than it usually is counts as disturbed. */
@@ -23,7 +25,7 @@
 
 /** The options for use in production. */
 export const defaultServerPaceOptions: ServerPaceOptions = {
-	memory: 16, medianWeight: 1, halfLife: 60_000, disturbanceFactor: 1.6, disturbanceTime: 600, medianServers: 3, medianInterval: 1000,
+	memory: 16, medianWeight: 1, observationSpread: 0.4, halfLife: 60_000, disturbanceFactor: 1.6, disturbanceTime: 600, medianServers: 3, medianInterval: 1000,
 };
 
 /** Bounds of one observation, so that a single slow or fast request has a limited effect. */
@@ -149,9 +151,13 @@
 	}
 
 	#lastingPace(pace: Pace, now: Milliseconds): number {
-		const {medianWeight} = this.#options;
-		const count = this.#remainingCount(pace, now);
-		return ((pace.mean * count) + (this.#currentMedian(now) * medianWeight)) / (count + medianWeight);
+		const {medianWeight, observationSpread} = this.#options;
+		const median = this.#currentMedian(now);
+		const count = this.#remainingCount(pace, now) + medianWeight;
+		const difference = (pace.mean - median) * (count - medianWeight) / count;
+		const uncertainty = observationSpread / Math.sqrt(count);
+		// Otherwise all hosts would prefer the server that chance has made look fastest.
+		return Math.abs(difference) <= uncertainty ? median : median + difference;
 	}
 
 	#currentMedian(now: Milliseconds): number {
