--- a/packages-private/measure/src/slopes.ts
+++ b/packages-private/measure/src/slopes.ts
@@ -56,7 +56,7 @@
 		loading: [],
 		unreachable: [], leaving: [],
 		emptying: [],
-		deaths: [], limits: [], origins: [], executed: [], quarantined: [],
+		deaths: [], limits: [], origins: [], executed: [], paces: [], quarantined: [],
 		hosts: [],
 		departed: [],
 		updates: [],
@@ -107,7 +107,7 @@
 			return () => {
 				placer.choosePlacement({
 					parts, promptTokens: 9000, outputTokens: 10, objective: 500, cacheSaltFor: version => `v${version}`,
-				}, candidates, {failureDomain: 'a', store: {address: 'store', failureDomain: 'a'}, now: 1000});
+				}, candidates, {failureDomain: 'a', stores: [{address: 'store', failureDomain: 'a'}], now: 1000});
 			};
 		}))),
 		fitLine('memory of a configuration', {unit: 'bytes', per: 'route'}, measurePoints([100, 400, 1600], count => measureMemory(() => new RouteIndex({
--- a/packages/host/src/requests/attempt-records.ts
+++ b/packages/host/src/requests/attempt-records.ts
@@ -45,10 +45,9 @@
  * @returns What the head states.
  */
 export function recordHead(context: PipelineContext, {received, isStream}: RoutedRequest, attempt: Attempt, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): ResponseHead {
-	const {backend, clusterState, now} = context;
+	const {backend, clusterState} = context;
 	const head = backend.parseResponseHead(status, headers);
 	const {id} = attempt.chosen.entry;
-	clusterState.health.recordDataReceived(id, now());
 	attempt.head = head;
 	attempt.status = status;
 	attempt.isEventStream = isStream && status === 200 && isEventStream(headers);
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -209,6 +209,7 @@
 		const {request} = this.#request.received;
 		const {entry} = attempt.chosen;
 		const head = recordHead(this.#context, this.#request, attempt, status, headers);
+		this.#responseObserver.recordHead(attempt);
 		if (head.isNotExecuted && isCredibleRefusal(head, attempt, this.#request, metrics)) {
 			this.#onNotExecuted(attempt, head);
 			return;
