--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -41,3 +41,4 @@
 	type ClientLocation, type ForwardingChoice, selectForwardingHost, selectNearbyHosts,
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
+export * from './rollouts/index.js';
