Roll a service over to another software version at the operators' request

Change: hosts read the requests; the holder of the lease decides, grants shares by messages between hosts, and writes its record and the operators' status in one conditional transaction. A share is in force at a host only while it is renewed.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -26,6 +26,8 @@
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {RetryBudgets} from './requests/retry-budgets.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
+import {RolloutConstraint} from './rollouts/rollout-constraint.js';
+import {RolloutController} from './rollouts/rollout-controller.js';
 import {readStateGauges} from './state/state-gauges.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
@@ -49,6 +51,7 @@
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
 	readonly #weightsController: WeightsController;
+	readonly #rolloutController: RolloutController;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
 	readonly #forwarding: Forwarding;
@@ -87,7 +90,7 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [],
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [new RolloutConstraint(this.#clusterState, now)],
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
@@ -193,6 +196,9 @@
 			this.#registration.registerAgain();
 			this.#weightsLease.handleRestore(era);
 		});
+		this.#rolloutController = new RolloutController({
+			clusterState: this.#clusterState, lease: this.#weightsLease, gossip, store: adapter.store, protocol: adapter.rollouts, log, metrics, now, bounds: () => this.#bounds,
+		});
 		this.#weightsController = new WeightsController({
 			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
 		});
@@ -223,6 +229,7 @@
 			formatMetrics: () => this.#formatMetrics(),
 		}));
 		this.#weightsController.start();
+		this.#rolloutController.start();
 		const maintenanceTimer = setInterval(() => {
 			this.#runMaintenance();
 		}, maintenanceInterval);
@@ -326,6 +333,7 @@
 		this.#storeWatch.dispose();
 		this.#weightsLease.stopCampaigning();
 		this.#weightsController.dispose();
+		this.#rolloutController.dispose();
 		await this.#registration.dispose();
 		this.#fleet.dispose();
 		this.#connectionPool.dispose();
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -15,5 +15,8 @@
 export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
 export {Host} from './host.js';
 export type {HostDependencies} from './host-dependencies.js';
+export {
+	type StoredRollout, RolloutRecord, decodeRolloutProgress, isRolloutKey,
+} from './rollouts/rollout-record.js';
 export {leaseHolderKey, leaseTermKey} from './weights/weights-lease.js';
 export type * from './ports.js';
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -3,6 +3,7 @@
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {CrashReportReview} from '../state/crash-report-review.js';
+import {mergeRollouts} from '../rollouts/rollout-messages.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
 import type {HostGossip} from './host-gossip.js';
 import type {LinkSelection} from './peer-link.js';
@@ -68,6 +69,10 @@
 		}
 
 		this.#mergeLimits(sender, message, recipients);
+		if (mergeRollouts(this.#clusterState.rollouts, message.rollouts ?? [], kind, now)) {
+			this.#gossip.recordTotalsChanged('all', sender.name);
+		}
+
 		this.#clusterState.streamOrigins.merge(message.origins, now);
 		for (const server of message.emptying) {
 			weightsTracker.recordRolloutDraining(server, now);
--- a/packages/host/src/members/host-message-composer.ts
+++ b/packages/host/src/members/host-message-composer.ts
@@ -4,6 +4,7 @@
 import type {QuarantinedPart, SuspectCrash} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
+import {describeRollouts} from '../rollouts/rollout-messages.js';
 import type {CrashLog} from './crash-log.js';
 import type {HostMessage} from './host-messages.js';
 import type {PeerLink} from './peer-link.js';
@@ -65,6 +66,7 @@
 			digest: isWhole ? this.#options.reportDigest(link.target.kind) : undefined,
 			charged: link.takeChangedCharges(totals.chargesFor(link)),
 			loads: link.takeChangedLoads(totals.loadsFor(link)),
+			rollouts: describeRollouts(clusterState.rollouts, link.target),
 			limits: isWhole ? clusterState.serverLimits.listReports(now) : events.limits,
 			quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
 			deaths: isWhole ? [...events.deaths, ...this.#listRepeatedCrashes(link, now)] : events.deaths,
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -1,6 +1,6 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {
-	Configuration, PromptPart, ServerEntry,
+	Configuration, PromptPart, RolloutProgress, RolloutRequest, RolloutState, ServerEntry,
 } from '@lacewingpoint/routing';
 import type {
 	Bytes, LayerError, Milliseconds, Tokens,
@@ -42,6 +42,10 @@
 		| {readonly type: 'weights'; readonly revision: number; readonly model: string; readonly version: number; readonly age?: Milliseconds | undefined; readonly isAgeAssumed?: boolean | undefined}
 		/** The versions that a server was observed to run by a peer, where its entry lists older ones. */
 		| {readonly type: 'observed-weights'; readonly revision: number; readonly server: string; readonly incarnation: string; readonly weights: Readonly<Record<string, number>>}
+		/** A request of the operators to move a service to another software version; a peer adds how long ago it was made. */
+		| {readonly type: 'rollout'; readonly revision: number; readonly request: RolloutRequest; readonly age?: Milliseconds | undefined}
+		/** What the decider of a rollout has recorded. */
+		| {readonly type: 'rollout-progress'; readonly revision: number; readonly progress: RolloutProgress}
 		| {readonly type: 'host'; readonly revision: number; readonly description: HostDescription}
 		| {readonly type: 'host-gone'; readonly revision: number; readonly name: string}
 		| {readonly type: 'holder'; readonly revision: number; readonly holder?: string | undefined}
@@ -273,6 +277,9 @@
 	readonly retryRatio: number;
 	readonly retryWindow: Milliseconds;
 	readonly retrySlack: number;
+	/** The largest share of a service's requests that a bad version may get during a rollout, in addition to `exposureSlack`. */
+	readonly exposureShare?: number;
+	readonly exposureSlack?: number;
 };
 
 /** Settings of one host, and the limits of the deployment. */
@@ -291,12 +298,23 @@
 	readonly bounds: HostBounds;
 };
 
+/** What operators are told of a rollout. */
+export type RolloutStatus = {readonly service: string; readonly target: string; readonly state: RolloutState};
+
+/** Where and how a platform's operators are told of rollouts. */
+export type RolloutProtocol = {
+	/** @returns The store key and value of a status. */
+	encodeStatus(status: RolloutStatus): {readonly key: string; readonly value: string};
+};
+
 /** What a platform has to implement for a host. */
 export type PlatformAdapter = {
 	readonly store: ControlStore;
 	readonly backend: BackendProtocol;
 	readonly directory: DirectoryProtocol;
 	readonly interfaces: readonly ClientInterface[];
+	/** Absent where operators request no rollouts. */
+	readonly rollouts?: RolloutProtocol | undefined;
 };
 
 /** Writes the response to a client. */
--- a/packages/host/src/requests/attempt-ledger.ts
+++ b/packages/host/src/requests/attempt-ledger.ts
@@ -1,6 +1,7 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ChosenServer} from '../placement/placement-request.js';
 import type {ReceivedRequest} from '../ports.js';
+import {recordAnswer, recordSent} from '../rollouts/answer-recorder.js';
 import {
 	type Attempt, type AttemptRecord, createAttempt, describeAttempt,
 } from './attempt.js';
@@ -10,16 +11,19 @@
 export class AttemptLedger {
 	readonly #context: PipelineContext;
 	readonly #received: ReceivedRequest;
+	readonly #route: string;
 	readonly #records: AttemptRecord[] = [];
 	#firstSentAt: Milliseconds | undefined;
 
 	/**
 	 * @param context - The components of the host that all requests share.
 	 * @param received - The request.
+	 * @param route - Name of its route.
 	 */
-	constructor(context: PipelineContext, received: ReceivedRequest) {
+	constructor(context: PipelineContext, received: ReceivedRequest, route: string) {
 		this.#context = context;
 		this.#received = received;
+		this.#route = route;
 	}
 
 	/** When the first attempt was made; `undefined` before. */
@@ -44,6 +48,7 @@
 		const attempt = createAttempt(chosen, this.#received.request, now());
 		this.#firstSentAt ??= attempt.sentAt;
 		clusterState.loads.addRequest(entry.id, attempt.load);
+		recordSent(clusterState.rollouts, entry, this.#route);
 		clusterState.serverLimits.recordRequest(entry, attempt.sentAt);
 		clusterState.health.recordRequestSent(entry.id, attempt.sentAt);
 		onRequestPlaced(chosen, this.#received);
@@ -64,6 +69,7 @@
 		}
 
 		clusterState.loads.removeRequest(chosen.entry.id, attempt.load);
+		recordAnswer(clusterState.rollouts, attempt, {route: this.#route, result, now: now()});
 		clusterState.health.recordRequestEnded(chosen.entry.id);
 		this.#records.push(describeAttempt(attempt, this.#received.receivedAt, {result, endedAt: now()}));
 		queueMicrotask(() => {
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -67,7 +67,7 @@
 		this.#request = options.request;
 		this.#response = options.response;
 		this.#retries = options.retries;
-		this.#ledger = new AttemptLedger(options.context, options.request.received);
+		this.#ledger = new AttemptLedger(options.context, options.request.received, options.route.name);
 		this.#responseObserver = new ResponseObserver({
 			context: options.context, received: options.request.received, route: options.route, service: options.request.service, isStream: options.request.isStream,
 		});
@@ -326,7 +326,12 @@
 
 	#onFailure(failure: ExchangeFailure, isServerStalled = false): void {
 		const attempt = this.#attempt;
-		if (attempt === undefined || !this.abort(failure.reason)) {
+		if (attempt === undefined) {
+			return;
+		}
+
+		attempt.isUnreachable ||= !failure.wasWritten;
+		if (!this.abort(failure.reason)) {
 			return;
 		}
 
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -28,6 +28,8 @@
 	/** Status of the response; 0 until its head arrives. */
 	status: number;
 	isFinished: boolean;
+	/** Whether the server could not be reached, so that the attempt tells nothing of its software. */
+	isUnreachable: boolean;
 	hasFirstByte: boolean;
 	/** When the response body began; `undefined` before its first byte. */
 	firstDataAt: Milliseconds | undefined;
@@ -75,6 +77,7 @@
 		head: undefined,
 		status: 0,
 		isFinished: false,
+		isUnreachable: false,
 		hasFirstByte: false,
 		firstDataAt: undefined,
 		hasSurvivedResponse: false,
--- /dev/null
+++ b/packages/host/src/rollouts/rollout-messages.ts
@@ -0,0 +1,65 @@
+import type {FleetLink} from '@lacewingpoint/coordination';
+import type {RolloutTable} from '@lacewingpoint/routing';
+import type {Milliseconds} from '@lacewingpoint/shared';
+import type {HostMessage} from '../members/host-messages.js';
+
+type RolloutReports = NonNullable<HostMessage['rollouts']>;
+
+/** Limits that keep a datagram from being fragmented; what does not fit is sent with the next ones. */
+const limits = {rollouts: 4, answers: 16} as const;
+
+/**
+ * Describes the running rollouts for a message.
+ *
+ * @param rollouts - The rollouts as this host knows them.
+ * @param target - The peer; only relays get answers, as they sum up those of their members for the decider.
+ * @returns The grants and the answers since the last message; `undefined` if no rollout is running.
+ */
+export function describeRollouts(rollouts: RolloutTable, {kind, host}: FleetLink): RolloutReports | undefined {
+	const running = [...rollouts.list().values()].filter(({progress}) => progress === undefined || progress.state === 'running').slice(0, limits.rollouts);
+	if (running.length === 0) {
+		return undefined;
+	}
+
+	const peer = `${host.name} ${host.incarnation}`;
+	const reports = running.map(({request: {id, service}}) => {
+		const grant = rollouts.takeGrant(service, peer);
+		const answers = kind === 'relay' ? rollouts.takeAnswers(service, peer, limits.answers) : [];
+		return {
+			service,
+			request: id,
+			...(grant === undefined ? {} : {grant: [grant.term, grant.number, grant.share] as [number, number, number]}),
+			answers: answers.map(({route, side, outcome, count}): [string, boolean, number, number] => [route, side === 'target', outcome, count]),
+		};
+	});
+	return reports.filter(({grant, answers}) => grant !== undefined || answers.length > 0);
+}
+
+/**
+ * Merges the rollouts of a peer's message.
+ *
+ * @param rollouts - The rollouts as this host knows them.
+ * @param reports - What the peer reports.
+ * @param kind - The kind of the peer's link.
+ * @param now - Current monotonic time.
+ * @returns Whether other peers are to be told of a newer grant or of answers.
+ */
+export function mergeRollouts(rollouts: RolloutTable, reports: RolloutReports, kind: FleetLink['kind'], now: Milliseconds): boolean {
+	let hasNews = false;
+	for (const {service, request, grant, answers} of reports) {
+		if (grant !== undefined) {
+			const [term, number, share] = grant;
+			hasNews = rollouts.applyGrant(service, {
+				requestId: request, term, number, share,
+			}, now) || hasNews;
+		}
+
+		const isMember = kind === 'member';
+		rollouts.mergeAnswers(service, request, answers.map(([route, isTarget, outcome, count]) => ({
+			route, side: isTarget ? 'target' : 'baseline', outcome, count,
+		})), isMember);
+		hasNews ||= isMember && answers.length > 0;
+	}
+
+	return hasNews;
+}
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,10 +2,11 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, PromptCacheIndex, RolloutTable, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
+import {applyRolloutChange, listRolloutChanges, grantLifetime} from '../rollouts/rollout-changes.js';
 import {
 	cacheMemoryShare, healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
 } from './cluster-state-options.js';
@@ -46,6 +47,7 @@
 	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
 	readonly brittleServers = new BrittleServers();
 	readonly streamOrigins = new StreamOrigins();
+	readonly rollouts = new RolloutTable(grantLifetime);
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
@@ -168,6 +170,7 @@
 				...changedServers.map(({entry, revision}) => ({type: 'server', revision, entry} as const)),
 				...listObservedWeights(this, changedServers),
 				...this.#targetVersions.describe(),
+				...listRolloutChanges(this.rollouts, this.#now()),
 			],
 			revision: this.#revision,
 			serverIds: servers.map(({entry}) => entry.id),
@@ -183,7 +186,7 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#targetVersions.describe());
+		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#targetVersions.describe(), ...listRolloutChanges(this.rollouts, this.#now()));
 		for (const description of this.hosts.listRelays(this.#now())) {
 			changes.push({type: 'host', revision: 0, description});
 		}
@@ -270,6 +273,17 @@
 				break;
 			}
 
+			case 'rollout':
+			case 'rollout-progress': {
+				if (applyRolloutChange(this.rollouts, change, {
+					now: this.#now(), unchangedUntil, source, log: this.#log,
+				})) {
+					this.#recordStateChange(change);
+				}
+
+				break;
+			}
+
 			case 'host': {
 				this.hosts.addListed(change.description);
 				break;
--- a/packages/host/src/state/transfer-time.ts
+++ b/packages/host/src/state/transfer-time.ts
@@ -10,6 +10,10 @@
  * @returns The change with the age that a target version has at most; an age that this makes uncertain is marked as assumed.
  */
 export function addTransferTime<Change extends StateChange>(change: Change, transferTime: Milliseconds): Change {
+	if (change.type === 'rollout') {
+		return {...change, age: (change.age ?? 0) + transferTime};
+	}
+
 	if (change.type !== 'weights' || change.age === undefined) {
 		return change;
 	}
--- a/packages/routing/src/rollouts/rollout-table.ts
+++ b/packages/routing/src/rollouts/rollout-table.ts
@@ -47,6 +47,8 @@
 	readonly #grantLifetime: Milliseconds;
 	readonly #rollouts = new Map<string, KnownRollout>();
 	readonly #grants = new Map<string, ReceivedGrant>();
+	/** By service and peer, the grant that the peer was told of last. */
+	readonly #toldGrants = new Map<string, Map<string, RolloutGrant>>();
 	/** Answers by service and key, of this host and its members, and of all hosts. */
 	readonly #groupAnswers = new Map<string, Map<string, AnswerCount>>();
 	readonly #allAnswers = new Map<string, Map<string, AnswerCount>>();
@@ -86,6 +88,7 @@
 			request, requestRevision: revision, requestedAt, progress: undefined, progressRevision: known?.progressRevision ?? 0, barred: [...new Set(barred)],
 		});
 		this.#grants.delete(request.service);
+		this.#toldGrants.delete(request.service);
 		this.#groupAnswers.delete(request.service);
 		this.#allAnswers.delete(request.service);
 		this.#sentToPeers.delete(request.service);
@@ -100,7 +103,7 @@
 	 * @returns Whether the known progress has changed.
 	 */
 	applyProgress(progress: RolloutProgress, revision: number): boolean {
-		const known = this.#rollouts.get(progress.service);
+		const known = this.#rollouts.get(progress.service) ?? this.#recallRequest(progress, revision);
 		if (known?.request.id !== progress.requestId) {
 			// Kept versions of an earlier rollout stay barred, also for a host that was not there.
 			if (known !== undefined && known.requestRevision > progress.requestRevision) {
@@ -156,13 +159,22 @@
 	}
 
 	/**
-	 * Returns the latest grant of a running rollout.
+	 * Takes the latest grant, unless the peer was told of it.
 	 *
 	 * @param service - Name of the service.
-	 * @returns The grant, also one that is no longer in force.
+	 * @param peer - Name and incarnation of the peer.
+	 * @returns The grant; `undefined` if there is none that is new to the peer. The loss of a message is made up for by the next grant.
 	 */
-	latestGrant(service: string): RolloutGrant | undefined {
-		return this.#grants.get(service)?.grant;
+	takeGrant(service: string, peer: string): RolloutGrant | undefined {
+		const grant = this.#grants.get(service)?.grant;
+		const told = this.#toldGrants.get(service) ?? new Map<string, RolloutGrant>();
+		this.#toldGrants.set(service, told);
+		if (grant === undefined || told.get(peer) === grant) {
+			return undefined;
+		}
+
+		told.set(peer, grant);
+		return grant;
 	}
 
 	/**
@@ -303,6 +315,21 @@
 		});
 	}
 
+	// The request may have been deleted since; what it has led to remains in force.
+	#recallRequest({requestId, requestRevision, service, target, state, barred}: RolloutProgress, revision: number): KnownRollout | undefined {
+		if (state === 'running') {
+			return undefined;
+		}
+
+		const recalled: KnownRollout = {
+			request: {
+				id: requestId, service, target, timeBudget: 0,
+			}, requestRevision, requestedAt: 0, progress: undefined, progressRevision: revision, barred,
+		};
+		this.#rollouts.set(service, recalled);
+		return recalled;
+	}
+
 	#addAnswers(service: string, answers: readonly AnswerCount[], isGroup: boolean): void {
 		for (const answer of answers) {
 			for (const answersOf of isGroup ? [this.#groupAnswers, this.#allAnswers] : [this.#allAnswers]) {
