--- a/packages/command-line/src/explanation.ts
+++ b/packages/command-line/src/explanation.ts
@@ -61,7 +61,7 @@
 ]);
 
 /** Events about the state of the host that served the request. */
-const hostEvents: ReadonlySet<string> = new Set(['configuration', 'weights-named', 'store-lost', 'store-found', 'store-restored', 'history-lost', 'clock-jump', 'start', 'stop', 'reload']);
+const hostEvents: ReadonlySet<string> = new Set(['configuration', 'weights-named', 'rollout', 'rollout-progress', 'store-lost', 'store-found', 'store-restored', 'history-lost', 'clock-jump', 'start', 'stop', 'reload']);
 
 /**
  * Explains the outcome of a request: collects its own log lines, and those about the servers that it was sent to and about the
