Count the age of a rollout's share at each host that passes it on

A host that no longer heard of the decider passed its last share on to each host that started, which then sent to the new version for 1.5 s, however long the share had lapsed. A share now states its age, and one that has lapsed is not passed on. Tested in rollout-table.test.ts.

--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -124,13 +124,13 @@
 	/** The software versions at which streams began, by hashes of their requests' ids. */
 	origins: v.optional(v.array(v.object({service: v.string(), version: v.string(), streams: v.array(v.number())})), []),
 	/**
-	 * Running rollouts: the latest grant (term, number and share), and, to relays, the answers counted since the last message, each with
+	 * Running rollouts: the latest grant (term, number, share and age), and, to relays, the answers counted since the last message, each with
 	 * its route, whether the server has the target version, the code of the outcome and the number.
 	 */
 	rollouts: v.optional(v.array(v.object({
 		service: v.string(),
 		request: v.string(),
-		grant: v.optional(v.tuple([v.number(), v.number(), v.number()])),
+		grant: v.optional(v.tuple([v.number(), v.number(), v.number(), v.number()])),
 		answers: v.optional(v.array(v.tuple([v.string(), v.boolean(), v.number(), v.number()])), []),
 	}))),
 	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
--- a/packages/host/src/rollouts/rollout-messages.ts
+++ b/packages/host/src/rollouts/rollout-messages.ts
@@ -13,9 +13,10 @@
  *
  * @param rollouts - The rollouts as this host knows them.
  * @param target - The peer; only relays get answers, as they sum up those of their members for the decider.
+ * @param now - Current monotonic time.
  * @returns The grants and the answers since the last message; `undefined` if no rollout is running.
  */
-export function describeRollouts(rollouts: RolloutTable, {kind, host}: FleetLink): RolloutReports | undefined {
+export function describeRollouts(rollouts: RolloutTable, {kind, host}: FleetLink, now: Milliseconds): RolloutReports | undefined {
 	const running = [...rollouts.list().values()].filter(({progress}) => progress === undefined || progress.state === 'running').slice(0, limits.rollouts);
 	if (running.length === 0) {
 		return undefined;
@@ -23,12 +24,12 @@
 
 	const peer = `${host.name} ${host.incarnation}`;
 	const reports = running.map(({request: {id, service}}) => {
-		const grant = rollouts.takeGrant(service, peer);
+		const grant = rollouts.takeGrant(service, peer, now);
 		const answers = kind === 'relay' ? rollouts.takeAnswers(service, peer, limits.answers) : [];
 		return {
 			service,
 			request: id,
-			...(grant === undefined ? {} : {grant: [grant.term, grant.number, grant.share] as [number, number, number]}),
+			...(grant === undefined ? {} : {grant: [grant.term, grant.number, grant.share, Math.round(grant.age)] as [number, number, number, number]}),
 			answers: answers.map(({route, side, outcome, count}): [string, boolean, number, number] => [route, side === 'target', outcome, count]),
 		};
 	});
@@ -48,10 +49,10 @@
 	let hasNews = false;
 	for (const {service, request, grant, answers} of reports) {
 		if (grant !== undefined) {
-			const [term, number, share] = grant;
+			const [term, number, share, age] = grant;
 			hasNews = rollouts.applyGrant(service, {
 				requestId: request, term, number, share,
-			}, now) || hasNews;
+			}, now - Math.max(age, 0)) || hasNews;
 		}
 
 		const isMember = kind === 'member';
--- a/packages/routing/__tests__/rollout-table.test.ts
+++ b/packages/routing/__tests__/rollout-table.test.ts
@@ -38,6 +38,21 @@
 	assert.is(countPermitted(table, 'v2', 1601, 'v2'), 0);
 });
 
+test('a grant that is passed on does not last longer, and one that has lapsed is not passed on to a host that starts', () => {
+	const [relay, member] = [createTable(), createTable()];
+	const grant = {
+		requestId: 'r1', term: 1, number: 1, share: 1,
+	};
+	relay.applyGrant('s', grant, 100);
+	const passed = relay.takeGrant('s', 'member', 1500)!;
+	assert.equal(passed, {...grant, age: 1400});
+	member.applyGrant('s', grant, 1500 - passed.age);
+	assert.is(member.share('s', 1600), 1);
+	assert.is(member.share('s', 1601), 0);
+	assert.is(relay.takeGrant('s', 'member', 1500), undefined);
+	assert.is(relay.takeGrant('s', 'restarted member', 1601), undefined);
+});
+
 test('grants of an earlier holder and earlier grants are ignored', () => {
 	const table = createTable();
 	assert.ok(table.applyGrant('s', {
--- a/packages/routing/src/rollouts/rollout-table.ts
+++ b/packages/routing/src/rollouts/rollout-table.ts
@@ -15,7 +15,7 @@
 	readonly barred: readonly string[];
 };
 
-type ReceivedGrant = {readonly grant: RolloutGrant; readonly receivedAt: Milliseconds};
+type ReceivedGrant = {readonly grant: RolloutGrant; readonly givenAt: Milliseconds};
 
 /** A request that is to be sent, as far as rollouts depend on it. */
 export type RolloutTraffic = {
@@ -56,7 +56,7 @@
 	readonly #sentToPeers = new Map<string, Map<string, Map<string, number>>>();
 
 	/**
-	 * @param grantLifetime - How long a grant is in force after it was received.
+	 * @param grantLifetime - How long a grant is in force after it was given.
 	 */
 	constructor(grantLifetime: Milliseconds) {
 		this.#grantLifetime = grantLifetime;
@@ -136,10 +136,10 @@
 	 *
 	 * @param service - Name of the service.
 	 * @param grant - The grant.
-	 * @param now - Current monotonic time.
+	 * @param givenAt - Monotonic time at which the decider gave it, as far as known.
 	 * @returns Whether it is newer than the known one, so that peers are to be told.
 	 */
-	applyGrant(service: string, grant: RolloutGrant, now: Milliseconds): boolean {
+	applyGrant(service: string, grant: RolloutGrant, givenAt: Milliseconds): boolean {
 		const known = this.#grants.get(service)?.grant;
 		if (this.#rollouts.get(service)?.request.id !== grant.requestId) {
 			return false;
@@ -149,7 +149,7 @@
 			return false;
 		}
 
-		this.#grants.set(service, {grant, receivedAt: now});
+		this.#grants.set(service, {grant, givenAt});
 		return true;
 	}
 
@@ -163,18 +163,19 @@
 	 *
 	 * @param service - Name of the service.
 	 * @param peer - Name and incarnation of the peer.
-	 * @returns The grant; `undefined` if there is none that is new to the peer. The loss of a message is made up for by the next grant.
+	 * @param now - Current monotonic time.
+	 * @returns The grant and its age; `undefined` if none in force is new to the peer. The loss of a message is made up for by the next grant.
 	 */
-	takeGrant(service: string, peer: string): RolloutGrant | undefined {
-		const grant = this.#grants.get(service)?.grant;
+	takeGrant(service: string, peer: string, now: Milliseconds): (RolloutGrant & {readonly age: Milliseconds}) | undefined {
+		const received = this.#grants.get(service);
 		const told = this.#toldGrants.get(service) ?? new Map<string, RolloutGrant>();
 		this.#toldGrants.set(service, told);
-		if (grant === undefined || told.get(peer) === grant) {
+		if (received === undefined || !this.#isInForce(received, now) || told.get(peer) === received.grant) {
 			return undefined;
 		}
 
-		told.set(peer, grant);
-		return grant;
+		told.set(peer, received.grant);
+		return {...received.grant, age: now - received.givenAt};
 	}
 
 	/**
@@ -195,7 +196,7 @@
 		}
 
 		const received = this.#grants.get(service);
-		return received !== undefined && now - received.receivedAt <= this.#grantLifetime ? received.grant.share : 0;
+		return received !== undefined && this.#isInForce(received, now) ? received.grant.share : 0;
 	}
 
 	/**
@@ -315,6 +316,10 @@
 		});
 	}
 
+	#isInForce({givenAt}: ReceivedGrant, now: Milliseconds): boolean {
+		return now - givenAt <= this.#grantLifetime;
+	}
+
 	// The request may have been deleted since; what it has led to remains in force.
 	#recallRequest({requestId, requestRevision, service, target, state, barred}: RolloutProgress, revision: number): KnownRollout | undefined {
 		if (state === 'running') {
