Let no rollout be held back by others in the messages between hosts, and keep nothing of decided ones

The first four undecided rollouts took all places of a message. Those whose service is not in the configuration, or whose servers never come, stay undecided, so that a fifth one got no share and was never completed. The counts by route and peer of a decided rollout were kept for good; they are released.

--- a/packages/host/src/rollouts/rollout-messages.ts
+++ b/packages/host/src/rollouts/rollout-messages.ts
@@ -17,23 +17,33 @@
  * @returns The grants and the answers since the last message; `undefined` if no rollout is running.
  */
 export function describeRollouts(rollouts: RolloutTable, {kind, host}: FleetLink, now: Milliseconds): RolloutReports | undefined {
-	const running = [...rollouts.list().values()].filter(({progress}) => progress === undefined || progress.state === 'running').slice(0, limits.rollouts);
+	const running = rollouts.takeRunning();
 	if (running.length === 0) {
 		return undefined;
 	}
 
 	const peer = `${host.name} ${host.incarnation}`;
-	const reports = running.map(({request: {id, service}}) => {
+	const reports: RolloutReports = [];
+	let freeAnswers = limits.answers;
+	for (const {request: {id, service}} of running) {
+		if (reports.length === limits.rollouts) {
+			break;
+		}
+
 		const grant = rollouts.takeGrant(service, peer, now);
-		const answers = kind === 'relay' ? rollouts.takeAnswers(service, peer, limits.answers) : [];
-		return {
-			service,
-			request: id,
-			...(grant === undefined ? {} : {grant: [grant.term, grant.number, grant.share, Math.round(grant.age)] as [number, number, number, number]}),
-			answers: answers.map(({route, side, outcome, count}): [string, boolean, number, number] => [route, side === 'target', outcome, count]),
-		};
-	});
-	return reports.filter(({grant, answers}) => grant !== undefined || answers.length > 0);
+		const answers = kind === 'relay' ? rollouts.takeAnswers(service, peer, freeAnswers) : [];
+		freeAnswers -= answers.length;
+		if (grant !== undefined || answers.length > 0) {
+			reports.push({
+				service,
+				request: id,
+				...(grant === undefined ? {} : {grant: [grant.term, grant.number, grant.share, Math.round(grant.age)]}),
+				answers: answers.map(({route, side, outcome, count}) => [route, side === 'target', outcome, count]),
+			});
+		}
+	}
+
+	return reports;
 }
 
 /**
--- a/packages/routing/__tests__/rollout-table.test.ts
+++ b/packages/routing/__tests__/rollout-table.test.ts
@@ -119,4 +119,16 @@
 	assert.equal(table.totals('s'), [{...answer, count: 7}]);
 });
 
+test('nothing is kept of the answers to a rollout that is decided, also not of those that arrive late', () => {
+	const table = createTable();
+	const answer = {
+		route: 'a', side: 'target', outcome: 1, count: 1,
+	} as const;
+	table.recordAnswer('s', answer);
+	table.applyProgress({...progress, state: 'completed'}, 12);
+	table.mergeAnswers('s', 'r1', [answer], true);
+	assert.equal(table.totals('s'), []);
+	assert.is(countPermitted(table, 'v2', 0), 1000);
+});
+
 test.run();
--- a/packages/routing/src/rollouts/rollout-table.ts
+++ b/packages/routing/src/rollouts/rollout-table.ts
@@ -39,6 +39,10 @@
 	return progress.state === 'running' ? progress.step : Number.POSITIVE_INFINITY;
 }
 
+function isRunning({progress}: KnownRollout): boolean {
+	return progress === undefined || progress.state === 'running';
+}
+
 /**
  * What a host knows of the rollouts of all services. Requests of the operators are ordered by their store revision; progress never goes
  * back. A share of the requests for the target version is in force only while its grant is renewed.
@@ -55,6 +59,8 @@
 	/** By service and peer, the counts of each key that the peer has got. */
 	readonly #sentToPeers = new Map<string, Map<string, Map<string, number>>>();
 
+	#firstTaken = 0;
+
 	/**
 	 * @param grantLifetime - How long a grant is in force after it was given.
 	 */
@@ -87,11 +93,7 @@
 		this.#rollouts.set(request.service, {
 			request, requestRevision: revision, requestedAt, progress: undefined, progressRevision: known?.progressRevision ?? 0, barred: [...new Set(barred)],
 		});
-		this.#grants.delete(request.service);
-		this.#toldGrants.delete(request.service);
-		this.#groupAnswers.delete(request.service);
-		this.#allAnswers.delete(request.service);
-		this.#sentToPeers.delete(request.service);
+		this.#forgetCourse(request.service);
 		return true;
 	}
 
@@ -128,6 +130,10 @@
 			...(applies ? {progress, barred: [...new Set([...known.barred, ...progress.barred])].filter(version => version !== known.request.target)} : {}),
 			progressRevision: Math.max(revision, known.progressRevision),
 		});
+		if (progress.state !== 'running') {
+			this.#forgetCourse(progress.service);
+		}
+
 		return isAhead;
 	}
 
@@ -141,7 +147,8 @@
 	 */
 	applyGrant(service: string, grant: RolloutGrant, givenAt: Milliseconds): boolean {
 		const known = this.#grants.get(service)?.grant;
-		if (this.#rollouts.get(service)?.request.id !== grant.requestId) {
+		const rollout = this.#rollouts.get(service);
+		if (rollout?.request.id !== grant.requestId || !isRunning(rollout)) {
 			return false;
 		}
 
@@ -158,6 +165,13 @@
 		return this.#rollouts;
 	}
 
+	/** @returns The rollouts without a verdict, beginning with another one at each call, so that limits of messages hold none of them back for good. */
+	takeRunning(): readonly KnownRollout[] {
+		const running = [...this.#rollouts.values()].filter(rollout => isRunning(rollout));
+		const first = this.#firstTaken++ % Math.max(running.length, 1);
+		return [...running.slice(first), ...running.slice(0, first)];
+	}
+
 	/**
 	 * Takes the latest grant, unless the peer was told of it.
 	 *
@@ -208,7 +222,7 @@
 	 */
 	side(service: string, version: string | undefined): VersionSide | undefined {
 		const rollout = this.#rollouts.get(service);
-		if (rollout === undefined || (rollout.progress !== undefined && rollout.progress.state !== 'running')) {
+		if (rollout === undefined || !isRunning(rollout)) {
 			return undefined;
 		}
 
@@ -275,7 +289,8 @@
 	 * @param isMember - Whether the peer is a member of this relay, which passes its answers on to other relays.
 	 */
 	mergeAnswers(service: string, requestId: string, answers: readonly AnswerCount[], isMember: boolean): void {
-		if (this.#rollouts.get(service)?.request.id === requestId) {
+		const rollout = this.#rollouts.get(service);
+		if (rollout?.request.id === requestId && isRunning(rollout)) {
 			this.#addAnswers(service, answers, isMember);
 		}
 	}
@@ -316,6 +331,12 @@
 		});
 	}
 
+	#forgetCourse(service: string): void {
+		for (const records of [this.#grants, this.#toldGrants, this.#groupAnswers, this.#allAnswers, this.#sentToPeers]) {
+			records.delete(service);
+		}
+	}
+
 	#isInForce({givenAt}: ReceivedGrant, now: Milliseconds): boolean {
 		return now - givenAt <= this.#grantLifetime;
 	}
