Go on with a rollout whose record is of a later era than the host knows

A host that starts after a restore counts revisions from the first era, and took the record of the same request for that of a later one: no host would have claimed the rollout any more. Only the record of another request is compared by revision. No test of its own.

--- a/packages/host/src/rollouts/rollout-decider.ts
+++ b/packages/host/src/rollouts/rollout-decider.ts
@@ -138,7 +138,7 @@
 	}
 
 	#isBehind(progress: RolloutProgress, known: KnownRollout): boolean {
-		return progress.term > this.#options.term || progress.requestRevision > known.requestRevision;
+		return progress.term > this.#options.term || (progress.requestId !== known.request.id && progress.requestRevision > known.requestRevision);
 	}
 
 	#observe({request: {service, target, timeBudget}}: KnownRollout): RolloutObservation {
