Test rollouts with little traffic and successors against the whole target

The tests asked for 70 % and 95 %, bounds taken from what was measured. The 95 % of successors are still asked for beside it.

--- a/packages/routing/__tests__/rollout-decision.test.ts
+++ b/packages/routing/__tests__/rollout-decision.test.ts
@@ -120,10 +120,10 @@
 		}
 	});
 
-	test(`with little traffic, a version that ${name} is reverted within the exposure limit in most cases`, () => {
+	test(`with little traffic, a version that ${name} is reverted within the exposure limit`, () => {
 		const courses = replayAll({requestsPerSecond: 60, target});
-		assert.ok(shareOf(courses, isReverted) >= 0.7, String(shareOf(courses, isReverted)));
-		assert.ok(shareOf(courses, isWithinExposure) >= 0.7, String(shareOf(courses, isWithinExposure)));
+		assert.is(shareOf(courses, isReverted), 1);
+		assert.is(shareOf(courses, isWithinExposure), 1);
 	});
 }
 
@@ -157,6 +157,16 @@
 	}
 });
 
+test('a successor completes every good version in time', () => {
+	for (const handover of [3000, 6500, 7500, 8700]) {
+		for (const requestsPerSecond of [60, 300, 1500]) {
+			for (const [index, {state, elapsed}] of replayAll({requestsPerSecond, target: () => ({}), handover}).entries()) {
+				assert.ok(state === 'completed' && elapsed <= 12_000, `seed ${seeds[index]!}, ${requestsPerSecond} requests a second, hand-over at ${handover}: ${state} at ${elapsed}`);
+			}
+		}
+	}
+});
+
 test('shares only rise while the version shows no fault, and the other version is given up only when it is empty', () => {
 	const {shares} = replay({seed: 1, requestsPerSecond: 300, target: () => ({})});
 	const trial = shares.filter(share => share > 0.15);
