--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -66,7 +66,7 @@
 				this.#onFailure({wasWritten: true, reason}, isServerStalled);
 			},
 		});
-		this.ledger = new AttemptLedger(options.context, options.request.received);
+		this.ledger = new AttemptLedger(options.context, options.request.received, options.route.name);
 		this.#secondTry = new SecondTry({
 			context: options.context,
 			request: options.request,
@@ -348,7 +348,12 @@
 
 	#onFailure(failure: ExchangeFailure, isServerStalled = false): void {
 		const attempt = this.#attempt;
-		if (attempt === undefined || !this.#abortAttempt(failure.reason)) {
+		if (attempt === undefined) {
+			return;
+		}
+
+		attempt.isUnreachable ||= !failure.wasWritten;
+		if (!this.#abortAttempt(failure.reason)) {
 			return;
 		}
 
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -57,3 +57,4 @@
 export {
 	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
 } from './overload/index.js';
+export * from './rollouts/index.js';
