Keep one order of waiting over all hosts

Each host kept its own queue, so that rank and fair share held only within a host. Hosts now announce what waits and what workspaces use; each computes from the sums the same admission level for each service and holds back what comes after it, except for capacity that those ahead leave unused. Refusals use the wait that all queues let expect, with a spread retry-after.

In force while the configuration has requests of different ranks compete for a service. Type check, lint and the tests of the queue and the messages pass; nothing measured yet.

--- /dev/null
+++ b/packages/host/src/admission/index.ts
@@ -0,0 +1,4 @@
+export {DemandReporter, parseDemandReport} from './demand-report.js';
+export {type HostAdmissionOptions, HostAdmission} from './host-admission.js';
+export {RequestWait} from './request-wait.js';
+export {retryAfterShare, spreadRetryAfter} from './retry-after.js';
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -87,7 +87,7 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [],
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, log, metrics, constraints: [],
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
@@ -376,6 +376,7 @@
 		return this.#metrics.formatSeries({
 			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
+			admission_rank: this.#dispatcher.admission.waitingRank(),
 			running: this.#runningRequests,
 			detached: this.#forwarding.serverLinks.isDetached ? 1 : 0,
 			client_connections: this.#clientConnectionCount(),
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -1,6 +1,7 @@
 import type {FleetLink, HostDescription} from '@lacewingpoint/coordination';
 import type {Quarantine} from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
+import {parseDemandReport} from '../admission/demand-report.js';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {CrashReportReview} from '../state/crash-report-review.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
@@ -105,7 +106,14 @@
 		const hasNewRequests = serverLimits.mergePeerTotals(sender, charged, now, message.isWhole);
 		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
 		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
-		if (hasNewCharges || hasNewRequests || hasNewLoads) {
+		const demand = message.demand === undefined ? undefined : parseDemandReport(message.demand, message.hostCount);
+		if (demand === undefined) {
+			this.#clusterState.demand.recordContact(sender.name, now);
+		} else {
+			this.#clusterState.demand.mergePeer(sender.name, demand, now);
+		}
+
+		if (hasNewCharges || hasNewRequests || hasNewLoads || demand !== undefined) {
 			this.#gossip.recordTotalsChanged(kind === 'member' ? 'all' : 'member', sender.name);
 		}
 	}
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -71,6 +71,7 @@
 		for (const name of previous.keys()) {
 			if (!this.#links.has(name)) {
 				this.#options.clusterState.loads.removePeer(name);
+				this.#options.clusterState.demand.removePeer(name);
 			}
 		}
 
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -48,6 +48,16 @@
 	weights: v.record(v.string(), v.number()),
 });
 
+const amountSchema = v.pipe(v.number(), v.finite(), v.minValue(0));
+
+const demandSchema = v.object({
+	service: v.string(),
+	/** Admission level, requests that wait and their size. */
+	waiting: v.pipe(v.array(v.pipe(v.tuple([amountSchema, amountSchema, amountSchema]), v.readonly())), v.maxLength(100), v.readonly()),
+	/** Rank, workspace, size offered and size admitted per second; empty if unchanged. */
+	usage: v.optional(v.pipe(v.array(v.pipe(v.tuple([amountSchema, v.string(), amountSchema, amountSchema]), v.readonly())), v.maxLength(200), v.readonly()), []),
+});
+
 /** A change of the cluster state that is small enough for a datagram. */
 const stateUpdateSchema = v.variant('type', [
 	v.object({type: v.literal('server'), revision: v.number(), entry: serverEntrySchema}),
@@ -102,6 +112,8 @@
 	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Running requests, uncached prompt tokens that await prefill, and occupied memory tokens, by server. */
 	loads: v.optional(v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])), {}),
+	/** What waits and what is used, by service; unreadable reports are ignored. */
+	demand: v.fallback(v.optional(v.pipe(v.array(demandSchema), v.maxLength(100))), undefined),
 	placements: v.optional(v.array(promptPlacementSchema), []),
 	/** Observed versions of the weights, by server and model. */
 	weights: v.optional(v.array(v.object({server: v.string(), model: v.string(), version: v.number()})), []),
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -1,6 +1,7 @@
 import type {FleetLink, UsageTotals} from '@lacewingpoint/coordination';
 import {type ServerLoad, isSameLoad, noLoad} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {DemandReporter} from '../admission/demand-report.js';
 import {GossipEventQueue} from './gossip-events.js';
 import type {HostMessage} from './host-messages.js';
 
@@ -17,6 +18,7 @@
 export class PeerLink {
 	readonly target: FleetLink;
 	readonly events = new GossipEventQueue();
+	readonly demandReporter = new DemandReporter();
 	lastSentAt = Number.NEGATIVE_INFINITY;
 	/** The state version up to which changes have been sent. */
 	sentStateVersion: number;
--- a/packages/host/src/members/reported-totals.ts
+++ b/packages/host/src/members/reported-totals.ts
@@ -1,11 +1,14 @@
 import type {UsageTotals} from '@lacewingpoint/coordination';
-import type {ServerLoad} from '@lacewingpoint/routing';
+import {type Demand, type ServerLoad, summarizeDemand} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {PeerLink} from './peer-link.js';
 
+/** The workspaces of each service and rank that are reported by name. */
+const namedWorkspaces = 12;
+
 /**
- * The charges and loads that are reported to peers at one moment: to other relays those of this host and its members, to a member those
+ * The charges, loads and demand that are reported to peers at one moment: to other relays those of this host and its members, to a member those
  * of all other hosts.
  */
 export class ReportedTotals {
@@ -15,6 +18,7 @@
 	#groupLoads: ReadonlyMap<string, ServerLoad> | undefined;
 	#allLoads: ReadonlyMap<string, ServerLoad> | undefined;
 	#groupCharges: UsageTotals | undefined;
+	#groupDemand: Demand | undefined;
 
 	/**
 	 * @param clusterState - The charges and loads as this host knows them.
@@ -60,4 +64,20 @@
 		this.#groupLoads ??= loads.sumLoads(this.#isMember, this.#now);
 		return this.#groupLoads;
 	}
+
+	/**
+	 * Returns the demand to be reported to a peer.
+	 *
+	 * @param link - The peer's link.
+	 * @returns What waits and what is used, by service.
+	 */
+	demandFor(link: PeerLink): Demand {
+		const {demand} = this.#clusterState;
+		if (link.target.kind === 'member') {
+			return summarizeDemand(demand.sum(peer => peer !== link.target.host.name, this.#now), namedWorkspaces);
+		}
+
+		this.#groupDemand ??= summarizeDemand(demand.sum(this.#isMember, this.#now), namedWorkspaces);
+		return this.#groupDemand;
+	}
 }
--- a/packages/host/src/placement/generation-placement.ts
+++ b/packages/host/src/placement/generation-placement.ts
@@ -105,7 +105,7 @@
 		}
 
 		if (placement.dispatchNotBefore > now) {
-			return {type: 'full', estimatedWait: placement.dispatchNotBefore - now};
+			return {type: 'full', estimatedWait: placement.dispatchNotBefore - now, isPromptPending: true};
 		}
 
 		const entry = entries.find(({id}) => id === placement.server)!;
--- a/packages/host/src/placement/placement-request.ts
+++ b/packages/host/src/placement/placement-request.ts
@@ -28,12 +28,12 @@
 /**
  * The chosen server, or why there is none.
  *
- * - `full`: no server has capacity yet, or a shared part of the prompt is still being prefilled.
+ * - `full`: no server has capacity yet, or a shared part of the prompt is still being prefilled (`isPromptPending`).
  * - `paused`: the servers want no requests until the end of `wait`, as they asked for pauses or named limits.
  * - `none`: no server is available.
  */
 export type PlacementResult
 	= | {readonly type: 'chosen'; readonly chosen: ChosenServer}
-		| {readonly type: 'full'; readonly estimatedWait: Milliseconds}
+		| {readonly type: 'full'; readonly estimatedWait: Milliseconds; readonly isPromptPending?: boolean}
 		| {readonly type: 'paused'; readonly wait: Milliseconds}
 		| {readonly type: 'none'};
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -1,7 +1,10 @@
 import {
-	type ServerCandidate, type ServerEntry, RequestQueue, chooseLeastLoadedServer, estimateQueueTime, sampleServers,
+	type HeldRequest, type QueuedRequest, type ServerCandidate, type ServerEntry, RequestQueue, chooseLeastLoadedServer, estimateQueueTime, sampleServers,
 } from '@lacewingpoint/routing';
-import type {Disposable, Milliseconds, RandomSource} from '@lacewingpoint/shared';
+import type {
+	Disposable, Logger, Metrics, Milliseconds, RandomSource,
+} from '@lacewingpoint/shared';
+import {HostAdmission} from '../admission/host-admission.js';
 import {type GenerationPlacementOptions, GenerationPlacement} from '../placement/generation-placement.js';
 import type {PlacementRequest, PlacementResult} from '../placement/placement-request.js';
 import {type ServerFilterOptions, ServerFilter} from '../placement/server-filter.js';
@@ -9,8 +12,12 @@
 
 /** A request that waits in a queue for a server. */
 export type PendingRequest = {
+	/** Whether the request waits for a server's capacity, as far as its last placement showed. */
+	readonly waitsForCapacity: boolean;
 	/** @returns Whether the request was sent to a server or is finished, so that it leaves the queue. */
 	tryPlace(): boolean;
+	/** @returns Whether a server has capacity for the request, which is not sent yet. */
+	hasCapacity(): boolean;
 	/** Called after the request was removed from the queue because it had waited too long. */
 	onQueueTimeout(): void;
 };
@@ -21,7 +28,9 @@
 /** Assumed service time of a request other than a generation, for the estimate of queue times. */
 const assumedServiceTime: Milliseconds = 50;
 
-export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions;
+type WaitingEntry = QueuedRequest<PendingRequest> & HeldRequest;
+
+export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions & {readonly log: Logger; readonly metrics: Metrics};
 
 /** Chooses servers from the cluster state, and queues the requests that no server has capacity for. */
 export class Dispatcher implements Disposable {
@@ -31,7 +40,8 @@
 	readonly #failureDomain: string;
 	readonly #random: RandomSource;
 	readonly #now: () => Milliseconds;
-	readonly #queues = new Map<string, RequestQueue<PendingRequest>>();
+	readonly #admission: HostAdmission;
+	readonly #queues = new Map<string, RequestQueue<PendingRequest, WaitingEntry>>();
 	#isDispatching = false;
 	#timer: NodeJS.Timeout | undefined;
 
@@ -46,6 +56,7 @@
 		this.#failureDomain = options.failureDomain;
 		this.#random = options.random;
 		this.#now = options.now;
+		this.#admission = new HostAdmission(clusterState, {...options, listWaiting: () => this.#listWaiting()});
 	}
 
 	/** Tells which servers may get requests. */
@@ -53,6 +64,11 @@
 		return this.#filter;
 	}
 
+	/** The order of waiting that all hosts share. */
+	get admission(): HostAdmission {
+		return this.#admission;
+	}
+
 	/** The number of queued requests, over all services. */
 	get queuedRequests(): number {
 		let count = 0;
@@ -101,7 +117,7 @@
 	 * @param service - Name of the service.
 	 * @param entry - The request and what its order in the queue depends on; `expiresAt` is in monotonic time.
 	 */
-	enqueue(service: string, entry: {readonly workspace: string; readonly rank: number; readonly size: number; readonly expiresAt: Milliseconds; readonly item: PendingRequest}): void {
+	enqueue(service: string, entry: WaitingEntry): void {
 		this.#queueFor(service).addRequest(entry);
 		this.#timer ??= setInterval(() => {
 			this.dispatchQueued();
@@ -125,13 +141,13 @@
 		}
 
 		this.#isDispatching = true;
-		for (const queue of this.#queues.values()) {
+		for (const [service, queue] of this.#queues) {
 			if (queue.size > 0) {
 				for (const item of queue.removeExpired(this.#now())) {
 					item.onQueueTimeout();
 				}
 
-				queue.offerInOrder(item => item.tryPlace());
+				this.#offer(service, queue);
 			}
 		}
 
@@ -147,6 +163,37 @@
 		clearInterval(this.#timer);
 	}
 
+	#offer(service: string, queue: RequestQueue<PendingRequest, WaitingEntry>): void {
+		if (!this.#admission.isInForce) {
+			queue.offerInOrder(item => item.tryPlace());
+			return;
+		}
+
+		// One probe tells whether those that go first leave capacity unused.
+		let isProbed = false;
+		queue.offerInOrder((item, level) => {
+			if (this.#admission.admits(service, level)) {
+				const isPlaced = item.tryPlace();
+				if (!isPlaced && this.#admission.isHeldBack(service, level)) {
+					this.#admission.recordHeldCapacity(service, false);
+				}
+
+				return isPlaced;
+			}
+
+			if (!isProbed) {
+				isProbed = true;
+				this.#admission.recordHeldCapacity(service, item.hasCapacity());
+			}
+
+			return false;
+		}, request => this.#admission.classify(service, request));
+	}
+
+	#listWaiting(): ReadonlyMap<string, readonly WaitingEntry[]> {
+		return new Map([...this.#queues].map(([service, queue]) => [service, queue.list().filter(({item}) => item.waitsForCapacity)]));
+	}
+
 	#placePlain(entries: readonly ServerEntry[], service: string): PlacementResult {
 		const now = this.#now();
 		const candidates: ServerCandidate[] = entries.map(entry => ({
@@ -165,8 +212,8 @@
 		return {type: 'chosen', chosen: {entry: entries.find(entry => entry.id === chosen.id)!, engine: undefined}};
 	}
 
-	#queueFor(service: string): RequestQueue<PendingRequest> {
-		const queue = this.#queues.get(service) ?? new RequestQueue<PendingRequest>();
+	#queueFor(service: string): RequestQueue<PendingRequest, WaitingEntry> {
+		const queue = this.#queues.get(service) ?? new RequestQueue<PendingRequest, WaitingEntry>();
 		this.#queues.set(service, queue);
 		return queue;
 	}
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -1,5 +1,6 @@
 import type {Route} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {RequestWait} from '../admission/request-wait.js';
 import type {ReceivedRequest} from '../ports.js';
 import type {ChosenServer, PlacementResult} from '../placement/placement-request.js';
 import type {AttemptListener} from './attempt.js';
@@ -39,6 +40,7 @@
 
 	#retries = new RetryAllowance(0, () => false);
 	#attempts: AttemptRunner | undefined;
+	#wait: RequestWait | undefined;
 	#forwardedAttempt: ForwardedAttempt | undefined;
 	#unreachableServers = 0;
 	#isQueued = false;
@@ -80,6 +82,7 @@
 		const {retryBudget, random, now} = this.#context;
 		const {responseWriter, forwarding} = this.#request.received;
 		this.#request.selectService(route, random.next());
+		this.#wait = new RequestWait(this.#context.dispatcher.admission, this.#request, now());
 		this.#originVersion = forwarding?.requiredVersion;
 		this.#retries = new RetryAllowance(Math.min(route.maxServers, forwarding?.executionsLeft ?? Number.POSITIVE_INFINITY), () => this.#acquireRetryBudget());
 		const attempts = new AttemptRunner({
@@ -108,6 +111,14 @@
 		}
 	}
 
+	get waitsForCapacity(): boolean {
+		return this.#wait?.waitsForCapacity === true;
+	}
+
+	hasCapacity(): boolean {
+		return !this.#completion.isFinished && this.#place().type === 'chosen';
+	}
+
 	tryPlace(): boolean {
 		if (this.#completion.isFinished) {
 			return true;
@@ -124,6 +135,7 @@
 
 		const placement = this.#place();
 		if (placement.type !== 'chosen') {
+			this.#wait!.observe(placement);
 			return false;
 		}
 
@@ -134,7 +146,7 @@
 
 	onQueueTimeout(): void {
 		this.#isQueued = false;
-		this.#completion.fail('no server had capacity before the queue time-out', limitRetryAfter(Number.POSITIVE_INFINITY, this.#request.remainingTime()));
+		this.#completion.fail('no server had capacity before the queue time-out', this.#wait!.refuse(limitRetryAfter(Number.POSITIVE_INFINITY, this.#request.remainingTime())));
 	}
 
 	onAnswered(status: number): void {
@@ -249,6 +261,7 @@
 	}
 
 	#send(chosen: ChosenServer): void {
+		this.#wait!.recordSent();
 		this.#triedServers.add(chosen.entry.id);
 		this.#attempts!.run(chosen);
 	}
@@ -312,7 +325,7 @@
 			return;
 		}
 
-		let placement = this.#place();
+		let placement = this.#wait!.placeInOrder(() => this.#place());
 		if (placement.type === 'chosen') {
 			this.#send(placement.chosen);
 			return;
@@ -335,21 +348,13 @@
 		if (decision.type === 'enqueue') {
 			this.#enqueue(decision.maximumQueueTime);
 		} else {
-			this.#completion.fail(decision.reason, decision.retryAfter);
+			this.#completion.fail(decision.reason, placement.type === 'full' ? this.#wait!.refuse(decision.retryAfter) : decision.retryAfter);
 		}
 	}
 
 	#enqueue(maximumQueueTime: Milliseconds): void {
-		const {received, service, workspace, rank} = this.#request;
-		const {generation} = received.request;
 		this.#isQueued = true;
-		this.#context.dispatcher.enqueue(service, {
-			workspace: workspace?.name ?? '',
-			rank,
-			size: generation === undefined ? 1 : generation.promptTokens,
-			expiresAt: this.#context.now() + maximumQueueTime,
-			item: this,
-		});
+		this.#context.dispatcher.enqueue(this.#request.service, {...this.#wait!.createEntry(maximumQueueTime, this.#context.now()), item: this});
 	}
 
 	#onDeadline(): void {
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,7 +2,7 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, FleetDemand, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -41,6 +41,7 @@
 	readonly servers = new ServerDirectory({reregistrationGrace});
 	readonly hosts = new HostDirectory({heartbeatTimeout, reportTimeout, removalDelay: hostRemovalDelay});
 	readonly loads = new ServerLoads(peerLoadExpiry);
+	readonly demand = new FleetDemand({freshTime: 500, expiry: peerLoadExpiry});
 	readonly health = new ServerHealth(healthOptions);
 	readonly serverNotices = new ServerNotices();
 	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
--- /dev/null
+++ b/packages/routing/src/admission/fleet-demand.ts
@@ -0,0 +1,96 @@
+import type {Milliseconds} from '@lacewingpoint/shared';
+import {type Demand, type ServiceDemand, addDemand} from './demand.js';
+
+/** How long what a peer announced counts in full, and when it no longer counts; in between its share falls evenly. */
+export type FleetDemandOptions = {readonly freshTime: Milliseconds; readonly expiry: Milliseconds};
+
+type PeerDemand = {readonly receivedAt: Milliseconds; readonly demand: Demand};
+
+/**
+ * The demand that the peers have announced. A peer that falls silent loses its influence gradually, so that the admission changes over
+ * to this host's own view without a jump.
+ */
+export class FleetDemand {
+	readonly #options: FleetDemandOptions;
+	readonly #peers = new Map<string, PeerDemand>();
+	#localSource: (() => Demand) | undefined;
+
+	constructor(options: FleetDemandOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * Sets the source of this host's own demand; without one, it has none.
+	 *
+	 * @param source - Returns the demand at present.
+	 */
+	setLocalSource(source: () => Demand): void {
+		this.#localSource = source;
+	}
+
+	/**
+	 * Merges what a peer announces: what waits replaces what it announced before, and so does the usage if it is given.
+	 *
+	 * @param peer - The peer's name.
+	 * @param demand - Its demand, and that of the hosts that it reports.
+	 * @param now - Current monotonic time.
+	 */
+	mergePeer(peer: string, demand: Demand, now: Milliseconds): void {
+		const known = this.#peers.get(peer)?.demand;
+		const merged = new Map(known);
+		for (const [service, announced] of demand) {
+			const usage = announced.usage.size > 0 ? announced.usage : known?.get(service)?.usage ?? announced.usage;
+			merged.set(service, {waiting: announced.waiting, usage});
+		}
+
+		this.#peers.set(peer, {receivedAt: now, demand: merged});
+	}
+
+	/**
+	 * Records that a peer has sent a message without changes of its demand.
+	 *
+	 * @param peer - The peer's name.
+	 * @param now - Current monotonic time.
+	 */
+	recordContact(peer: string, now: Milliseconds): void {
+		const known = this.#peers.get(peer);
+		if (known !== undefined) {
+			this.#peers.set(peer, {...known, receivedAt: now});
+		}
+	}
+
+	/**
+	 * Sums up the demand of this host and of some peers.
+	 *
+	 * @param isIncluded - Whether a peer, given by name, is included.
+	 * @param now - Current monotonic time.
+	 * @returns The sum.
+	 */
+	sum(isIncluded: (peer: string) => boolean, now: Milliseconds): Demand {
+		let sum: Demand = this.#localSource?.() ?? new Map<string, ServiceDemand>();
+		for (const [peer, {receivedAt, demand}] of this.#peers) {
+			const share = this.#shareAt(now - receivedAt);
+			if (share === 0) {
+				this.#peers.delete(peer);
+			} else if (isIncluded(peer)) {
+				sum = addDemand(sum, demand, share);
+			}
+		}
+
+		return sum;
+	}
+
+	/**
+	 * Forgets a peer with which state is no longer exchanged.
+	 *
+	 * @param peer - The peer's name.
+	 */
+	removePeer(peer: string): void {
+		this.#peers.delete(peer);
+	}
+
+	#shareAt(age: Milliseconds): number {
+		const {freshTime, expiry} = this.#options;
+		return Math.min(Math.max((expiry - age) / (expiry - freshTime), 0), 1);
+	}
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -31,6 +31,10 @@
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
 } from './server-placement.js';
 export {type QueuedRequest, RequestQueue} from './request-queue.js';
+export {
+	type Demand, type FleetDemandOptions, type HeldRequest, type ReturningClientsOptions, type ServiceDemand,
+	AdmissionController, FleetDemand, ReturningClients, describeLevel, otherWorkspaces, summarizeDemand, toLevel, usesDifferentRanks,
+} from './admission/index.js';
 export {
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
 } from './weights-rollout.js';
--- a/packages/routing/src/request-queue.ts
+++ b/packages/routing/src/request-queue.ts
@@ -14,14 +14,14 @@
 };
 
 /** Carries the start tag of start-time fair queuing: the virtual time at which the workspace's share allows the request. */
-type TaggedRequest<Item> = QueuedRequest<Item> & {readonly startTag: number; readonly arrival: number};
+type Tagged<Request> = Request & {readonly startTag: number; readonly arrival: number};
 
 /**
  * A queue ordered by rank, then by start-time fair queuing among workspaces, then by arrival. Meant for overload by workspaces that
  * send very different amounts.
  */
-export class RequestQueue<Item> {
-	#requests: Array<TaggedRequest<Item>> = [];
+export class RequestQueue<Item, Request extends QueuedRequest<Item> = QueuedRequest<Item>> {
+	#requests: Array<Tagged<Request>> = [];
 	readonly #finishTags = new Map<string, number>();
 	#virtualTime = 0;
 	#arrivals = 0;
@@ -36,7 +36,7 @@
 	 *
 	 * @param request - The request with its rank, size and expiry.
 	 */
-	addRequest(request: QueuedRequest<Item>): void {
+	addRequest(request: Request): void {
 		const startTag = Math.max(this.#virtualTime, this.#finishTags.get(request.workspace) ?? 0);
 		this.#finishTags.set(request.workspace, startTag + request.size);
 		const tagged = {...request, startTag, arrival: this.#arrivals++};
@@ -48,10 +48,11 @@
 	 * Offers the requests in order; those that are accepted leave the queue, the others do not block those behind them.
 	 *
 	 * @param accept - Returns true when it accepts an item, false when the item cannot be executed now.
+	 * @param levelOf - Returns the admission level of a request: lower ones are offered first, equal ones in the order of the queue.
 	 */
-	offerInOrder(accept: (item: Item) => boolean): void {
-		for (const request of this.#requests) {
-			if (accept(request.item)) {
+	offerInOrder(accept: (item: Item, level: number) => boolean, levelOf?: (request: Request) => number): void {
+		for (const {request, level} of this.#listInOrder(levelOf)) {
+			if (accept(request.item, level)) {
 				this.#virtualTime = Math.max(this.#virtualTime, request.startTag);
 				this.removeItem(request.item);
 			}
@@ -99,6 +100,19 @@
 		return size;
 	}
 
+	/** @returns The queued requests. */
+	list(): readonly Request[] {
+		return this.#requests;
+	}
+
+	#listInOrder(levelOf: ((request: Request) => number) | undefined): ReadonlyArray<{readonly request: Tagged<Request>; readonly level: number}> {
+		if (levelOf === undefined) {
+			return this.#requests.map(request => ({request, level: request.rank}));
+		}
+
+		return this.#requests.map(request => ({request, level: levelOf(request)})).toSorted((left, right) => left.level - right.level);
+	}
+
 	// A tag in the past has no effect on the next request of its workspace.
 	#removeIdleWorkspaces(): void {
 		for (const [workspace, tag] of this.#finishTags) {
@@ -109,6 +123,6 @@
 	}
 }
 
-function precedes(left: TaggedRequest<unknown>, right: TaggedRequest<unknown>): boolean {
+function precedes(left: Tagged<QueuedRequest<unknown>>, right: Tagged<QueuedRequest<unknown>>): boolean {
 	return left.rank === right.rank ? left.startTag < right.startTag : left.rank < right.rank;
 }
