Report refused requests to peers, and believe only demand that has arrived

Clients return to any host, so that a memory of one host seldom knows them. Requests that are repeated too early yield to others of their rank. A peer's waiting requests count only at ranks at which requests arrive there. The size of a request at a service without model servers is one.

--- a/packages/host/src/admission/demand-report.ts
+++ b/packages/host/src/admission/demand-report.ts
@@ -1,4 +1,4 @@
-import type {Demand, ServiceDemand} from '@lacewingpoint/routing';
+import {type Demand, type ServiceDemand, rankOf} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage} from '../members/host-messages.js';
 
@@ -13,6 +13,8 @@
 /** Selects what of the demand a peer does not have yet. */
 export class DemandReporter {
 	readonly #sentWaiting = new Map<string, string>();
+	/** The ranks of which the peer knows the usage, by service. */
+	readonly #sentRanks = new Map<string, ReadonlySet<number>>();
 	#sentAt = Number.NEGATIVE_INFINITY;
 
 	/**
@@ -34,8 +36,11 @@
 			const rows = [...waiting].map(([level, {requests, size}]) => [level, Math.round(requests), Math.round(size)] as const).filter(([, requests]) => requests > 0);
 			const digest = rows.map(row => row.join(' ')).join(',');
 			if (isWhole || digest !== (this.#sentWaiting.get(service) ?? '')) {
+				// A peer ignores what waits at ranks whose usage it does not know.
+				const hasUsage = isWhole || rows.some(([level]) => this.#sentRanks.get(service)?.has(rankOf(level)) !== true);
 				this.#sentWaiting.set(service, digest);
-				report.push({service, waiting: rows, usage: isWhole ? listUsage(usage) : []});
+				this.#sentRanks.set(service, hasUsage ? new Set(usage.keys()) : this.#sentRanks.get(service) ?? new Set());
+				report.push({service, waiting: rows, usage: hasUsage ? listUsage(usage) : []});
 			}
 		}
 
--- a/packages/host/src/admission/host-admission.ts
+++ b/packages/host/src/admission/host-admission.ts
@@ -1,5 +1,5 @@
 import {
-	type HeldRequest, type ServiceDemand, AdmissionController, ReturningClients, describeLevel, otherWorkspaces, usesDifferentRanks,
+	type HeldRequest, type ReturnState, type ServiceDemand, AdmissionController, describeLevel, otherWorkspaces, usesDifferentRanks,
 } from '@lacewingpoint/routing';
 import type {
 	Logger, Metrics, Milliseconds, RandomSource,
@@ -17,8 +17,6 @@
 	ratePeriod: 1000, refusalTime: 150, capacityPeriod: 10_000, unusedTime: 100,
 };
 
-const returningClientsOptions = {maximumEntries: 4096, retention: 3000};
-
 export type HostAdmissionOptions = {
 	readonly log: Logger;
 	readonly metrics: Metrics;
@@ -36,7 +34,6 @@
 	readonly #clusterState: ClusterState;
 	readonly #options: HostAdmissionOptions;
 	readonly #controller = new AdmissionController(controllerOptions);
-	readonly #returningClients = new ReturningClients(returningClientsOptions);
 	#configurationVersion = -1;
 	#isInForce = false;
 	#weights: ReadonlyMap<string, number> = new Map();
@@ -69,6 +66,18 @@
 		return this.#isInForce;
 	}
 
+	/**
+	 * Measures a request in the unit of its service's capacity.
+	 *
+	 * @param service - Name of its service.
+	 * @param promptTokens - The tokens of its prompt; `undefined` if it is no generation.
+	 * @returns Prompt tokens for model servers; one for other servers, whose work does not depend on them.
+	 */
+	sizeOf(service: string, promptTokens: number | undefined): number {
+		const hasEngine = this.#clusterState.configuration?.services.some(({name, engine}) => name === service && engine !== undefined) === true;
+		return hasEngine || !this.isInForce ? promptTokens ?? 1 : 1;
+	}
+
 	/**
 	 * Records a request that has arrived.
 	 *
@@ -91,18 +100,18 @@
 	recordSent(service: string, request: HeldRequest, fingerprint: number): void {
 		if (this.isInForce) {
 			this.#controller.recordAdmitted(service, request, this.#options.now());
-			this.#returningClients.forget(fingerprint);
+			this.#clusterState.returningClients.forget(fingerprint);
 		}
 	}
 
 	/**
-	 * Tells whether a client has come back after the retry-after of a refusal.
+	 * Tells whether a request was refused before, by any host.
 	 *
 	 * @param fingerprint - Hash of the request's content and workspace.
-	 * @returns Whether its request goes before those that come for the first time.
+	 * @returns Whether its client has come back after the retry-after.
 	 */
-	isReturning(fingerprint: number): boolean {
-		return this.isInForce && this.#returningClients.classify(fingerprint, this.#options.now()) === 'returning';
+	returnStateOf(fingerprint: number): ReturnState {
+		return this.isInForce ? this.#clusterState.returningClients.classify(fingerprint, this.#options.now()) : 'first';
 	}
 
 	/**
@@ -165,7 +174,7 @@
 		const level = this.classify(service, request);
 		const retryAfter = spreadRetryAfter(wait, remainingTime, random.next());
 		this.#controller.recordRefused(service, level, now());
-		this.#returningClients.recordRefusal(fingerprint, retryAfter, now());
+		this.#clusterState.returningClients.recordRefusal(fingerprint, retryAfter, now());
 		metrics.incrementCounter('admission_refusals', {level: describeLevel(level)});
 		return retryAfter;
 	}
--- a/packages/host/src/admission/request-wait.ts
+++ b/packages/host/src/admission/request-wait.ts
@@ -27,11 +27,11 @@
 		this.#entry = {
 			workspace: workspace?.name ?? '',
 			rank,
-			size: clientRequest.generation?.promptTokens ?? 1,
+			size: admission.sizeOf(request.service, clientRequest.generation?.promptTokens),
 			enqueuedAt: now,
 			expiresAt: now + request.remainingTime(),
 			timelyUntil: receivedAt + ((route?.objective ?? 0) * timelyShare),
-			isReturning: admission.isReturning(request.fingerprint),
+			returnState: admission.returnStateOf(request.fingerprint),
 		};
 		admission.recordArrival(request.service, this.#entry);
 	}
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -106,6 +106,10 @@
 		const hasNewRequests = serverLimits.mergePeerTotals(sender, charged, now, message.isWhole);
 		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
 		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
+		for (const [fingerprint, wait] of message.refused ?? []) {
+			this.#clusterState.returningClients.recordRefusal(fingerprint, wait, now, sender.name);
+		}
+
 		const demand = message.demand === undefined ? undefined : parseDemandReport(message.demand, message.hostCount);
 		if (demand === undefined) {
 			this.#clusterState.demand.recordContact(sender.name, now);
--- a/packages/host/src/members/host-message-composer.ts
+++ b/packages/host/src/members/host-message-composer.ts
@@ -65,6 +65,7 @@
 			digest: isWhole ? this.#options.reportDigest(link.target.kind) : undefined,
 			charged: link.takeChangedCharges(totals.chargesFor(link)),
 			loads: link.takeChangedLoads(totals.loadsFor(link)),
+			refused: link.refusalReporter.take(clusterState.returningClients, source => source !== link.target.host.name && (source === undefined || totals.isForwarded(source, link)), now),
 			demand: link.demandReporter.take(totals.demandFor(link), isWhole, now),
 			limits: isWhole ? clusterState.serverLimits.listReports(now) : events.limits,
 			quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -112,6 +112,8 @@
 	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Running requests, uncached prompt tokens that await prefill, and occupied memory tokens, by server. */
 	loads: v.optional(v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])), {}),
+	/** Refused requests, by hash, with the time until their clients may return; unreadable lists are ignored. */
+	refused: v.fallback(v.optional(v.pipe(v.array(v.pipe(v.tuple([amountSchema, amountSchema]), v.readonly())), v.maxLength(200))), undefined),
 	/** What waits and what is used, by service; unreadable reports are ignored. */
 	demand: v.fallback(v.optional(v.pipe(v.array(demandSchema), v.maxLength(100))), undefined),
 	placements: v.optional(v.array(promptPlacementSchema), []),
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -2,6 +2,7 @@
 import {type ServerLoad, isSameLoad, noLoad} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {DemandReporter} from '../admission/demand-report.js';
+import {RefusalReporter} from '../admission/refusal-report.js';
 import {GossipEventQueue} from './gossip-events.js';
 import type {HostMessage} from './host-messages.js';
 
@@ -19,6 +20,7 @@
 	readonly target: FleetLink;
 	readonly events = new GossipEventQueue();
 	readonly demandReporter = new DemandReporter();
+	readonly refusalReporter = new RefusalReporter();
 	lastSentAt = Number.NEGATIVE_INFINITY;
 	/** The state version up to which changes have been sent. */
 	sentStateVersion: number;
--- a/packages/host/src/members/reported-totals.ts
+++ b/packages/host/src/members/reported-totals.ts
@@ -65,6 +65,17 @@
 		return this.#groupLoads;
 	}
 
+	/**
+	 * Tells whether what a peer reports is passed on: to a member that of all others, to a relay that of this relay's members.
+	 *
+	 * @param source - The peer that reported it.
+	 * @param link - The link to the recipient.
+	 * @returns Whether it is.
+	 */
+	isForwarded(source: string, link: PeerLink): boolean {
+		return link.target.kind === 'member' || this.#isMember(source);
+	}
+
 	/**
 	 * Returns the demand to be reported to a peer.
 	 *
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,7 +2,7 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, FleetDemand, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, FleetDemand, PromptCacheIndex, ReturningClients, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
@@ -42,6 +42,7 @@
 	readonly hosts = new HostDirectory({heartbeatTimeout, reportTimeout, removalDelay: hostRemovalDelay});
 	readonly loads = new ServerLoads(peerLoadExpiry);
 	readonly demand = new FleetDemand({freshTime: 500, expiry: peerLoadExpiry});
+	readonly returningClients = new ReturningClients({maximumEntries: 4096, retention: 3000});
 	readonly health = new ServerHealth(healthOptions);
 	readonly serverNotices = new ServerNotices();
 	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
--- a/packages/routing/src/admission/admission-level.ts
+++ b/packages/routing/src/admission/admission-level.ts
@@ -1,5 +1,6 @@
 import {type Milliseconds, millisecondsPerSecond} from '@lacewingpoint/shared';
 import type {ServiceDemand} from './demand.js';
+import type {ReturnState} from './returning-clients.js';
 
 /**
  * The order of admission within a rank.
@@ -8,7 +9,7 @@
  * - `returning`: was refused and has come back after the retry-after.
  * - `timely`: can still be answered within its objective.
  * - `late`: waits for longer than its objective allows.
- * - `excess`: of a workspace that gets more than its fair share.
+ * - `excess`: of a workspace that gets more than its fair share, or repeated before its retry-after.
  */
 const steps = ['overdue', 'returning', 'timely', 'late', 'excess'] as const;
 
@@ -34,7 +35,7 @@
 	readonly expiresAt: Milliseconds;
 	/** When its response ceases to be on time. */
 	readonly timelyUntil: Milliseconds;
-	readonly isReturning: boolean;
+	readonly returnState: ReturnState;
 };
 
 /**
@@ -79,7 +80,7 @@
  */
 export function classifyRequest(request: WaitingRequest, isExcess: boolean, meanSize: number, now: Milliseconds): number {
 	const {rank, size, enqueuedAt, expiresAt} = request;
-	if (isExcess) {
+	if (isExcess || request.returnState === 'early') {
 		return toLevel(rank, 'excess');
 	}
 
@@ -87,7 +88,7 @@
 		return toLevel(rank, 'overdue');
 	}
 
-	if (request.isReturning) {
+	if (request.returnState === 'returning') {
 		return toLevel(rank, 'returning');
 	}
 
--- a/packages/routing/src/admission/fleet-demand.ts
+++ b/packages/routing/src/admission/fleet-demand.ts
@@ -1,4 +1,5 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {rankOf} from './admission-level.js';
 import {type Demand, type ServiceDemand, addDemand} from './demand.js';
 
 /** How long what a peer announced counts in full, and when it no longer counts; in between its share falls evenly. */
@@ -40,7 +41,7 @@
 		const merged = new Map(known);
 		for (const [service, announced] of demand) {
 			const usage = announced.usage.size > 0 ? announced.usage : known?.get(service)?.usage ?? announced.usage;
-			merged.set(service, {waiting: announced.waiting, usage});
+			merged.set(service, {waiting: selectCredible(announced.waiting, usage), usage});
 		}
 
 		this.#peers.set(peer, {receivedAt: now, demand: merged});
@@ -94,3 +95,8 @@
 		return Math.min(Math.max((expiry - age) / (expiry - freshTime), 0), 1);
 	}
 }
+
+// Requests that wait have arrived: what waits at a rank without arrivals is an error of the peer, and would hold back the requests of all hosts.
+function selectCredible(waiting: ServiceDemand['waiting'], usage: ServiceDemand['usage']): ServiceDemand['waiting'] {
+	return new Map([...waiting].filter(([level]) => [...usage.get(rankOf(level))?.values() ?? []].some(({offered}) => offered > 0)));
+}
--- a/packages/routing/src/admission/index.ts
+++ b/packages/routing/src/admission/index.ts
@@ -6,7 +6,9 @@
 	type AdmissionStep, type WaitingRequest, classifyRequest, computeAdmissionLevel, describeLevel, estimateWait, exceedsShare, openLevel, rankOf, toLevel,
 } from './admission-level.js';
 export {type FleetDemandOptions, FleetDemand} from './fleet-demand.js';
-export {type ReturnState, type ReturningClientsOptions, ReturningClients} from './returning-clients.js';
+export {
+	type RefusedRequest, type ReturnState, type ReturningClientsOptions, ReturningClients,
+} from './returning-clients.js';
 export {
 	type AdmissionControllerOptions, type AdmissionRequest, type HeldRequest, AdmissionController, usesDifferentRanks,
 } from './admission-controller.js';
--- a/packages/routing/src/admission/returning-clients.ts
+++ b/packages/routing/src/admission/returning-clients.ts
@@ -10,37 +10,73 @@
 /** Whether a request was refused before, and whether its client has waited as told. */
 export type ReturnState = 'first' | 'early' | 'returning';
 
+/** A refused request: hash of its content and workspace, and the time from now on until it may return. */
+export type RefusedRequest = readonly [fingerprint: number, wait: Milliseconds];
+
+type Refusal = {
+	readonly mayReturnAt: Milliseconds;
+	/** The peer that reported it; `undefined` for this host. */
+	readonly source: string | undefined;
+	readonly sequence: number;
+};
+
 /** Clients count as having waited from this part of the retry-after on, as their clocks and links differ. */
 const waitTolerance = 0.9;
 
-/** Remembers refused requests, so that clients that have waited as told are served before those that come for the first time. */
+/**
+ * Remembers requests that this host or a peer has refused, so that clients that have waited as told are served before those that come
+ * for the first time, at whatever host.
+ */
 export class ReturningClients {
 	readonly #options: ReturningClientsOptions;
-	readonly #mayReturnAt = new Map<number, Milliseconds>();
+	/** In the order of their recording. */
+	readonly #refusals = new Map<number, Refusal>();
+	#sequence = 0;
 
 	constructor(options: ReturningClientsOptions) {
 		this.#options = options;
 	}
 
+	/** The number of refusals recorded so far. */
+	get sequence(): number {
+		return this.#sequence;
+	}
+
 	/**
 	 * Records a refusal. A client that repeats a request too early does not gain from it: the first time applies.
 	 *
 	 * @param fingerprint - Hash of the request's content and workspace.
 	 * @param retryAfter - The time that the client was told to wait.
 	 * @param now - Current monotonic time.
+	 * @param source - The peer that reported the refusal; this host by default.
 	 */
-	recordRefusal(fingerprint: number, retryAfter: Milliseconds, now: Milliseconds): void {
+	recordRefusal(fingerprint: number, retryAfter: Milliseconds, now: Milliseconds, source?: string): void {
 		if (this.classify(fingerprint, now) === 'early') {
 			return;
 		}
 
-		this.#mayReturnAt.delete(fingerprint);
-		this.#mayReturnAt.set(fingerprint, now + (retryAfter * waitTolerance));
-		if (this.#mayReturnAt.size > this.#options.maximumEntries) {
-			this.#mayReturnAt.delete(this.#mayReturnAt.keys().next().value!);
+		this.#sequence++;
+		this.#refusals.delete(fingerprint);
+		this.#refusals.set(fingerprint, {mayReturnAt: now + (retryAfter * waitTolerance), source, sequence: this.#sequence});
+		if (this.#refusals.size > this.#options.maximumEntries) {
+			this.#refusals.delete(this.#refusals.keys().next().value!);
 		}
 	}
 
+	/**
+	 * Lists the newest refusals for a report to a peer.
+	 *
+	 * @param after - The sequence number up to which the peer has them.
+	 * @param most - The largest number of them.
+	 * @param now - Current monotonic time.
+	 * @param isIncluded - Whether the refusals from a source, `undefined` for this host, are reported.
+	 * @returns The refusals.
+	 */
+	listNewest(after: number, most: number, now: Milliseconds, isIncluded: (source: string | undefined) => boolean): RefusedRequest[] {
+		const newest = [...this.#refusals].slice(-Math.max(this.#sequence - after, 0)).filter(([, {sequence, source, mayReturnAt}]) => sequence > after && mayReturnAt > now && isIncluded(source));
+		return newest.slice(-most).map(([fingerprint, {mayReturnAt}]) => [fingerprint, Math.round(mayReturnAt - now)]);
+	}
+
 	/**
 	 * Tells whether a request was refused before.
 	 *
@@ -49,12 +85,12 @@
 	 * @returns Its state.
 	 */
 	classify(fingerprint: number, now: Milliseconds): ReturnState {
-		const mayReturnAt = this.#mayReturnAt.get(fingerprint);
-		if (mayReturnAt === undefined || now > mayReturnAt + this.#options.retention) {
+		const refusal = this.#refusals.get(fingerprint);
+		if (refusal === undefined || now > refusal.mayReturnAt + this.#options.retention) {
 			return 'first';
 		}
 
-		return now < mayReturnAt ? 'early' : 'returning';
+		return now < refusal.mayReturnAt ? 'early' : 'returning';
 	}
 
 	/**
@@ -63,6 +99,6 @@
 	 * @param fingerprint - Hash of the request's content and workspace.
 	 */
 	forget(fingerprint: number): void {
-		this.#mayReturnAt.delete(fingerprint);
+		this.#refusals.delete(fingerprint);
 	}
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -32,8 +32,8 @@
 } from './server-placement.js';
 export {type QueuedRequest, RequestQueue} from './request-queue.js';
 export {
-	type Demand, type FleetDemandOptions, type HeldRequest, type ReturningClientsOptions, type ServiceDemand,
-	AdmissionController, FleetDemand, ReturningClients, describeLevel, otherWorkspaces, summarizeDemand, toLevel, usesDifferentRanks,
+	type Demand, type FleetDemandOptions, type HeldRequest, type RefusedRequest, type ReturnState, type ReturningClientsOptions, type ServiceDemand,
+	AdmissionController, FleetDemand, ReturningClients, describeLevel, otherWorkspaces, rankOf, summarizeDemand, toLevel, usesDifferentRanks,
 } from './admission/index.js';
 export {
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
