Share the order of waiting only where the deployment asks for it

So the order is off unless the host's settings ask for it (sharesWaitingOrder); no platform adapter sets it yet.

--- a/packages/host/src/admission/host-admission.ts
+++ b/packages/host/src/admission/host-admission.ts
@@ -18,6 +18,8 @@
 };
 
 export type HostAdmissionOptions = {
+	/** Whether the deployment asks for one order of waiting. */
+	readonly sharesWaitingOrder?: boolean | undefined;
 	readonly log: Logger;
 	readonly metrics: Metrics;
 	readonly random: RandomSource;
@@ -27,8 +29,8 @@
 };
 
 /**
- * Applies the order of waiting that all hosts share to the requests of this host. In force while the configuration has requests of
- * different ranks compete for a service.
+ * Applies the order of waiting that all hosts share to the requests of this host. In force where the
+ * deployment asks for it, while the configuration has requests of different ranks compete for a service.
  */
 export class HostAdmission {
 	readonly #clusterState: ClusterState;
@@ -56,7 +58,7 @@
 		const {configuration} = this.#clusterState;
 		if (configuration !== undefined && configuration.version !== this.#configurationVersion) {
 			this.#configurationVersion = configuration.version;
-			this.#isInForce = usesDifferentRanks(configuration);
+			this.#isInForce = this.#options.sharesWaitingOrder === true && usesDifferentRanks(configuration);
 			const limits = (configuration.workspaces ?? []).filter(({unitsPerSecond}) => unitsPerSecond > 0).map(({name, unitsPerSecond}) => [name, unitsPerSecond] as const);
 			const sum = limits.reduce((total, [, limit]) => total + limit, 0);
 			this.#weights = new Map([...limits, [otherWorkspaces, Math.max(sum, 1)]]);
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -87,7 +87,7 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, log, metrics, constraints: [],
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, log, metrics, sharesWaitingOrder: settings.sharesWaitingOrder, constraints: [],
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -1,3 +1,6 @@
+export {
+	DemandReporter, HostAdmission, parseDemandReport, spreadRetryAfter,
+} from './admission/index.js';
 export {type ClusterStateListener, ClusterState} from './state/cluster-state.js';
 export {
 	type KnownState, type MissingChanges, type PeerClient, type SnapshotSource, snapshotTimeout,
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -288,6 +288,8 @@
 	/** Datagram addresses of the same hosts. */
 	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
+	/** Whether hosts keep one order of waiting while requests of different ranks compete for a service; each has a queue of its own by default. */
+	readonly sharesWaitingOrder?: boolean;
 	readonly bounds: HostBounds;
 };
 
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -30,7 +30,7 @@
 
 type WaitingEntry = QueuedRequest<PendingRequest> & HeldRequest;
 
-export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions & {readonly log: Logger; readonly metrics: Metrics};
+export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions & {readonly log: Logger; readonly metrics: Metrics; readonly sharesWaitingOrder?: boolean | undefined};
 
 /** Chooses servers from the cluster state, and queues the requests that no server has capacity for. */
 export class Dispatcher implements Disposable {
