--- a/packages/routing/src/admission/returning-clients.ts
+++ b/packages/routing/src/admission/returning-clients.ts
@@ -78,6 +78,10 @@
 	 * @returns The refusals.
 	 */
 	listNewest(after: number, most: number, now: Milliseconds, isIncluded: (source: string | undefined) => boolean): RefusedRequest[] {
+		if (after === this.#sequence) {
+			return [];
+		}
+
 		const newest = [...this.#refusals].slice(-Math.max(this.#sequence - after, 0)).filter(([, {sequence, source, mayReturnAt}]) => sequence > after && mayReturnAt > now && isIncluded(source));
 		return newest.slice(-most).map(([fingerprint, {mayReturnAt}]) => [fingerprint, Math.round(mayReturnAt - now)]);
 	}
