--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -1,4 +1,4 @@
-import type {Quarantine} from '@lacewingpoint/routing';
+import {type Quarantine, SecondTryPolicy, defaultSecondTryOptions} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {Forwarding} from './forwarding.js';
 import type {HostDependencies} from './host-dependencies.js';
@@ -26,8 +26,8 @@
 	readonly crashDetector: ServerCrashDetector;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
 	earliestArrival(): Milliseconds;
-	/** Called once the outcome of a request is final. */
-	onRequestFinished(): void;
+	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
+	onRequestFinished(isAbandoned: boolean): void;
 };
 
 /**
@@ -51,11 +51,13 @@
 		backend: adapter.backend,
 		quarantine,
 		promptPartGuard: fleet.promptPartGuard,
+		secondTries: settings.secondTryShare > 0 ? new SecondTryPolicy({...defaultSecondTryOptions, maximumShare: settings.secondTryShare}, random.next()) : undefined,
 		random,
 		log,
 		metrics,
 		now,
 		earliestArrival: () => components.earliestArrival(),
+		isOverloaded: () => false,
 		isDetached: () => forwarding.serverLinks.isDetached,
 		retryBudget: service => retryBudgets.forService(service),
 		hostCount: () => fleet.gossip.hostCount,
@@ -76,8 +78,8 @@
 		onServerUnreachable(server) {
 			crashDetector.recordUnreachable(server);
 		},
-		onRequestFinished() {
-			components.onRequestFinished();
+		onRequestFinished(isAbandoned) {
+			components.onRequestFinished(isAbandoned);
 			fleet.gossip.recordTotalsChanged('all');
 		},
 	};
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -92,6 +92,7 @@
 		this.#completion.observeAttempts(attempts);
 		if (forwarding === undefined) {
 			retryBudget(this.#request.service).recordRequest(now());
+			this.#context.secondTries?.recordRequest();
 		}
 
 		responseWriter.onDisconnect(() => {
@@ -157,6 +158,11 @@
 		this.#placeOrEnqueue();
 	}
 
+	chooseSecondServer(): ChosenServer | undefined {
+		const placement = this.#place();
+		return placement.type === 'chosen' ? placement.chosen : undefined;
+	}
+
 	onUnreachable(): void {
 		this.#unreachableServers++;
 		if (this.#unreachableServers >= unreachableServersBeforeForwarding && this.#forward()) {
@@ -288,7 +294,7 @@
 			requiredVersion: this.#response.softwareVersion ?? this.#originVersion,
 			listener: this,
 			onEnded: record => {
-				this.#attempts!.addRecord(record);
+				this.#attempts!.ledger.addRecord(record);
 			},
 		});
 		return true;
@@ -335,8 +341,13 @@
 			return;
 		}
 
-		if (placement.type === 'none' && this.#retries.executions === 0 && this.#triedServers.reopen(this.#request.isRetryable)) {
+		if (placement.type === 'none' && this.#retries.executions === 0 && this.#triedServers.excluded.size > 0) {
 			// Every usable server was tried and none executed the request: another attempt is better than a refusal.
+			if (!this.#triedServers.reopen(this.#request.isRetryable)) {
+				this.#completion.fail('servers refused the request', limitRetryAfter(defaultRetryAfter, remainingTime));
+				return;
+			}
+
 			placement = this.#place();
 			if (placement.type !== 'paused') {
 				this.#enqueue(maximumWaitAfterRejections(remainingTime));
@@ -382,7 +393,7 @@
 
 	#onFinished(): void {
 		clearTimeout(this.#deadlineTimer);
-		this.#attempts?.stopDetector();
+		this.#attempts?.stop();
 		if (this.#isQueued) {
 			this.#isQueued = false;
 			this.#context.dispatcher.removeFromQueue(this.#request.service, this);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -9,7 +9,13 @@
 export type {
 	ClientLimits, Configuration, EngineProfile, PromptStore, Repeatability, Route, Service, WeightedService, Workspace,
 } from './configuration.js';
+export {
+	type ConfigurationDifference, type ConfigurationEntry, type ConfigurationFinding, type FieldDifference, compareConfigurations, reviewConfiguration,
+} from './configuration-review/index.js';
 export {RouteIndex} from './route-index.js';
+export {
+	type ExpectedResponse, type SecondTryConditions, type SecondTryDecision, type SecondTryOptions, DecayingQuantiles, SecondTryPolicy, defaultSecondTryOptions,
+} from './second-tries/index.js';
 export {type ServerDirectoryOptions, type ServerEntry, ServerDirectory} from './server-directory.js';
 export {type PromptMatch, type PromptPart, PromptCacheIndex} from './prompt-cache-index.js';
 export {type PromptLocation, type PromptSource, PromptSources} from './prompt-sources.js';
@@ -45,3 +51,6 @@
 	type ClientLocation, type ForwardingChoice, selectForwardingHost, selectNearbyHosts,
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
+export {
+	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+} from './overload/index.js';
