--- a/packages/settings/__tests__/product-settings.test.ts
+++ b/packages/settings/__tests__/product-settings.test.ts
@@ -27,6 +27,14 @@
 	assert.ok(faults.every(({expected, found}) => expected !== '' && found !== ''));
 });
 
+test('each host orders its own queue, unless the settings ask for one order over all hosts', async () => {
+	assert.is(defaultSettings.waitingOrder, 'host');
+	const result = await readProductSettings(examplePath('waiting-order.jsonc'));
+	assert.is(result.isOk ? result.value.waitingOrder : undefined, 'fleet');
+	const faulty = parseSettings('{"waitingOrder": "zone"}', productSettingsSchema);
+	assert.equal(faulty.isErr ? faulty.error.faults.map(({path}) => path) : [], ['waitingOrder']);
+});
+
 test('the error for an unreadable file contains its name', async () => {
 	const result = await readProductSettings(examplePath('nowhere.jsonc'));
 	assert.match(result.isErr ? result.error.message : '', /nowhere\.jsonc.*no such file/v);
--- a/packages/settings/src/product-settings.ts
+++ b/packages/settings/src/product-settings.ts
@@ -20,12 +20,14 @@
 	maximumShare: v.pipe(v.number(), v.gtValue(0), v.maxValue(0.5)),
 });
 
-/** Settings that the platform's own file does not cover: the completions API, second tries and observability. */
+/** Settings that the platform's own file does not cover: the completions API, second tries, the order of waiting and observability. */
 export const productSettingsSchema = v.strictObject({
 	/** Omitted if the host does not serve the completions API. */
 	completions: v.optional(completionsSchema),
 	/** Second tries of slow requests that may be repeated. Omitted if there are to be none. */
 	secondTries: v.optional(secondTriesSchema),
+	/** Whether each host orders the requests that wait for servers by itself, or all hosts keep one order. */
+	waitingOrder: v.optional(v.picklist(['host', 'fleet']), 'host'),
 	/** Port of the metrics endpoint. Keep in sync with `deploy/system.toml`. */
 	metricsPort: v.optional(portSchema, 9464),
 	/** Size of the buffer for log lines not written yet, in bytes. Lines that do not fit are dropped. */
