Compute mean sizes and reported demand once, not for each request and message

A request that waits was classified with a sum over the rates of all workspaces, at each dispatch; it is computed with the levels now.

--- a/packages/host/__tests__/host-admission.test.ts
+++ b/packages/host/__tests__/host-admission.test.ts
@@ -72,12 +72,12 @@
 		assert.not(admission.isInForce);
 		assert.ok(admission.admits('s', toLevel(2, 'timely')));
 		assert.is(admission.estimateWait('s', held(2)), undefined);
-		assert.equal(new DemandReporter().take(clusterState.demand.sum(peer => peer !== 'relay', clock.now), true, clock.now), []);
+		assert.equal(new DemandReporter().take(() => clusterState.demand.sum(peer => peer !== 'relay', clock.now), true, clock.now), []);
 	}
 });
 
 test('announces what waits, and ignores demand that its hosts cannot have', () => {
-	const report = new DemandReporter().take(urgentDemand, false, 1000);
+	const report = new DemandReporter().take(() => urgentDemand, false, 1000);
 	assert.equal(parseDemandReport(report, 1), urgentDemand);
 	assert.is(parseDemandReport([{service: 's', waiting: [[0, 1e9, 1]], usage: []}], 10), undefined);
 });
--- a/packages/host/src/admission/demand-report.ts
+++ b/packages/host/src/admission/demand-report.ts
@@ -24,12 +24,12 @@
 	/**
 	 * Composes the next report.
 	 *
-	 * @param demand - The demand to be reported to the peer.
+	 * @param readDemand - Returns the demand to be reported to the peer; called only if a report is due.
 	 * @param isWhole - Whether the message holds the full state, with the usage of the workspaces.
 	 * @param now - Current monotonic time.
 	 * @returns The services whose demand has changed.
 	 */
-	take(demand: Demand, isWhole: boolean, now: Milliseconds): DemandReport {
+	take(readDemand: () => Demand, isWhole: boolean, now: Milliseconds): DemandReport {
 		if (!isWhole && now - this.#sentAt < announcementInterval) {
 			return [];
 		}
@@ -42,7 +42,7 @@
 		}
 
 		const report: Array<DemandReport[number]> = [];
-		for (const [service, {waiting, usage}] of demand) {
+		for (const [service, {waiting, usage}] of readDemand()) {
 			const rows = [...waiting].map(([level, {requests, size}]) => [level, Math.round(requests), Math.round(size)] as const).filter(([, requests]) => requests > 0);
 			const digest = rows.map(row => row.join(' ')).join(',');
 			if (isWhole || isUsageDue || digest !== (this.#sentWaiting.get(service) ?? '')) {
--- a/packages/host/src/admission/host-admission.ts
+++ b/packages/host/src/admission/host-admission.ts
@@ -76,8 +76,8 @@
 	 * @returns Prompt tokens for model servers; one for other servers, whose work does not depend on them.
 	 */
 	sizeOf(service: string, promptTokens: number | undefined): number {
-		const hasEngine = this.#clusterState.configuration?.services.some(({name, engine}) => name === service && engine !== undefined) === true;
-		return hasEngine || !this.isInForce ? promptTokens ?? 1 : 1;
+		const countsTokens = !this.isInForce || this.#clusterState.configuration?.services.some(({name, engine}) => name === service && engine !== undefined) === true;
+		return countsTokens ? promptTokens ?? 1 : 1;
 	}
 
 	/**
--- a/packages/host/src/members/host-message-composer.ts
+++ b/packages/host/src/members/host-message-composer.ts
@@ -66,7 +66,7 @@
 			charged: link.takeChangedCharges(totals.chargesFor(link)),
 			loads: link.takeChangedLoads(totals.loadsFor(link)),
 			refused: link.refusalReporter.take(clusterState.returningClients, source => source !== link.target.host.name && (source === undefined || totals.isForwarded(source, link)), now),
-			demand: link.demandReporter.take(totals.demandFor(link), isWhole, now),
+			demand: link.demandReporter.take(() => totals.demandFor(link), isWhole, now),
 			limits: isWhole ? clusterState.serverLimits.listReports(now) : events.limits,
 			quarantined: isWhole ? this.#options.listQuarantinedParts() : [],
 			deaths: isWhole ? [...events.deaths, ...this.#listRepeatedCrashes(link, now)] : events.deaths,
--- a/packages/routing/src/admission/admission-controller.ts
+++ b/packages/routing/src/admission/admission-controller.ts
@@ -35,6 +35,8 @@
 	refusals: Refusal[];
 	demand: ServiceDemand;
 	shares: ReadonlyMap<number, ReadonlyMap<string, number>>;
+	/** Mean size of the requests that this host has sent, by rank. */
+	meanSizes: ReadonlyMap<number, number>;
 	level: number;
 	capacity: number;
 	updatedAt: Milliseconds;
@@ -140,6 +142,7 @@
 			state.updatedAt = now;
 			state.demand = demand;
 			state.level = computeAdmissionLevel(demand);
+			state.meanSizes = new Map([...state.rates].map(([rank, rates]) => [rank, meanSize(rates, now)]));
 			state.shares = new Map([...demand.usage].map(([rank, workspaces]) => [rank, divideRank(workspaces, weightOf)]));
 			if (state.level === openLevel) {
 				state.unusedSince = undefined;
@@ -159,7 +162,7 @@
 		const state = this.#stateOf(service);
 		const usage = state.demand.usage.get(request.rank)?.get(request.workspace);
 		const isExcess = usage !== undefined && exceedsShare(usage.admitted, state.shares.get(request.rank)?.get(request.workspace));
-		return classifyRequest(request, isExcess, meanSize(state, request.rank, now), now);
+		return classifyRequest(request, isExcess, state.meanSizes.get(request.rank) ?? 0, now);
 	}
 
 	/**
@@ -238,7 +241,7 @@
 		}
 
 		const created: ServiceState = {
-			rates: new Map(), refusals: [], demand: noServiceDemand, shares: new Map(), level: openLevel, capacity: 0, updatedAt: 0, unusedSince: undefined,
+			rates: new Map(), refusals: [], demand: noServiceDemand, shares: new Map(), meanSizes: new Map(), level: openLevel, capacity: 0, updatedAt: 0, unusedSince: undefined,
 		};
 		this.#services.set(service, created);
 		return created;
@@ -304,10 +307,10 @@
 	return sum;
 }
 
-function meanSize({rates}: ServiceState, rank: number, now: Milliseconds): number {
+function meanSize(workspaces: ReadonlyMap<string, Rates>, now: Milliseconds): number {
 	let size = 0;
 	let requests = 0;
-	for (const {admitted, requests: count} of rates.get(rank)?.values() ?? []) {
+	for (const {admitted, requests: count} of workspaces.values()) {
 		size += admitted.perSecond(now);
 		requests += count.perSecond(now);
 	}
