--- a/packages/routing/src/admission/returning-clients.ts
+++ b/packages/routing/src/admission/returning-clients.ts
@@ -22,6 +22,9 @@
 	readonly sequence: number;
 };
 
+/** Reports choose among this number of the newest refusals. */
+const newestEntries = 256;
+
 /** Clients count as having waited from this part of the retry-after on, as their clocks and links differ. */
 const waitTolerance = 0.9;
 
@@ -33,6 +36,8 @@
 	readonly #options: ReturningClientsOptions;
 	/** In the order of their recording. */
 	readonly #refusals = new Map<number, Refusal>();
+	/** The last of them, oldest first, so that a report does not go through all. */
+	#newest: Array<readonly [fingerprint: number, refusal: Refusal]> = [];
 	#sequence = 0;
 
 	constructor(options: ReturningClientsOptions) {
@@ -60,9 +65,15 @@
 
 		this.#sequence++;
 		this.#refusals.delete(fingerprint);
-		this.#refusals.set(fingerprint, {
+		const refusal: Refusal = {
 			mayReturnAt: now + (retryAfter * waitTolerance), isImpatient: false, source, sequence: this.#sequence,
-		});
+		};
+		this.#refusals.set(fingerprint, refusal);
+		this.#newest.push([fingerprint, refusal]);
+		if (this.#newest.length >= 2 * newestEntries) {
+			this.#newest = this.#newest.slice(-newestEntries);
+		}
+
 		if (this.#refusals.size > this.#options.maximumEntries) {
 			this.#refusals.delete(this.#refusals.keys().next().value!);
 		}
@@ -82,8 +93,9 @@
 			return [];
 		}
 
-		const newest = [...this.#refusals].slice(-Math.max(this.#sequence - after, 0)).filter(([, {sequence, source, mayReturnAt}]) => sequence > after && mayReturnAt > now && isIncluded(source));
-		return newest.slice(-most).map(([fingerprint, {mayReturnAt}]) => [fingerprint, Math.round(mayReturnAt - now)]);
+		const unreported = this.#newest.slice(-Math.max(this.#sequence - after, 0));
+		const included = unreported.filter(([fingerprint, {sequence, source, mayReturnAt}]) => mayReturnAt > now && isIncluded(source) && this.#refusals.get(fingerprint)?.sequence === sequence);
+		return included.slice(-most).map(([fingerprint, {mayReturnAt}]) => [fingerprint, Math.round(mayReturnAt - now)]);
 	}
 
 	/**
