Forget services that a peer announces no longer, and ignore those that are not configured

What had been announced for a service stayed in force as long as the peer sent any message, also if it had lost the members that it reported; names of services that nobody knows were kept for good. host-admission.test.ts: 7 of 7.

--- a/packages/host/__tests__/host-admission.test.ts
+++ b/packages/host/__tests__/host-admission.test.ts
@@ -5,6 +5,9 @@
 import {
 	ClusterState, DemandReporter, HostAdmission, parseDemandReport, spreadRetryAfter,
 } from '../src/index.js';
+import {RequestWait} from '../src/admission/index.js';
+import type {PlacementResult} from '../src/placement/placement-request.js';
+import type {RoutedRequest} from '../src/requests/routed-request.js';
 
 const test = suite('HostAdmission');
 
@@ -53,6 +56,30 @@
 	assert.ok(admission.admits('s', admission.classify('s', held(2))));
 });
 
+test('a service that a peer announces no longer holds nothing back, also while the peer sends messages', () => {
+	const {clock, clusterState, admission} = create(true);
+	clusterState.demand.mergePeer('relay', urgentDemand, clock.now);
+	assert.not(admission.admits('s', toLevel(2, 'timely')));
+	for (let elapsed = 0; elapsed < 4000; elapsed += 100) {
+		clock.now += 100;
+		clusterState.demand.recordContact('relay', clock.now);
+	}
+
+	assert.ok(admission.admits('s', toLevel(2, 'timely')));
+});
+
+test('requests that are refused at once show that capacity stays unused', () => {
+	const {clock, clusterState, admission} = create(true);
+	clusterState.demand.mergePeer('relay', urgentDemand, clock.now);
+	const request = {
+		service: 's', route: undefined, workspace: undefined, rank: 2, fingerprint: 7, received: {request: {}, receivedAt: clock.now}, remainingTime: () => 3000,
+	} as unknown as RoutedRequest;
+	const place = () => new RequestWait(admission, request, clock.now).placeInOrder(() => ({type: 'chosen', chosen: {}} as PlacementResult));
+	assert.is(place().type, 'full');
+	clock.now += 100;
+	assert.is(place().type, 'chosen');
+});
+
 test('capacity that more urgent requests leave unused is open to the others', () => {
 	const {clock, clusterState, admission} = create(true);
 	clusterState.demand.mergePeer('relay', urgentDemand, clock.now);
@@ -80,6 +107,7 @@
 	const report = new DemandReporter().take(() => urgentDemand, false, 1000);
 	assert.equal(parseDemandReport(report, 1), urgentDemand);
 	assert.is(parseDemandReport([{service: 's', waiting: [[0, 1e9, 1]], usage: []}], 10), undefined);
+	assert.is(parseDemandReport([{service: 's', waiting: [[0.5, 1, 1]], usage: []}], 10), undefined);
 });
 
 test('a retry-after is spread, and at most a third of the remaining time', () => {
--- a/packages/host/src/admission/demand-report.ts
+++ b/packages/host/src/admission/demand-report.ts
@@ -68,7 +68,7 @@
 export function parseDemandReport(report: DemandReport, hostCount: number): Demand | undefined {
 	const demand = new Map<string, ServiceDemand>();
 	for (const {service, waiting, usage} of report) {
-		if (waiting.some(([, requests]) => requests > maximumRequestsPerHost * Math.max(hostCount, 1))) {
+		if (waiting.some(([level, requests]) => !Number.isInteger(level) || requests > maximumRequestsPerHost * Math.max(hostCount, 1))) {
 			return undefined;
 		}
 
--- a/packages/host/src/admission/host-admission.ts
+++ b/packages/host/src/admission/host-admission.ts
@@ -40,6 +40,7 @@
 	#isInForce = false;
 	#weights: ReadonlyMap<string, number> = new Map();
 	#otherWeight = 1;
+	#serviceNames: ReadonlySet<string> = new Set();
 	#updatedAt = Number.NEGATIVE_INFINITY;
 	#loggedAt = Number.NEGATIVE_INFINITY;
 
@@ -62,6 +63,7 @@
 			const limits = (configuration.workspaces ?? []).filter(({unitsPerSecond}) => unitsPerSecond > 0).map(({name, unitsPerSecond}) => [name, unitsPerSecond] as const);
 			const sum = limits.reduce((total, [, limit]) => total + limit, 0);
 			this.#weights = new Map([...limits, [otherWorkspaces, Math.max(sum, 1)]]);
+			this.#serviceNames = new Set(configuration.services.map(({name}) => name));
 			this.#otherWeight = limits.length > 0 ? sum / limits.length : 1;
 		}
 
@@ -189,7 +191,8 @@
 		}
 
 		this.#updatedAt = now;
-		this.#controller.update(this.#clusterState.demand.sum(() => true, now), workspace => this.#weights.get(workspace) ?? this.#otherWeight, now);
+		const demand = new Map([...this.#clusterState.demand.sum(() => true, now)].filter(([service]) => this.#serviceNames.has(service)));
+		this.#controller.update(demand, workspace => this.#weights.get(workspace) ?? this.#otherWeight, now);
 		const [restricted] = this.#controller.listRestricted();
 		if (restricted !== undefined && now - this.#loggedAt >= logInterval) {
 			this.#loggedAt = now;
--- a/packages/routing/src/admission/fleet-demand.ts
+++ b/packages/routing/src/admission/fleet-demand.ts
@@ -8,7 +8,12 @@
 /** No client waits for longer than this, in seconds. */
 const longestWaitSeconds = 60;
 
-type PeerDemand = {readonly receivedAt: Milliseconds; readonly demand: Demand};
+type PeerDemand = {
+	readonly receivedAt: Milliseconds;
+	readonly demand: Demand;
+	/** When each service was announced last. */
+	readonly announcedAt: ReadonlyMap<string, Milliseconds>;
+};
 
 /**
  * The demand that the peers have announced. A peer that falls silent loses its influence gradually, so that the admission changes over
@@ -33,21 +38,25 @@
 	}
 
 	/**
-	 * Merges what a peer announces: what waits replaces what it announced before, and so does the usage if it is given.
+	 * Merges what a peer announces: what waits replaces what it announced before, and so does the usage if it is given. A service that the
+	 * peer announces no longer is forgotten, so that it does not hold back requests for good.
 	 *
 	 * @param peer - The peer's name.
 	 * @param demand - Its demand, and that of the hosts that it reports.
 	 * @param now - Current monotonic time.
 	 */
 	mergePeer(peer: string, demand: Demand, now: Milliseconds): void {
-		const known = this.#peers.get(peer)?.demand;
-		const merged = new Map(known);
+		const {demand: known, announcedAt: knownTimes} = this.#peers.get(peer) ?? {};
+		const oldest = now - (2 * this.#options.expiry);
+		const announcedAt = new Map([...knownTimes ?? []].filter(([service, time]) => time > oldest && !demand.has(service)));
+		const merged = new Map([...known ?? []].filter(([service]) => announcedAt.has(service)));
 		for (const [service, announced] of demand) {
 			const usage = announced.usage.size > 0 ? announced.usage : known?.get(service)?.usage ?? announced.usage;
+			announcedAt.set(service, now);
 			merged.set(service, {waiting: selectCredible(announced.waiting, usage), usage});
 		}
 
-		this.#peers.set(peer, {receivedAt: now, demand: merged});
+		this.#peers.set(peer, {receivedAt: now, demand: merged, announcedAt});
 	}
 
 	/**
@@ -57,9 +66,8 @@
 	 * @param now - Current monotonic time.
 	 */
 	recordContact(peer: string, now: Milliseconds): void {
-		const known = this.#peers.get(peer);
-		if (known !== undefined) {
-			this.#peers.set(peer, {...known, receivedAt: now});
+		if (this.#peers.has(peer)) {
+			this.mergePeer(peer, new Map(), now);
 		}
 	}
 
