--- a/packages/host/src/requests/request-completion.ts
+++ b/packages/host/src/requests/request-completion.ts
@@ -107,12 +107,16 @@
 	}
 
 	/**
-	 * Ends a request whose client has disconnected.
+	 * Ends a request whose client has disconnected. It is not charged if it was never executed.
 	 *
 	 * @param stage - What had become of the request, for the metrics.
 	 */
 	abandon(stage: AbandonedStage): void {
 		this.#options.context.metrics.incrementCounter('clients_gone', {stage});
+		if (stage === 'waiting' && (this.#attempts?.executions ?? 0) === 0) {
+			this.#options.quotaCharge.refund();
+		}
+
 		this.#finish(clientGone, 0, stage);
 	}
 
