--- a/packages/host/__tests__/host-admission.test.ts
+++ b/packages/host/__tests__/host-admission.test.ts
@@ -74,7 +74,8 @@
 	const request = {
 		service: 's', route: undefined, workspace: undefined, rank: 2, fingerprint: 7, received: {request: {}, receivedAt: clock.now}, remainingTime: () => 3000,
 	} as unknown as RoutedRequest;
-	const place = () => new RequestWait(admission, request, clock.now).placeInOrder(() => ({type: 'chosen', chosen: {}} as PlacementResult));
+	const chosen = {type: 'chosen', chosen: {}} as unknown as PlacementResult;
+	const place = () => new RequestWait(admission, request, clock.now).placeInOrder(() => chosen);
 	assert.is(place().type, 'full');
 	clock.now += 100;
 	assert.is(place().type, 'chosen');
