--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -1,6 +1,8 @@
 import type {FleetLink, UsageTotals} from '@lacewingpoint/coordination';
 import {type ServerLoad, isSameLoad, noLoad} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {DemandReporter} from '../admission/demand-report.js';
+import {RefusalReporter} from '../admission/refusal-report.js';
 import {GossipEventQueue} from './gossip-events.js';
 import type {HostMessage} from './host-messages.js';
 
@@ -17,6 +19,8 @@
 export class PeerLink {
 	readonly target: FleetLink;
 	readonly events = new GossipEventQueue();
+	readonly demandReporter = new DemandReporter();
+	readonly refusalReporter = new RefusalReporter();
 	lastSentAt = Number.NEGATIVE_INFINITY;
 	/** The state version up to which changes have been sent. */
 	sentStateVersion: number;
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -306,6 +306,8 @@
 	/** Datagram addresses of the same hosts. */
 	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
+	/** Whether hosts keep one order of waiting while requests of different ranks compete for a service; each has a queue of its own by default. */
+	readonly sharesWaitingOrder?: boolean;
 	/** Processor time that the host may use, in cores; `undefined` if it is not limited, so that the host does not guard against overload. */
 	readonly processorLimit?: number | undefined;
 	readonly bounds: HostBounds;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -44,6 +44,10 @@
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
 } from './server-placement.js';
 export {type QueuedRequest, RequestQueue} from './request-queue.js';
+export {
+	type Demand, type FleetDemandOptions, type HeldRequest, type RefusedRequest, type ReturnState, type ReturningClientsOptions, type ServiceDemand,
+	AdmissionController, FleetDemand, ReturningClients, describeLevel, otherWorkspaces, rankOf, summarizeDemand, toLevel, usesDifferentRanks,
+} from './admission/index.js';
 export {
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
 } from './weights-rollout.js';
