Sum the loads of peers and list available servers once for each change

Each placement listed all servers and added up the loads of all peers for each of them; each metric quoted its labels again.

--- a/packages/host/src/placement/server-filter.ts
+++ b/packages/host/src/placement/server-filter.ts
@@ -109,6 +109,6 @@
 	 */
 	isAvailable(entry: ServerEntry): boolean {
 		const {servers, serverNotices} = this.#clusterState;
-		return servers.listAvailable(entry.service).some(({id, incarnation}) => id === entry.id && incarnation === entry.incarnation) && !serverNotices.isLeaving(entry);
+		return servers.isAvailable(entry) && !serverNotices.isLeaving(entry);
 	}
 }
--- a/packages/routing/__tests__/server-loads.test.ts
+++ b/packages/routing/__tests__/server-loads.test.ts
@@ -1,3 +1,4 @@
+import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {ServerLoads, noLoad} from '../src/index.js';
@@ -33,4 +34,42 @@
 	assert.equal(loads.totalLoad('s', 2501), noLoad);
 });
 
+const step = fc.record({
+	type: fc.constantFrom('whole', 'partial', 'remove', 'read'), peer: fc.constantFrom('a', 'b', 'c'), loads: fc.dictionary(fc.constantFrom('s', 't', 'u'), fc.nat(3)), after: fc.nat(900),
+});
+
+test('the total load is the sum of the latest loads of all peers, in any order of messages, removals and reads', () => {
+	fc.assert(fc.property(fc.array(step, {maxLength: 40}), steps => {
+		const loads = new ServerLoads(1500);
+		loads.addRequest('s', {prefillTokens: 100, memoryTokens: 1000});
+		const expected = new Map<string, {at: number; requests: Map<string, number>}>();
+		let now = 0;
+		for (const {type, peer, loads: sent, after} of steps) {
+			now += after;
+			// The loads of a peer expire when they are read.
+			for (const server of ['s', 't', 'u']) {
+				let total = server === 's' ? 1 : 0;
+				for (const [name, {at, requests}] of expected) {
+					if (now - at > 1500) {
+						expected.delete(name);
+					} else {
+						total += requests.get(server) ?? 0;
+					}
+				}
+
+				assert.equal(loads.totalLoad(server, now), load(total));
+			}
+
+			if (type === 'remove') {
+				loads.removePeer(peer);
+				expected.delete(peer);
+			} else if (type !== 'read') {
+				loads.mergePeerLoads(peer, new Map(Object.entries(sent).map(([server, requests]) => [server, load(requests)])), now, type === 'whole');
+				const known = type === 'whole' ? [] : expected.get(peer)?.requests ?? [];
+				expected.set(peer, {at: now, requests: new Map([...known, ...Object.entries(sent)])});
+			}
+		}
+	}), {numRuns: 500});
+});
+
 test.run();
--- a/packages/routing/src/server-directory.ts
+++ b/packages/routing/src/server-directory.ts
@@ -45,6 +45,8 @@
 	readonly #options: ServerDirectoryOptions;
 	readonly #records = new Map<string, EntryRecord>();
 	readonly #removals = new Map<string, RemovalRecord>();
+	/** The results of `listAvailable` since the last change of an entry. */
+	readonly #available = new Map<string, readonly ServerEntry[]>();
 	#gracePeriodEnd: Milliseconds | undefined;
 	#isStoreUnreachable = false;
 
@@ -112,6 +114,7 @@
 		}
 
 		this.#records.set(entry.id, {entry, revision, retainedUntil: undefined});
+		this.#available.clear();
 		this.#removals.delete(entry.id);
 		return record?.entry.incarnation === entry.incarnation && record.entry.address === entry.address ? 'entry' : 'incarnation';
 	}
@@ -189,13 +192,31 @@
 	 * @param service - The name of the service.
 	 * @returns The service's servers that are not draining.
 	 */
-	listAvailable(service: string): ServerEntry[] {
-		return [...this.#records.values()].filter(record => record.entry.service === service && !record.entry.isDraining).map(record => record.entry);
+	listAvailable(service: string): readonly ServerEntry[] {
+		let available = this.#available.get(service);
+		if (available === undefined) {
+			available = [...this.#records.values()].filter(record => record.entry.service === service && !record.entry.isDraining).map(record => record.entry);
+			this.#available.set(service, available);
+		}
+
+		return available;
+	}
+
+	/**
+	 * Tells whether a server still accepts new requests.
+	 *
+	 * @param entry - The server, as it was listed before.
+	 * @returns Whether the same process is listed for the same service and is not draining.
+	 */
+	isAvailable({id, incarnation, service}: ServerEntry): boolean {
+		const entry = this.#records.get(id)?.entry;
+		return entry?.incarnation === incarnation && entry.service === service && !entry.isDraining;
 	}
 
 	#deleteRecord(id: string, revision: number): void {
 		const entry = this.#records.get(id)?.entry;
 		this.#records.delete(id);
+		this.#available.clear();
 		this.#removals.set(id, {
 			revision, incarnation: entry?.incarnation ?? '', isBeforeRestore: false,
 		});
--- a/packages/routing/src/server-loads.ts
+++ b/packages/routing/src/server-loads.ts
@@ -42,7 +42,11 @@
 export class ServerLoads {
 	readonly #localLoads = new Map<string, ServerLoad>();
 	readonly #peerLoads = new Map<string, PeerLoads>();
+	/** Sums over the peers by server, as far as they were needed since they last changed. */
+	readonly #peerTotals = new Map<string, ServerLoad>();
 	readonly #peerExpiry: Milliseconds;
+	/** No peer's last message is older. */
+	#oldestMessageAt: Milliseconds = Number.POSITIVE_INFINITY;
 
 	/**
 	 * @param peerExpiry - How long the loads of a peer are counted after its last message.
@@ -112,15 +116,21 @@
 	 */
 	mergePeerLoads(peer: string, loads: ReadonlyMap<string, ServerLoad>, now: Milliseconds, isFullState = true): boolean {
 		const known = this.#peerLoads.get(peer);
+		this.#oldestMessageAt = Math.min(this.#oldestMessageAt, now);
 		if (known === undefined) {
 			this.#peerLoads.set(peer, {receivedAt: now, loads: new Map(loads)});
+			this.#discardTotals(loads);
 			return loads.size > 0;
 		}
 
 		known.receivedAt = now;
 		let hasChanged = false;
 		for (const [server, load] of loads) {
-			hasChanged ||= !isSameLoad(known.loads.get(server) ?? noLoad, load);
+			if (!isSameLoad(known.loads.get(server) ?? noLoad, load)) {
+				hasChanged = true;
+				this.#peerTotals.delete(server);
+			}
+
 			known.loads.set(server, load);
 		}
 
@@ -129,6 +139,7 @@
 				if (!loads.has(server)) {
 					hasChanged = true;
 					known.loads.delete(server);
+					this.#peerTotals.delete(server);
 				}
 			}
 		}
@@ -186,6 +197,7 @@
 	 * @param peer - The peer's name.
 	 */
 	removePeer(peer: string): void {
+		this.#discardTotals(this.#peerLoads.get(peer)?.loads);
 		this.#peerLoads.delete(peer);
 	}
 
@@ -197,16 +209,48 @@
 	 * @returns The total load.
 	 */
 	totalLoad(server: string, now: Milliseconds): ServerLoad {
-		let total = this.localLoad(server);
-		for (const [peer, {receivedAt, loads}] of this.#peerLoads) {
+		if (now - this.#oldestMessageAt > this.#peerExpiry) {
+			this.#removeExpiredPeers(now);
+		}
+
+		if (this.#peerLoads.size === 0) {
+			return this.localLoad(server);
+		}
+
+		const peerTotal = this.#peerTotals.get(server) ?? this.#sumPeerLoads(server);
+		const localLoad = this.#localLoads.get(server);
+		return localLoad === undefined ? peerTotal : addLoads(localLoad, peerTotal);
+	}
+
+	#sumPeerLoads(server: string): ServerLoad {
+		let total = noLoad;
+		for (const {loads} of this.#peerLoads.values()) {
+			const load = loads.get(server);
+			if (load !== undefined) {
+				total = addLoads(total, load);
+			}
+		}
+
+		this.#peerTotals.set(server, total);
+		return total;
+	}
+
+	#removeExpiredPeers(now: Milliseconds): void {
+		this.#oldestMessageAt = Number.POSITIVE_INFINITY;
+		// Also forgets servers that are no longer listed.
+		this.#peerTotals.clear();
+		for (const [peer, {receivedAt}] of this.#peerLoads) {
 			if (now - receivedAt > this.#peerExpiry) {
 				this.#peerLoads.delete(peer);
-				continue;
+			} else {
+				this.#oldestMessageAt = Math.min(this.#oldestMessageAt, receivedAt);
 			}
-
-			total = addLoads(total, loads.get(server) ?? noLoad);
 		}
+	}
 
-		return total;
+	#discardTotals(loads: ReadonlyMap<string, ServerLoad> = new Map()): void {
+		for (const server of loads.keys()) {
+			this.#peerTotals.delete(server);
+		}
 	}
 }
--- a/packages/shared/src/metrics.ts
+++ b/packages/shared/src/metrics.ts
@@ -13,6 +13,20 @@
 /** Ten minutes. Longer durations are recorded as this value. */
 const maxTrackableMicroseconds = 600_000_000;
 
+const noLabels: Labels = {};
+
+/** Distinguishes the series of one name. Cheaper than the series name, which is only needed for the export. */
+function seriesKey(name: string, labels: Labels): string {
+	let key = name;
+	for (const label in labels) {
+		if (Object.hasOwn(labels, label)) {
+			key += `\0${label}\0${labels[label]!}`;
+		}
+	}
+
+	return key;
+}
+
 function seriesName(name: string, labels: Labels): string {
 	const pairs = Object.entries(labels).map(([key, value]) => `${key}=${JSON.stringify(value)}`);
 	return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
@@ -20,7 +34,7 @@
 
 /** Registry of counters, gauges and latency histograms, exported in the Prometheus text format. */
 export class Metrics {
-	readonly #counters = new Map<string, number>();
+	readonly #counters = new Map<string, {readonly name: string; readonly labels: Labels; value: number}>();
 	readonly #histograms = new Map<string, {readonly name: string; readonly labels: Labels; readonly histogram: Histogram}>();
 	readonly #gauges = new Map<string, () => number>();
 
@@ -31,9 +45,14 @@
 	 * @param labels - Labels of the series.
 	 * @param amount - Amount to add.
 	 */
-	incrementCounter(name: string, labels: Labels = {}, amount = 1): void {
-		const series = seriesName(`lacewingpoint_${name}_total`, labels);
-		this.#counters.set(series, (this.#counters.get(series) ?? 0) + amount);
+	incrementCounter(name: string, labels: Labels = noLabels, amount = 1): void {
+		const key = seriesKey(name, labels);
+		const counter = this.#counters.get(key);
+		if (counter === undefined) {
+			this.#counters.set(key, {name, labels: {...labels}, value: amount});
+		} else {
+			counter.value += amount;
+		}
 	}
 
 	/**
@@ -53,10 +72,14 @@
 	 * @param milliseconds - The duration; recorded as at least a microsecond and at most ten minutes.
 	 * @param labels - Labels of the series.
 	 */
-	recordDuration(name: string, milliseconds: number, labels: Labels = {}): void {
-		const key = seriesName(name, labels);
-		const entry = this.#histograms.get(key) ?? {name, labels, histogram: new Int32Histogram(1, maxTrackableMicroseconds, significantDigits)};
-		this.#histograms.set(key, entry);
+	recordDuration(name: string, milliseconds: number, labels: Labels = noLabels): void {
+		const key = seriesKey(name, labels);
+		let entry = this.#histograms.get(key);
+		if (entry === undefined) {
+			entry = {name, labels: {...labels}, histogram: new Int32Histogram(1, maxTrackableMicroseconds, significantDigits)};
+			this.#histograms.set(key, entry);
+		}
+
 		entry.histogram.recordValue(Math.min(Math.max(Math.round(milliseconds * microsecondsPerMillisecond), 1), maxTrackableMicroseconds));
 	}
 
@@ -67,7 +90,7 @@
 	 * @returns One series per line, the registered ones sorted.
 	 */
 	formatSeries(currentValues: Readonly<Record<string, number>> = {}): string {
-		const counters = [...this.#counters].map(([series, value]) => `${series} ${value}`);
+		const counters = [...this.#counters.values()].map(({name, labels, value}) => `${seriesName(`lacewingpoint_${name}_total`, labels)} ${value}`);
 		const gauges = [...this.#gauges].map(([series, read]) => `${series} ${read()}`);
 		const histograms = [...this.#histograms.values()].flatMap(({name, labels, histogram}) => [
 			...percentiles.map(percentile => {
