Check no more servers for a placement than it compares, and prefer servers with an idle connection

A placement on a plain service checked all servers of the service in several passes and then compared 16 of them; it now checks servers in random order until 16 match, which selects each with the same chance. Servers of equal load differ in whether a connection to them is idle: opening one costs a tenth of a request in flight. The pool forgets closed connections, and servers without connections, at once.

--- a/packages/host/__tests__/backend-connection-pool.test.ts
+++ b/packages/host/__tests__/backend-connection-pool.test.ts
@@ -14,6 +14,7 @@
 	readonly connectionCount: () => number;
 	/** Lets time pass for the pool within the current turn of the event loop. */
 	readonly passTime: (milliseconds: number) => void;
+	readonly hasIdle: () => boolean;
 	/** Sends a request; `onEnding` runs in the turn in which its response ends. */
 	readonly send: (target: string, onEnding?: () => void) => Promise<Ending>;
 };
@@ -61,7 +62,7 @@
 	});
 	try {
 		await check({
-			send, connectionCount: () => connectionCount, passTime(milliseconds) {
+			send, hasIdle: () => pool.hasIdle({id: 's', incarnation: '1', address}), connectionCount: () => connectionCount, passTime(milliseconds) {
 				now += milliseconds;
 			},
 		});
@@ -127,6 +128,28 @@
 	assert.equal(results, [{body: 'done whole', result: 'complete, reset check none'}, {body: 'done r', result: 'connection reset before the response was complete'}]);
 });
 
+test('a connection counts as idle once it may be reused, until the server closes it', async () => {
+	let serverSocket: Socket | undefined;
+	await withPool((_target, socket) => {
+		serverSocket = socket;
+		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na');
+	}, async ({send, hasIdle, passTime}) => {
+		assert.not(hasIdle());
+		await send('/1');
+		assert.not(hasIdle());
+		passTime(reuseDelay);
+		assert.ok(hasIdle());
+		serverSocket!.end();
+		for (let attempt = 0; attempt < 200 && hasIdle(); attempt++) {
+			await new Promise(resolve => {
+				setTimeout(resolve, 5);
+			});
+		}
+
+		assert.not(hasIdle());
+	});
+});
+
 test('a connection is reused after a response with a length', async () => {
 	await withPool((_target, socket) => {
 		socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone');
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -88,6 +88,7 @@
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
 			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [],
+			hasIdleConnection: entry => this.#connectionPool.hasIdle(entry),
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
--- a/packages/host/src/placement/server-filter.ts
+++ b/packages/host/src/placement/server-filter.ts
@@ -37,21 +37,21 @@
 	}
 
 	/**
-	 * Finds the servers that may get a request, with or without room.
+	 * Tells whether a server may get a request, with or without room.
 	 *
+	 * @param entry - A server of the request's service that is not draining.
 	 * @param placementRequest - The request.
 	 * @param service - Its service; `undefined` if the configuration has none of this name.
-	 * @returns The entries of the servers.
+	 * @returns Whether it may.
 	 */
-	findUsable(placementRequest: PlacementRequest, service: Service | undefined): ServerEntry[] {
+	isUsable(entry: ServerEntry, placementRequest: PlacementRequest, service: Service | undefined): boolean {
 		const now = this.#options.now();
-		return this.#clusterState.servers.listAvailable(placementRequest.service).filter(entry =>
-			!placementRequest.excludedServers.has(entry.id)
+		return !placementRequest.excludedServers.has(entry.id)
 			&& (placementRequest.requiredVersion === undefined || (entry.softwareVersion ?? '') === placementRequest.requiredVersion)
 			&& !this.#clusterState.serverNotices.isLeaving(entry)
 			&& this.#clusterState.health.evaluateStatus(entry.id, now) !== 'paused'
 			&& (service?.engine === undefined || !this.#clusterState.weightsTracker.isLoading(entry.id, now))
-			&& this.#options.constraints.every(constraint => constraint.permits(entry, placementRequest)));
+			&& this.#options.constraints.every(constraint => constraint.permits(entry, placementRequest));
 	}
 
 	/**
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -133,6 +133,10 @@
 	return hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
+function createKey(target: ConnectionTarget): string {
+	return `${target.id}|${target.incarnation}|${target.address}`;
+}
+
 type ControllerWithRawHeaders = {readonly rawHeaders?: readonly Uint8Array[]};
 
 function decodeRawHeaders(rawHeaders: readonly Uint8Array[] | undefined): HeaderList {
@@ -252,6 +256,17 @@
 		};
 	}
 
+	/**
+	 * Tells whether a request can be sent without opening a connection.
+	 *
+	 * @param target - The server, in its current incarnation and at its current address.
+	 * @returns Whether a connection is idle and may be reused.
+	 */
+	hasIdle(target: ConnectionTarget): boolean {
+		const now = this.#options.now();
+		return this.#idleConnections.get(createKey(target))?.some(connection => this.#isReusable(connection, now)) ?? false;
+	}
+
 	/**
 	 * Closes the idle connections to a server.
 	 *
@@ -326,20 +341,19 @@
 	}
 
 	#acquire(target: ConnectionTarget): Connection {
-		const key = `${target.id}|${target.incarnation}|${target.address}`;
-		const idle = this.#idleConnections.get(key) ?? [];
+		const key = createKey(target);
 		const now = this.#options.now();
-		for (let index = idle.length - 1; index >= 0; index--) {
-			const connection = idle[index]!;
-			if (connection.isClosed) {
-				idle.splice(index, 1);
-			} else if (now - connection.idleSince >= this.#options.reuseDelay) {
-				idle.splice(index, 1);
-				return connection;
-			}
+		const connection = this.#idleConnections.get(key)?.findLast(candidate => this.#isReusable(candidate, now));
+		if (connection === undefined) {
+			return this.#open(key, target.address);
 		}
 
-		return this.#open(key, target.address);
+		this.#forget(connection);
+		return connection;
+	}
+
+	#isReusable(connection: Connection, now: Milliseconds): boolean {
+		return !connection.isClosed && now - connection.idleSince >= this.#options.reuseDelay;
 	}
 
 	#open(key: string, address: string): Connection {
@@ -379,6 +393,7 @@
 		};
 		client.on('disconnect', () => {
 			connection.isClosed = true;
+			this.#forget(connection);
 		});
 		return connection;
 	}
@@ -396,6 +411,18 @@
 		this.#idleConnections.set(connection.key, idle);
 	}
 
+	#forget(connection: Connection): void {
+		const idle = this.#idleConnections.get(connection.key);
+		const index = idle?.indexOf(connection) ?? -1;
+		if (index !== -1) {
+			idle!.splice(index, 1);
+		}
+
+		if (idle?.length === 0) {
+			this.#idleConnections.delete(connection.key);
+		}
+	}
+
 	#discard(connection: Connection): void {
 		connection.isClosed = true;
 		void connection.client.destroy();
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -1,5 +1,5 @@
 import {
-	type ServerCandidate, type ServerEntry, RequestQueue, chooseLeastLoadedServer, estimateQueueTime, sampleServers,
+	type ServerCandidate, type ServerEntry, RequestQueue, chooseLeastLoadedServer, defaultSampleSize, estimateQueueTime, sampleMatchingServers,
 } from '@lacewingpoint/routing';
 import type {Disposable, Milliseconds, RandomSource} from '@lacewingpoint/shared';
 import {type GenerationPlacementOptions, GenerationPlacement} from '../placement/generation-placement.js';
@@ -21,7 +21,10 @@
 /** Assumed service time of a request other than a generation, for the estimate of queue times. */
 const assumedServiceTime: Milliseconds = 50;
 
-export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions;
+export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions & {
+	/** @returns Whether a connection to the server can be used again; by default, there is none. */
+	readonly hasIdleConnection?: (entry: ServerEntry) => boolean;
+};
 
 /** Chooses servers from the cluster state, and queues the requests that no server has capacity for. */
 export class Dispatcher implements Disposable {
@@ -29,6 +32,7 @@
 	readonly #filter: ServerFilter;
 	readonly #generationPlacement: GenerationPlacement;
 	readonly #failureDomain: string;
+	readonly #hasIdleConnection: (entry: ServerEntry) => boolean;
 	readonly #random: RandomSource;
 	readonly #now: () => Milliseconds;
 	readonly #queues = new Map<string, RequestQueue<PendingRequest>>();
@@ -44,6 +48,7 @@
 		this.#filter = new ServerFilter(clusterState, options);
 		this.#generationPlacement = new GenerationPlacement(clusterState, options);
 		this.#failureDomain = options.failureDomain;
+		this.#hasIdleConnection = options.hasIdleConnection ?? (() => false);
 		this.#random = options.random;
 		this.#now = options.now;
 	}
@@ -71,28 +76,31 @@
 	 */
 	place(placementRequest: PlacementRequest): PlacementResult {
 		const service = this.#clusterState.configuration?.services.find(candidate => candidate.name === placementRequest.service);
-		const usableEntries = this.#filter.findUsable(placementRequest, service);
+		const {generation} = placementRequest.request;
+		const engine = generation === undefined ? undefined : service?.engine;
+		let hasUsable = false;
 		let shortestWait = Number.POSITIVE_INFINITY;
-		const entries = usableEntries.filter(entry => {
+		const entries = sampleMatchingServers(this.#clusterState.servers.listAvailable(placementRequest.service), entry => {
+			if (!this.#filter.isUsable(entry, placementRequest, service)) {
+				return false;
+			}
+
+			hasUsable = true;
 			const wait = this.#filter.waitTime(entry);
 			shortestWait = Math.min(shortestWait, wait);
-			return wait === 0;
-		});
+			return wait === 0 && this.#filter.hasCapacity(entry);
+		}, this.#random, engine === undefined ? defaultSampleSize : Number.POSITIVE_INFINITY);
 		if (entries.length === 0) {
-			return usableEntries.length === 0 ? {type: 'none'} : {type: 'paused', wait: shortestWait};
-		}
-
-		const belowCapacity = entries.filter(entry => this.#filter.hasCapacity(entry));
-		if (belowCapacity.length === 0) {
-			return {type: 'full', estimatedWait: assumedServiceTime};
-		}
+			if (!hasUsable) {
+				return {type: 'none'};
+			}
 
-		const {generation} = placementRequest.request;
-		if (service?.engine !== undefined && generation !== undefined) {
-			return this.#generationPlacement.place(placementRequest, service.engine, belowCapacity, this.#queueFor(service.name).sizeAhead(placementRequest.route.rank));
+			return shortestWait === 0 ? {type: 'full', estimatedWait: assumedServiceTime} : {type: 'paused', wait: shortestWait};
 		}
 
-		return this.#placePlain(sampleServers(belowCapacity, new Set(), this.#random), placementRequest.service);
+		return engine === undefined
+			? this.#placePlain(entries, placementRequest.service)
+			: this.#generationPlacement.place(placementRequest, engine, entries, this.#queueFor(placementRequest.service).sizeAhead(placementRequest.route.rank));
 	}
 
 	/**
@@ -173,6 +181,7 @@
 			requests: this.#clusterState.loads.totalLoad(entry.id, now).requests,
 			slowness: this.#clusterState.health.slowness(entry.id, now),
 			isFailing: this.#clusterState.health.evaluateStatus(entry.id, now) === 'failing',
+			hasIdleConnection: this.#hasIdleConnection(entry),
 		}));
 		const chosen = chooseLeastLoadedServer(candidates, this.#failureDomain);
 		if (chosen === undefined) {
--- a/packages/routing/__tests__/server-placement.test.ts
+++ b/packages/routing/__tests__/server-placement.test.ts
@@ -24,6 +24,13 @@
 	assert.is(chooseLeastLoadedServer([candidate('full', {requests: 9})], 'a'), undefined);
 });
 
+test('among servers of equal load, one with an idle connection is chosen', () => {
+	const connected = candidate('connected', {hasIdleConnection: true});
+	assert.is(chooseLeastLoadedServer([candidate('new'), connected], 'a')!.id, 'connected');
+	assert.is(chooseLeastLoadedServer([candidate('new'), {...connected, requests: 1}], 'a')!.id, 'new');
+	assert.is(chooseLeastLoadedServer([candidate('near'), {...connected, failureDomain: 'b'}], 'a')!.id, 'near');
+});
+
 test('the loads of a peer count until they expire or its next message replaces them', () => {
 	const loads = new ServerLoads(1500);
 	loads.addRequest('s', {prefillTokens: 10, memoryTokens: 20});
--- a/packages/routing/__tests__/server-sample.test.ts
+++ b/packages/routing/__tests__/server-sample.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
-import {findPartOwners, sampleServers} from '../src/index.js';
+import {findPartOwners, sampleMatchingServers, sampleServers} from '../src/index.js';
 
 const test = suite('sampleServers');
 const seed = 4751;
@@ -41,6 +41,42 @@
 	}
 });
 
+test('a sample of matching servers has the given size if enough match, and holds no server twice', () => {
+	fc.assert(fc.property(fc.integer({min: 0, max: 60}), fc.integer({min: 1, max: 5}), fc.nat(), (count, divisor, randomSeed) => {
+		const numbers = Array.from({length: count}, (_, index) => index);
+		const matches = (number: number) => number % divisor === 0;
+		let checked = 0;
+		const selected = sampleMatchingServers(numbers, number => {
+			checked++;
+			return matches(number);
+		}, createSeededRandom(randomSeed), 8);
+		const matching = numbers.filter(number => matches(number));
+		assert.is(selected.length, Math.min(matching.length, 8));
+		assert.is(new Set(selected).size, selected.length);
+		assert.ok(selected.every(number => matches(number)));
+		assert.ok(checked <= count);
+		if (divisor === 1) {
+			assert.is(checked, selected.length);
+		}
+	}), {seed});
+});
+
+test('every matching server is sampled about as often', () => {
+	const random = createSeededRandom(seed);
+	const numbers = Array.from({length: 80}, (_, index) => index);
+	const counts = new Map<number, number>();
+	for (let round = 0; round < 4000; round++) {
+		for (const number of sampleMatchingServers(numbers, candidate => candidate % 2 === 0, random, 8)) {
+			counts.set(number, (counts.get(number) ?? 0) + 1);
+		}
+	}
+
+	assert.is(counts.size, 40);
+	for (const [number, count] of counts) {
+		assert.ok(Math.abs(count - 800) < 160, `${number}: ${count}`);
+	}
+});
+
 test('the owners of parts are the same whatever the order of the servers, and few change when a server is added', () => {
 	const parts = Array.from({length: 200}, (_, index) => ({id: `part-${index}`, tokens: 1}));
 	const servers = createServers(20);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,7 +22,9 @@
 export {
 	type RequestLoad, type ServerLoad, ServerLoads, isSameLoad, noLoad,
 } from './server-loads.js';
-export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
+export {
+	defaultSampleSize, findPartOwners, sampleMatchingServers, sampleServers,
+} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
 export {type LearnedCapacityOptions, LearnedCapacity, defaultLearnedCapacityOptions} from './learned-capacity.js';
 export {type ServerLinksOptions, ServerLinks} from './server-links.js';
--- a/packages/routing/src/server-placement.ts
+++ b/packages/routing/src/server-placement.ts
@@ -11,6 +11,8 @@
 	readonly slowness: number;
 	/** The server fails part of its requests and is a last resort. */
 	readonly isFailing: boolean;
+	/** A connection to the server can be used again. */
+	readonly hasIdleConnection?: boolean;
 };
 
 export type ServerPlacementOptions = {
@@ -18,11 +20,15 @@
 	readonly crossDomainCost: number;
 	/** The cost of a failing server, in requests in flight. */
 	readonly failingServerCost: number;
+	/** The cost of a new connection, in requests in flight: less than that of one request, so that connections do not unbalance the loads. */
+	readonly connectionCost: number;
 	/** How many requests are sent to a server beyond its slots, as a share of the slots. */
 	readonly overbookingRatio: number;
 };
 
-export const defaultServerPlacementOptions: ServerPlacementOptions = {crossDomainCost: 0.3, failingServerCost: 20, overbookingRatio: 0.34};
+export const defaultServerPlacementOptions: ServerPlacementOptions = {
+	crossDomainCost: 0.3, failingServerCost: 20, connectionCost: 0.1, overbookingRatio: 0.34,
+};
 
 /**
  * Chooses the least loaded server: the one with the fewest requests in flight, scaled by its slowness. Meant for a few servers with few
@@ -43,6 +49,7 @@
 
 		const cost = ((candidate.requests + 1) * candidate.slowness)
 			+ (candidate.failureDomain === failureDomain ? 0 : options.crossDomainCost)
+			+ (candidate.hasIdleConnection === true ? 0 : options.connectionCost)
 			+ (candidate.isFailing ? options.failingServerCost : 0);
 		if (cost < lowestCost) {
 			lowestCost = cost;
--- a/packages/routing/src/server-sample.ts
+++ b/packages/routing/src/server-sample.ts
@@ -32,6 +32,35 @@
 	return selected;
 }
 
+/**
+ * Selects servers that match a condition, at random and with equal chances if there are more than `size`. It checks no more servers than
+ * it has to, so that a placement takes as long in a large deployment as in a small one.
+ *
+ * @param servers - All servers.
+ * @param matches - Checks one server.
+ * @param random - Source of the selection.
+ * @param size - The number of servers to select.
+ * @returns The selected servers; all that match, in their order, if there are no more than `size` servers.
+ */
+export function sampleMatchingServers<Server>(servers: readonly Server[], matches: (server: Server) => boolean, random: RandomSource, size = defaultSampleSize): Server[] {
+	if (servers.length <= size) {
+		return servers.filter(server => matches(server));
+	}
+
+	const remaining = [...servers];
+	const selected: Server[] = [];
+	for (let count = remaining.length; count > 0 && selected.length < size; count--) {
+		const index = Math.floor(random.next() * count);
+		const server = remaining[index]!;
+		remaining[index] = remaining[count - 1]!;
+		if (matches(server)) {
+			selected.push(server);
+		}
+	}
+
+	return selected;
+}
+
 /**
  * Finds the servers that own prompt parts by rendezvous hashing: every host sends a prompt that no server has cached to the same one.
  *
--- a/scripts/request-costs.ts
+++ b/scripts/request-costs.ts
@@ -45,6 +45,26 @@
 		});
 	}
 
+	async waitUntilReady(): Promise<void> {
+		for (let attempt = 0; attempt < 200; attempt++) {
+			try {
+				const response = await this.#agent.request({origin: `http://${this.#ready}`, path: '/readiness', method: 'GET'});
+				await response.body.dump();
+				if (response.statusCode === 200) {
+					return;
+				}
+			} catch {
+				// It does not listen yet.
+			}
+
+			await new Promise(resolve => {
+				setTimeout(resolve, startPollInterval);
+			});
+		}
+
+		throw new Error(`the host at ${this.#ready} did not become ready`);
+	}
+
 	async send(kind: 'plain' | 'stream', count: number): Promise<void> {
 		let remaining = count;
 		await Promise.all(Array.from({length: kind === 'plain' ? plainConcurrency : streamConcurrency}, async () => {
@@ -88,26 +108,6 @@
 
 		return nanoseconds / 1000;
 	}
-
-	async waitUntilReady(): Promise<void> {
-		for (let attempt = 0; attempt < 200; attempt++) {
-			try {
-				const response = await this.#agent.request({origin: `http://${this.#ready}`, path: '/readiness', method: 'GET'});
-				await response.body.dump();
-				if (response.statusCode === 200) {
-					return;
-				}
-			} catch {
-				// It does not listen yet.
-			}
-
-			await new Promise(resolve => {
-				setTimeout(resolve, startPollInterval);
-			});
-		}
-
-		throw new Error(`the host at ${this.#ready} did not become ready`);
-	}
 }
 
 async function startHost(program: string, index: number, directory: string, storeAddress: string): Promise<MeasuredHost> {
