--- a/packages/host/src/requests/response-observer.ts
+++ b/packages/host/src/requests/response-observer.ts
@@ -37,13 +37,14 @@
 	 */
 	recordData(attempt: Attempt): void {
 		const {clusterState, now} = this.#options.context;
-		clusterState.health.recordDataReceived(attempt.chosen.entry.id, now());
+		const receivedAt = now();
+		clusterState.health.recordDataReceived(attempt.chosen.entry.id, receivedAt);
 		if (!attempt.hasFirstByte) {
 			this.#recordFirstByte(attempt);
 		}
 
-		this.#recordPause(attempt);
-		if (now() - attempt.firstDataAt! >= responseSurvivalTime) {
+		this.#recordPause(attempt, receivedAt);
+		if (receivedAt - attempt.firstDataAt! >= responseSurvivalTime) {
 			this.recordSurvival(attempt);
 		}
 	}
@@ -84,16 +85,16 @@
 		}
 	}
 
-	#recordPause(attempt: Attempt): void {
+	#recordPause(attempt: Attempt, now: Milliseconds): void {
 		const {context, route, service, isStream} = this.#options;
-		const {clusterState, now} = context;
-		const pause = now() - (attempt.lastDataAt ?? now());
-		attempt.lastDataAt = now();
+		const {clusterState} = context;
+		const pause = now - (attempt.lastDataAt ?? now);
+		attempt.lastDataAt = now;
 		if (isStream && pause > attempt.longestPause) {
 			attempt.longestPause = pause;
-			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now()).prefillTokens;
+			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now).prefillTokens;
 			if (route.pauseObjective !== undefined && attempt.chosen.engine !== undefined) {
-				clusterState.engineObservations.recordPause(service, {pause, objective: route.pauseObjective, backlog: attempt.pauseBacklog}, now());
+				clusterState.engineObservations.recordPause(service, {pause, objective: route.pauseObjective, backlog: attempt.pauseBacklog}, now);
 			}
 		}
 	}
--- a/packages/host/src/requests/stall-detector.ts
+++ b/packages/host/src/requests/stall-detector.ts
@@ -16,6 +16,8 @@
 export class StallDetector {
 	readonly #onStall: (duration: Milliseconds, isFinal: boolean) => void;
 	#timers: NodeJS.Timeout[] = [];
+	/** The timer for the next data of a stream, if that is what is waited for. */
+	#streamTimer: NodeJS.Timeout | undefined;
 
 	/**
 	 * @param onStall - Called with the time without data when a timeout ends. Without `isFinal`, the request is stalled only if the
@@ -39,8 +41,13 @@
 
 	/** Starts the timeout for the next data of a stream; replaces running ones. */
 	awaitNextEvent(): void {
+		if (this.#streamTimer !== undefined) {
+			this.#streamTimer.refresh();
+			return;
+		}
+
 		this.stop();
-		this.#startTimer(streamStallTimeout, true);
+		this.#streamTimer = this.#startTimer(streamStallTimeout, true);
 	}
 
 	/** Cancels the running timeouts. */
@@ -50,11 +57,14 @@
 		}
 
 		this.#timers = [];
+		this.#streamTimer = undefined;
 	}
 
-	#startTimer(duration: Milliseconds, isFinal: boolean): void {
-		this.#timers.push(setTimeout(() => {
+	#startTimer(duration: Milliseconds, isFinal: boolean): NodeJS.Timeout {
+		const timer = setTimeout(() => {
 			this.#onStall(duration, isFinal);
-		}, duration));
+		}, duration);
+		this.#timers.push(timer);
+		return timer;
 	}
 }
