Keep one unusable datagram or address from affecting other messages

An address without a valid port, which a peer can report, made the send throw, so that the peers after it got nothing and the timer for the next messages was not set. An error in the processing of a message was uncaught. Both are counted now.

--- a/packages/host/src/members/gossip-socket.ts
+++ b/packages/host/src/members/gossip-socket.ts
@@ -1,5 +1,7 @@
 import {type Socket, createSocket} from 'node:dgram';
-import type {Disposable, Logger, Metrics} from '@lacewingpoint/shared';
+import {
+	type Disposable, type Logger, type Metrics, getErrorMessage,
+} from '@lacewingpoint/shared';
 import {type HostMessage, decodeHostMessage, encodeHostMessage} from './host-messages.js';
 
 /** Carries messages between hosts. Messages may get lost. */
@@ -45,7 +47,7 @@
 			if (message === undefined) {
 				metrics.incrementCounter('datagrams_unreadable');
 			} else {
-				onMessage(message);
+				this.#deliver(message, onMessage);
 			}
 		});
 		this.#socket.on('error', error => {
@@ -68,11 +70,16 @@
 		metrics.incrementCounter('datagram_bytes', {}, addresses.length * bytes.length);
 		for (const address of addresses) {
 			const [host, port] = address.split(':');
-			this.#socket.send(bytes, Number(port), host, error => {
-				if (error !== null) {
-					metrics.incrementCounter('datagrams_unsent');
-				}
-			});
+			try {
+				this.#socket.send(bytes, Number(port), host, error => {
+					if (error !== null) {
+						metrics.incrementCounter('datagrams_unsent');
+					}
+				});
+			} catch {
+				// The address, which a peer has reported, has no valid port. The other peers still get their messages.
+				metrics.incrementCounter('datagrams_unsent');
+			}
 		}
 	}
 
@@ -82,4 +89,14 @@
 			this.#socket.close();
 		}
 	}
+
+	// A message that cannot be processed must not affect others.
+	#deliver(message: HostMessage, onMessage: (message: HostMessage) => void): void {
+		try {
+			onMessage(message);
+		} catch (error) {
+			this.#options.metrics.incrementCounter('datagrams_failed');
+			this.#options.log.warn('datagram-failed', {sender: message.name, reason: getErrorMessage(error)});
+		}
+	}
 }
