--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -97,6 +97,7 @@
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
 			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, log, metrics, sharesWaitingOrder: settings.sharesWaitingOrder, constraints: [new RolloutConstraint(this.#clusterState, now)],
+			hasIdleConnection: entry => this.#connectionPool.hasIdle(entry),
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
