Find a known crash in the log without building all keys again

Each report of a crash rebuilt the keys of all crashes of the last three seconds, so that the cost of a burst grew with the square of its crashes; the log also had no bound. The keys are kept now, and at most 4,096 crashes.

--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -9,6 +9,7 @@
 export {StreamOriginFinder, type StreamOriginFinderOptions} from './state/stream-origin-finder.js';
 export {EventRelay} from './requests/event-relay.js';
 export type {OpenSocket} from './requests/server-connector.js';
+export {CrashLog} from './members/crash-log.js';
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export {GossipEventQueue} from './members/gossip-events.js';
 export type {GossipTransport} from './members/gossip-socket.js';
--- a/packages/host/src/members/crash-log.ts
+++ b/packages/host/src/members/crash-log.ts
@@ -8,9 +8,16 @@
 /** Limit on the repeated crashes of a message, which keeps it from being fragmented. */
 const maximumRepeatedCrashes = 24;
 
+/** Limit on the remembered crashes, whatever peers report; the oldest are forgotten first. */
+const maximumCrashes = 4096;
+
+type LoggedCrash = RecordedCrash & {readonly source: string; readonly key: string};
+
 /** The recent crashes of servers and the peers that reported them. */
 export class CrashLog {
-	#crashes: Array<RecordedCrash & {readonly source: string}> = [];
+	/** In the order of their times. */
+	readonly #crashes: LoggedCrash[] = [];
+	readonly #known = new Set<string>();
 
 	/**
 	 * Adds crashes.
@@ -21,10 +28,19 @@
 	 * @returns The crashes that were not known yet.
 	 */
 	add(crashes: readonly SuspectCrash[], source: string, now: Milliseconds): RecordedCrash[] {
-		this.#crashes = this.#crashes.filter(({recordedAt}) => now - recordedAt < repeatTime);
-		const known = new Set(this.#crashes.map(({crash}) => createKey(crash)));
-		const added = crashes.filter(crash => !known.has(createKey(crash))).map(crash => ({crash, recordedAt: now, source}));
-		this.#crashes.push(...added);
+		const expired = this.#crashes.findIndex(({recordedAt}) => now - recordedAt < repeatTime);
+		this.#forget(expired === -1 ? this.#crashes.length : expired);
+		const added = crashes
+			.map(crash => ({
+				crash, recordedAt: now, source, key: createKey(crash),
+			}))
+			.filter(({key}) => !this.#known.has(key));
+		for (const logged of added) {
+			this.#crashes.push(logged);
+			this.#known.add(logged.key);
+		}
+
+		this.#forget(Math.max(this.#crashes.length - maximumCrashes, 0));
 		return added;
 	}
 
@@ -41,6 +57,12 @@
 			.slice(-maximumRepeatedCrashes)
 			.map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt}));
 	}
+
+	#forget(count: number): void {
+		for (const {key} of this.#crashes.splice(0, count)) {
+			this.#known.delete(key);
+		}
+	}
 }
 
 function createKey({fingerprint, server, incarnation}: SuspectCrash): string {
