Validate messages between hosts without collecting issues and copies

A datagram was validated with a result and an issue list for each value, and then copied to leave out one flag; a list that claims to have millions of items made the decoder allocate them. The schema, from which the types are still derived, is compiled to a function now; lists are returned as decoded unless an item differs, and hold at most 1,024 items.

--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -13,7 +13,10 @@
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export {GossipEventQueue} from './members/gossip-events.js';
 export type {GossipTransport} from './members/gossip-socket.js';
-export {type HostMessage, decodeHostMessage, encodeHostMessage} from './members/host-messages.js';
+export {
+	type HostMessage, decodeHostMessage, encodeHostMessage, hostMessageSchema,
+} from './members/host-messages.js';
+export {compileSchema, invalid} from './members/schema-compiler.js';
 export {Host} from './host.js';
 export type {HostDependencies} from './host-dependencies.js';
 export {leaseHolderKey, leaseTermKey} from './weights/weights-lease.js';
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -1,7 +1,8 @@
-import {decode, encode} from '@msgpack/msgpack';
+import {Decoder, encode} from '@msgpack/msgpack';
 import type {HostState} from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 import type {StateChange} from '../ports.js';
+import {compileSchema, invalid} from './schema-compiler.js';
 
 // A state or role of a later version must not make the whole message unreadable: such a host is alive, but gets no clients.
 const hostStateSchema = v.pipe(v.string(), v.transform(name => selectKnown(['starting', 'serving', 'detached', 'stopping'], name, 'starting')));
@@ -59,8 +60,14 @@
 
 type WireState = {readonly state: HostState; readonly isDetached: boolean};
 
-function decodeState<Report extends WireState>({isDetached, ...report}: Report): Omit<Report, 'isDetached'> {
-	return isDetached ? {...report, state: 'detached'} : report;
+// Deletes the flag, which schemas define last, because a copy of a message costs more than its validation.
+function decodeState<Report extends {state: HostState; isDetached?: boolean}>(report: Report): Omit<Report, 'isDetached'> {
+	if (report.isDetached === true) {
+		report.state = 'detached';
+	}
+
+	delete report.isDetached;
+	return report;
 }
 
 // Versions before this state take it for an unreadable message; to these, the host is alive and gets no clients.
@@ -70,17 +77,16 @@
 
 const hostReportSchema = v.pipe(
 	v.object({
-		description: hostDescriptionSchema, state: hostStateSchema, isDetached: v.optional(v.boolean(), false), role: hostRoleSchema,
+		description: hostDescriptionSchema, state: hostStateSchema, role: hostRoleSchema, isDetached: v.optional(v.boolean(), false),
 	}),
 	v.transform(decodeState),
 );
 
-const hostMessageSchema = v.pipe(v.object({
+/** The content of a datagram, as it is sent. */
+export const hostMessageSchema = v.pipe(v.object({
 	name: v.string(),
 	incarnation: v.string(),
 	state: hostStateSchema,
-	/** Whether the host has lost its links to all servers. */
-	isDetached: v.optional(v.boolean(), false),
 	role: v.optional(hostRoleSchema, 'relay'),
 	/** Set in messages outside of links: a joining host asks which hosts it can link to, another responds. */
 	introduction: v.optional(v.picklist(['request', 'response'])),
@@ -133,6 +139,8 @@
 	departed: v.optional(v.array(v.string()), []),
 	/** Changes of the cluster state, each with the state version to which it leads; to members and to relays of the same failure domain. */
 	updates: v.optional(v.array(v.object({version: v.number(), change: stateUpdateSchema})), []),
+	/** Whether the host has lost its links to all servers. */
+	isDetached: v.optional(v.boolean(), false),
 }), v.transform(decodeState));
 
 /** The content of one datagram between hosts. */
@@ -144,6 +152,13 @@
 /** A change of the cluster state that is pushed to peers. */
 export type StateUpdate = v.InferOutput<typeof stateUpdateSchema>;
 
+const parseMessage = compileSchema(hostMessageSchema);
+
+/** Limit on the items of a list: the decoder allocates as many as a list claims to have, even if the datagram ends before. */
+const maximumItems = 1024;
+
+const decoder = new Decoder({maxArrayLength: maximumItems});
+
 /** Values that are not sent, because the recipient assumes them. */
 const assumedValues: Partial<HostMessage> = {
 	role: 'relay', hostCount: 1, hasStoreContact: false, isWhole: false,
@@ -173,8 +188,8 @@
  */
 export function decodeHostMessage(bytes: Uint8Array): HostMessage | undefined {
 	try {
-		const parsed = v.safeParse(hostMessageSchema, decode(bytes));
-		return parsed.success ? parsed.output : undefined;
+		const message = parseMessage(decoder.decode(bytes));
+		return message === invalid ? undefined : message;
 	} catch {
 		// The port may receive other traffic; the caller counts it.
 		return undefined;
