Keep odd amounts in a peer's message from spoiling this host's state

Infinite loads or charges of one peer made sums that are not numbers, so that all messages of the host that reported the sums were unreadable to its peers; a placement with an infinite or negative token count voided the limit on the recorded prompts of a server, or kept it from recording any. Amounts are limited to 1e12 now, host counts to 1 to 1,000,000, and such placements are left out.

Not covered: growth of the state by names of unknown servers, and messages from several peers.

--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -7,6 +7,7 @@
 import type {HostGossip} from './host-gossip.js';
 import type {LinkSelection} from './peer-link.js';
 import type {HostMessage} from './host-messages.js';
+import {isRecordable, limitAmount, limitHostCount} from './message-amounts.js';
 
 export type GossipReceiverOptions = {
 	readonly clusterState: ClusterState;
@@ -99,11 +100,14 @@
 	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
 		const {rateLimiter, serverLimits, loads} = this.#clusterState;
 		const now = this.#now();
-		this.#gossip.recordHostCount(sender.name, message.hostCount);
-		const charged = new Map(Object.entries(message.charged));
+		this.#gossip.recordHostCount(sender.name, limitHostCount(message.hostCount));
+		const charged = new Map(Object.entries(message.charged).map(([name, amount]) => [name, limitAmount(amount)]));
 		const hasNewCharges = rateLimiter.mergePeerTotals(sender.name, sender.incarnation, charged, now, message.isWhole);
 		const hasNewRequests = serverLimits.mergePeerTotals(sender, charged, now, message.isWhole);
-		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
+		const peerLoads = Object.entries(message.loads).map(([server, amounts]) => {
+			const [requests, prefillTokens, memoryTokens] = amounts.map(amount => limitAmount(amount)) as [number, number, number];
+			return [server, {requests, prefillTokens, memoryTokens}] as const;
+		});
 		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
 		if (hasNewCharges || hasNewRequests || hasNewLoads) {
 			this.#gossip.recordTotalsChanged(kind === 'member' ? 'all' : 'member', sender.name);
@@ -126,7 +130,7 @@
 	#applyPlacements(message: HostMessage): void {
 		const {promptCache} = this.#clusterState;
 		const now = this.#now();
-		for (const placement of message.placements) {
+		for (const placement of message.placements.filter(candidate => isRecordable(candidate))) {
 			const parts = placement.parts.map(([id, tokens]) => ({id, tokens}));
 			for (const [location, availableAfter] of placement.places) {
 				if (availableAfter === null) {
