Send urgent events to a peer together, less often while timers run late

Each report of a crash, limit or unreachable server was sent to every peer by itself, and with each all changed totals; a relay in a burst of crashes sent 1,000 messages a second, and its messages took the processor from requests. Such events wait at most 25 ms for a peer now, and longer while timers run late; events that concern many servers are split over messages of 40.

--- a/packages/host/src/index.ts
+++ b/packages/host/src/index.ts
@@ -13,6 +13,7 @@
 export {Fleet, type FleetOptions} from './members/fleet.js';
 export {GossipEventQueue} from './members/gossip-events.js';
 export type {GossipTransport} from './members/gossip-socket.js';
+export {SendPace} from './members/link-timing.js';
 export {
 	type HostMessage, decodeHostMessage, encodeHostMessage, hostMessageSchema,
 } from './members/host-messages.js';
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -5,7 +5,7 @@
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4,
+	placements: 12, servers: 40, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4,
 } as const;
 
 /** A crash with the time at which this host learned of it. */
@@ -32,14 +32,14 @@
 	#hosts: HostMessage['hosts'] = [];
 	#departed: string[] = [];
 	readonly #updates: Array<{readonly update: StateVersionUpdate; readonly recordedAt: Milliseconds}> = [];
-	#weights: HostMessage['weights'] = [];
-	#loading: HostMessage['loading'] = [];
+	readonly #weights: HostMessage['weights'] = [];
+	readonly #loading: HostMessage['loading'] = [];
 	readonly #draining = new Set<string>();
 	readonly #unreachable = new Set<string>();
-	#leaving: HostMessage['leaving'] = [];
+	readonly #leaving: HostMessage['leaving'] = [];
 
 	get isEmpty(): boolean {
-		return this.#weights.length === 0 && this.#loading.length === 0 && this.#draining.size === 0 && this.#unreachable.size === 0 && this.#leaving.length === 0 && !this.#hasList;
+		return !this.#hasEvents;
 	}
 
 	/**
@@ -131,11 +131,11 @@
 	take(now: Milliseconds): {readonly events: GossipEvents; readonly hasMore: boolean} {
 		const events: GossipEvents = {
 			placements: this.#placements.splice(0, limits.placements),
-			weights: this.#weights,
-			loading: this.#loading,
-			unreachable: [...this.#unreachable],
-			leaving: this.#leaving,
-			emptying: [...this.#draining],
+			weights: this.#weights.splice(0, limits.servers),
+			loading: this.#loading.splice(0, limits.servers),
+			unreachable: takeFirst(this.#unreachable, limits.servers),
+			leaving: this.#leaving.splice(0, limits.servers),
+			emptying: takeFirst(this.#draining, limits.servers),
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
 			limits: this.#limits.splice(0, limits.limits).map(({limit, recordedAt}) => ({...limit, age: limit.age + now - recordedAt})),
 			origins: this.#takeOrigins(),
@@ -144,12 +144,7 @@
 			hosts: this.#hosts.splice(0, limits.hosts),
 			updates: this.#updates.splice(0, limits.updates).map(({update, recordedAt}) => addWaitingTime(update, now - recordedAt)),
 		};
-		this.#weights = [];
-		this.#loading = [];
-		this.#draining.clear();
-		this.#unreachable.clear();
-		this.#leaving = [];
-		return {events, hasMore: this.#hasList};
+		return {events, hasMore: this.#hasEvents};
 	}
 
 	#takeOrigins(): HostMessage['origins'] {
@@ -173,12 +168,23 @@
 		return taken.map(([part, beganAt]) => ({part, age: now - beganAt}));
 	}
 
-	/** Whether events remain of the kinds that are split over several messages. */
-	get #hasList(): boolean {
-		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+	get #hasEvents(): boolean {
+		const lists = [
+			this.#placements, this.#weights, this.#loading, this.#leaving, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates,
+		];
+		return this.#executedAt.size > 0 || this.#draining.size > 0 || this.#unreachable.size > 0 || lists.some(list => list.length > 0);
 	}
 }
 
+function takeFirst(names: Set<string>, count: number): string[] {
+	const taken = [...names].slice(0, count);
+	for (const name of taken) {
+		names.delete(name);
+	}
+
+	return taken;
+}
+
 function addWaitingTime(update: StateVersionUpdate, waitingTime: Milliseconds): StateVersionUpdate {
 	const {version, change} = update;
 	return change.type === 'weights' ? {version, change: {...change, age: change.age + waitingTime}} : update;
--- a/packages/host/src/members/host-gossip.ts
+++ b/packages/host/src/members/host-gossip.ts
@@ -13,7 +13,7 @@
 import type {GossipTransport} from './gossip-socket.js';
 import type {HostMessage, PromptPlacement, StateUpdate} from './host-messages.js';
 import {type MessageSources, HostMessageComposer} from './host-message-composer.js';
-import {computeSendInterval, findDueTime, timerResolution} from './link-timing.js';
+import {SendPace, findDueTime, timerResolution} from './link-timing.js';
 import {
 	type LinkSelection, type PeerLink, selectOriginRecipients, updateLinks,
 } from './peer-link.js';
@@ -35,6 +35,7 @@
 	readonly #options: HostGossipOptions;
 	#links = new Map<string, PeerLink>();
 	readonly #crashLog = new CrashLog();
+	readonly #pace = new SendPace();
 	readonly #composer: HostMessageComposer;
 	#isClosed = false;
 	#cancelTimer: (() => void) | undefined;
@@ -131,7 +132,7 @@
 	}
 
 	/**
-	 * Announces at once that a server is about to load weights, or that it no longer is.
+	 * Announces soon that a server is about to load weights, or that it no longer is.
 	 *
 	 * @param server - The server's id.
 	 * @param time - Maximum time of the load; 0 once it has ended or the order has failed.
@@ -150,7 +151,7 @@
 	}
 
 	/**
-	 * Announces at once that a server is unreachable.
+	 * Announces soon that a server is unreachable.
 	 *
 	 * @param server - The server's id.
 	 */
@@ -159,7 +160,7 @@
 	}
 
 	/**
-	 * Announces at once that a server is leaving.
+	 * Announces soon that a server is leaving.
 	 *
 	 * @param server - The process that is leaving.
 	 */
@@ -168,7 +169,7 @@
 	}
 
 	/**
-	 * Announces at once that requests were in flight when a server crashed.
+	 * Announces soon that requests were in flight when a server crashed.
 	 *
 	 * @param crashes - One entry for each request.
 	 * @param source - The peer that reported them; this host by default.
@@ -180,11 +181,9 @@
 			return;
 		}
 
-		for (const link of this.#selectLinks(selection, source)) {
-			link.events.addCrashes(added);
-		}
-
-		this.sendNow();
+		this.#addEvents(this.#selectLinks(selection, source), 'urgent', ({events}) => {
+			events.addCrashes(added);
+		});
 	}
 
 	/**
@@ -199,15 +198,13 @@
 			return;
 		}
 
-		for (const link of this.#selectLinks(selection, source)) {
-			link.events.addExecutedParts(executed, this.#options.now());
-		}
-
-		this.#schedule();
+		this.#addEvents(this.#selectLinks(selection, source), 'ordinary', ({events}) => {
+			events.addExecutedParts(executed, this.#options.now());
+		});
 	}
 
 	/**
-	 * Announces at once that servers have named other limits, or none any more.
+	 * Announces soon that servers have named other limits, or none any more.
 	 *
 	 * @param limits - The changed limits.
 	 * @param source - The peer that reported them; this host by default.
@@ -218,11 +215,9 @@
 			return;
 		}
 
-		for (const link of this.#selectLinks(selection, source)) {
-			link.events.addLimits(limits, this.#options.now());
-		}
-
-		this.sendNow();
+		this.#addEvents(this.#selectLinks(selection, source), 'urgent', ({events}) => {
+			events.addLimits(limits, this.#options.now());
+		});
 	}
 
 	/**
@@ -231,11 +226,9 @@
 	 * @param reports - The streams.
 	 */
 	announceOrigins(reports: readonly StreamOriginReport[]): void {
-		for (const link of selectOriginRecipients(this.#selectLinks('relay'), this.#options.description.failureDomain)) {
-			link.events.addOrigins(reports);
-		}
-
-		this.#schedule();
+		this.#addEvents(selectOriginRecipients(this.#selectLinks('relay'), this.#options.description.failureDomain), 'ordinary', ({events}) => {
+			events.addOrigins(reports);
+		});
 	}
 
 	/**
@@ -251,15 +244,9 @@
 			return;
 		}
 
-		for (const link of this.#selectLinks(selection, source)) {
+		this.#addEvents(this.#selectLinks(selection, source), urgentEvents > 0 ? 'urgent' : 'ordinary', link => {
 			link.events.forward(events);
-		}
-
-		if (urgentEvents > 0) {
-			this.sendNow();
-		} else {
-			this.#schedule();
-		}
+		});
 	}
 
 	/**
@@ -273,7 +260,7 @@
 			link.events.addHostChanges(changes);
 		}
 
-		this.sendNow();
+		this.#send(() => 0);
 	}
 
 	/**
@@ -325,12 +312,7 @@
 			link.hasNewTotals = true;
 		}
 
-		this.sendNow();
-	}
-
-	/** Sends all pending updates without waiting for the send interval. */
-	sendNow(): void {
-		this.#send(0);
+		this.#send(() => 0);
 	}
 
 	dispose(): void {
@@ -343,6 +325,15 @@
 		this.forwardEvents({...noEvents, ...events}, this.#options.description.name, 'all');
 	}
 
+	#addEvents(links: readonly PeerLink[], urgency: 'urgent' | 'ordinary', add: (link: PeerLink) => void): void {
+		for (const link of links) {
+			add(link);
+			link.hasUrgentEvents ||= urgency === 'urgent';
+		}
+
+		this.#schedule();
+	}
+
 	#selectLinks(selection: LinkSelection, source?: string): PeerLink[] {
 		return [...this.#links.values()].filter(({target}) => target.host.name !== source && (selection === 'all' || target.kind === selection));
 	}
@@ -355,7 +346,7 @@
 
 		let dueAt = Number.POSITIVE_INFINITY;
 		for (const link of this.#links.values()) {
-			dueAt = Math.min(dueAt, findDueTime(link, computeSendInterval(this.#links.size)));
+			dueAt = Math.min(dueAt, findDueTime(link, this.#intervalFor(link)));
 		}
 
 		if (dueAt === Number.POSITIVE_INFINITY || (dueAt >= this.#timerDueAt && this.#cancelTimer !== undefined)) {
@@ -364,13 +355,19 @@
 
 		this.#cancelTimer?.();
 		this.#timerDueAt = dueAt;
-		this.#cancelTimer = this.#options.scheduler.schedule(Math.max(dueAt - this.#options.now(), 0), () => {
+		const now = this.#options.now();
+		this.#cancelTimer = this.#options.scheduler.schedule(Math.max(dueAt - now, 0), () => {
 			this.#cancelTimer = undefined;
-			this.#send(computeSendInterval(this.#links.size));
+			this.#pace.recordTimer(this.#options.now() - Math.max(dueAt, now));
+			this.#send(link => this.#intervalFor(link));
 		});
 	}
 
-	#send(interval: Milliseconds): void {
+	#intervalFor(link: PeerLink): Milliseconds {
+		return this.#pace.computeInterval(this.#links.size, link.hasUrgentEvents);
+	}
+
+	#send(intervalFor: (link: PeerLink) => Milliseconds): void {
 		if (this.#isClosed) {
 			return;
 		}
@@ -378,7 +375,7 @@
 		const now = this.#options.now();
 		const totals = new ReportedTotals(this.#options.clusterState, peer => this.linkKind(peer) === 'member', now);
 		for (const link of this.#links.values()) {
-			if (findDueTime(link, interval) <= now + timerResolution) {
+			if (findDueTime(link, intervalFor(link)) <= now + timerResolution) {
 				this.#sendTo(link, totals, now);
 			}
 		}
--- a/packages/host/src/members/link-timing.ts
+++ b/packages/host/src/members/link-timing.ts
@@ -13,14 +13,40 @@
 /** Links that are due within the resolution of the timer are sent together. */
 export const timerResolution: Milliseconds = 1;
 
+/** Messages take less of a busy processor when the interval grows by this multiple of the time by which timers run late. */
+const latenessFactor = 2;
+
+/** The share of a lateness that still counts when the next timer runs in time, as a throttled process runs in bursts. */
+const latenessDecay = 0.5;
+
 /**
- * Computes the interval at which pending updates are sent.
- *
- * @param linkCount - The number of links of this host.
- * @returns The interval.
+ * Decides at which interval messages are sent to a peer. It answers a host that is short of processor time in a burst of crashes or
+ * requests: each event used to be sent to every peer by itself, and the messages took the time that requests and the configuration
+ * needed.
  */
-export function computeSendInterval(linkCount: number): Milliseconds {
-	return Math.max(minimumSendInterval, sendIntervalPerLink * linkCount);
+export class SendPace {
+	#lateness: Milliseconds = 0;
+
+	/**
+	 * Records that the timer for the next messages has run.
+	 *
+	 * @param lateness - By how much it ran too late; the timer's resolution is not counted.
+	 */
+	recordTimer(lateness: Milliseconds): void {
+		this.#lateness = Math.max(lateness - timerResolution, this.#lateness * latenessDecay, 0);
+	}
+
+	/**
+	 * Computes the interval between messages to a peer for which updates wait. Heartbeats are sent at their own interval.
+	 *
+	 * @param linkCount - The number of links of this host.
+	 * @param isUrgent - Whether an event waits that other hosts need soon, such as a crash or a server out of reach.
+	 * @returns The interval.
+	 */
+	computeInterval(linkCount: number, isUrgent: boolean): Milliseconds {
+		const interval = isUrgent ? minimumSendInterval : Math.max(minimumSendInterval, sendIntervalPerLink * linkCount);
+		return interval + (latenessFactor * this.#lateness);
+	}
 }
 
 /**
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -24,6 +24,8 @@
 	hostCount = 1;
 	/** Whether charges or loads may have changed since the last message. */
 	hasNewTotals = true;
+	/** Whether events wait that are not to wait for the interval of the others. */
+	hasUrgentEvents = false;
 	/** The charges and loads sent last, so that only changes are sent. */
 	#sentCharges: UsageTotals = new Map();
 	#sentLoads: ReadonlyMap<string, ServerLoad> = new Map();
@@ -52,6 +54,7 @@
 	beginMessage(now: Milliseconds): boolean {
 		this.lastSentAt = now;
 		this.hasNewTotals = false;
+		this.hasUrgentEvents = false;
 		const isWhole = now - this.#lastFullStateAt >= fullStateInterval;
 		if (isWhole) {
 			this.#lastFullStateAt = now;
