Reject requests of an overloaded host whose configuration may be outdated

Cause: a host whose event loop is late reads changes of the configuration late or misses them, and handled requests by the old one beyond bounds.applyMs. Change: the cluster state knows until when it was complete, from the store's responses, an open watch or the relay's messages. A host that is behind and has had no confirmation for three quarters of bounds.applyMs rejects new requests, unless the store does not respond. While behind, requests are handled after whatever else could be read in the same turn. Settings without applyMs or cpuShare: as before.

--- a/packages/host/__tests__/client-listener.test.ts
+++ b/packages/host/__tests__/client-listener.test.ts
@@ -122,7 +122,7 @@
 test('an overloaded host rejects a request unread, with 503 and the time to return, and keeps the connection', async () => {
 	let isOverloaded = true;
 	const {listener, openClient} = await listenForClients({
-		guard: {evaluate: () => isOverloaded ? {reason: 'overloaded', retryAfter: 250} : undefined},
+		guard: {isBehind: true, evaluate: () => isOverloaded ? {reason: 'overloaded', retryAfter: 250} : undefined},
 		isStopping: () => false,
 		onRequest({responseWriter}) {
 			responseWriter.writeHead(200, ['Content-Length', '2']);
--- a/packages/host/__tests__/overload-guard.test.ts
+++ b/packages/host/__tests__/overload-guard.test.ts
@@ -28,7 +28,7 @@
 	},
 });
 
-type Machine = {now: Milliseconds; running: number; memory: number};
+type Machine = {now: Milliseconds; running: number; memory: number; configurationAge?: Milliseconds | undefined};
 
 function createGuard(machine: Machine, logged: Array<Readonly<Record<string, unknown>>> = []): OverloadGuard {
 	return new OverloadGuard({
@@ -42,6 +42,8 @@
 		random: createSeededRandom(1),
 		now: () => machine.now,
 		routes: () => routes,
+		configurationAge: () => machine.configurationAge,
+		applyWithin: () => 2000,
 		runningRequests: () => machine.running,
 		finishedRequests: () => 0,
 		measureBusyTime: () => 0,
@@ -99,12 +101,35 @@
 	guard.dispose();
 });
 
+// The event loop is 400 ms late, and messages about changes of the configuration wait to be read.
+test('a host that is behind rejects requests as soon as its configuration may be outdated', () => {
+	const behind: Machine = {
+		now: 0, running: 5, memory: 0, configurationAge: 800,
+	};
+	const guard = createGuard(behind);
+	behind.now = 450;
+	assert.ok(guard.isBehind);
+	assert.is(guard.evaluate('/order/x', preview(3000)), undefined);
+	behind.configurationAge = 1500;
+	const rejection = guard.evaluate('/order/x', preview(3000));
+	assert.is(rejection?.reason, 'old-configuration');
+	assert.ok(rejection!.retryAfter! > 0);
+	behind.configurationAge = undefined;
+	assert.is(guard.evaluate('/order/x', preview(3000)), undefined, 'the store does not respond');
+	behind.configurationAge = 1500;
+	behind.now = 0;
+	assert.is(guard.evaluate('/order/x', preview(3000)), undefined, 'the host keeps up');
+	guard.dispose();
+});
+
 test('a host whose settings state no limit of its processor time has no guard', () => {
 	const disposables = new DisposableStore();
 	const dependencies = {
 		settings: {memory: 1}, log: silentLogger, metrics: new Metrics(), random: createSeededRandom(1), now: () => 0,
 	};
-	const state = {routes: () => undefined, runningRequests: () => 0, finishedRequests: () => 0};
+	const state = {
+		routes: () => undefined, configurationAge: () => 0, applyWithin: () => undefined, runningRequests: () => 0, finishedRequests: () => 0,
+	};
 	assert.is(createOverloadGuard(dependencies, disposables, state), undefined);
 });
 
--- a/packages/host/__tests__/relay-follower.test.ts
+++ b/packages/host/__tests__/relay-follower.test.ts
@@ -54,4 +54,31 @@
 	assert.ok(clusterState.weightsTracker.hasAssumedAges);
 });
 
+test('a message without unknown changes confirms the state at the time of its earliest arrival', async () => {
+	const clock = {now: 50_000, earliestArrival: 49_900};
+	const clusterState = new ClusterState(silentLogger, () => clock.now, () => 15_000, listener);
+	const follower = new RelayFollower({
+		clusterState, log: silentLogger, now: () => clock.now, earliestArrival: () => clock.earliestArrival, peerClient: {
+			fetchChanges: async () => Result.ok({
+				changes: [], revision: 9, serverIds: [], stateVersion: 1,
+			}),
+		} as unknown as PeerClient,
+	});
+	follower.handleMessage(relay, createMessage(1, []));
+	assert.is(clusterState.confirmation.age(clock.now), Number.POSITIVE_INFINITY);
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	clock.now = 50_500;
+	assert.is(clusterState.confirmation.age(clock.now), 500);
+	clock.earliestArrival = 50_400;
+	follower.handleMessage(relay, createMessage(1, []));
+	assert.is(clusterState.confirmation.age(clock.now), 100);
+	clock.now = 53_000;
+	clock.earliestArrival = 52_900;
+	// A change has been missed.
+	follower.handleMessage(relay, createMessage(3, []));
+	assert.is(clusterState.confirmation.age(clock.now), 2600);
+});
+
 test.run();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -211,6 +211,7 @@
 			limits: () => this.#clusterState.configuration?.limits,
 			isStopping: () => this.#isStopping,
 			guard: createOverloadGuard(this.#dependencies, this.#disposables, {
+				configurationAge: () => this.#clusterState.confirmation.age(now()), applyWithin: () => this.#bounds.applyWithin,
 				routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
 			}),
 			onRequest: received => {
--- a/packages/host/src/overload/create-overload-guard.ts
+++ b/packages/host/src/overload/create-overload-guard.ts
@@ -10,7 +10,7 @@
 };
 
 /** What a guard needs to know of the host. */
-export type GuardedHost = Pick<OverloadGuardOptions, 'routes' | 'runningRequests' | 'finishedRequests'>;
+export type GuardedHost = Pick<OverloadGuardOptions, 'routes' | 'configurationAge' | 'applyWithin' | 'runningRequests' | 'finishedRequests'>;
 
 /**
  * Creates the overload guard of a host whose processor time is limited by its settings.
--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -1,5 +1,5 @@
 import {
-	OverloadController, type RouteIndex, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+	OverloadController, type RouteIndex, chooseTargetDelay, defaultOverloadControllerOptions, isConfigurationOutdated, spreadRetryAfter,
 } from '@lacewingpoint/routing';
 import {
 	type Bytes, type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
@@ -33,6 +33,7 @@
 	overloaded: 'the host is overloaded; the request was not executed',
 	'no-memory': 'the host is out of memory; the request was not executed',
 	'too-old': 'the request was read too late; it was not executed',
+	'old-configuration': 'the host is overloaded and its configuration may be outdated; the request was not executed',
 };
 
 export type OverloadGuardOptions = {
@@ -43,6 +44,10 @@
 	readonly now: () => Milliseconds;
 	/** @returns The routes and workspaces of the current configuration. */
 	routes(): RouteIndex | undefined;
+	/** @returns Time since the configuration was known to be the newest one; `undefined` if the store does not respond. */
+	configurationAge(): Milliseconds | undefined;
+	/** @returns How long after a configuration was stored requests may be handled by an earlier one; `undefined` if that is not limited. */
+	applyWithin(): Milliseconds | undefined;
 	/** @returns The number of requests without a final response. */
 	runningRequests(): number;
 	/** @returns The number of requests that have ended and whose clients have waited for it. */
@@ -78,6 +83,11 @@
 		];
 	}
 
+	/** Whether requests wait so long for the event loop that the host may miss their objectives, or are limited for that reason. */
+	get isBehind(): boolean {
+		return this.#controller.rate !== undefined || this.#currentDelay() >= this.#targetDelay;
+	}
+
 	/**
 	 * Decides whether a request is rejected, from what its head shows.
 	 *
@@ -86,30 +96,20 @@
 	 * @returns The rejection; `undefined` if the request is admitted.
 	 */
 	evaluate(target: string, preview: () => RequestPreview): Rejection | undefined {
-		const {now, routes, runningRequests} = this.#options;
 		const age = this.#currentDelay();
-		const isFull = runningRequests() >= this.#maximumRunningRequests;
-		if (this.#controller.rate === undefined && !isFull && age < this.#targetDelay) {
+		if (!this.isBehind && !this.#isFull) {
 			return undefined;
 		}
 
 		const {id, host, credential, deadline} = preview();
 		const query = target.indexOf('?');
-		const index = routes();
+		const index = this.#options.routes();
 		const route = host === undefined ? undefined : index?.findRoute(host, query === -1 ? target : target.slice(0, query));
 		const workspace = credential === undefined ? undefined : index?.findWorkspace(credential);
 		const rank = workspace?.rank ?? route?.rank;
 		const mayBeGivenUp = route?.repeatability === 'idempotent' || route?.repeatability === 'resumable-stream';
 		const longestAge = deadline === undefined ? Number.POSITIVE_INFINITY : (mayBeGivenUp ? Math.min(patience.time, deadline * patience.share) : deadline);
-		let reason: RejectionReason | undefined;
-		if (age >= longestAge) {
-			reason = 'too-old';
-		} else if (isFull) {
-			reason = 'no-memory';
-		} else if (!this.#controller.admit({rank: rank ?? 0, workspace: workspace?.name ?? ''}, now())) {
-			reason = 'overloaded';
-		}
-
+		const reason = age >= longestAge ? 'too-old' : this.#findReason(rank ?? 0, workspace?.name ?? '');
 		if (reason === undefined) {
 			return undefined;
 		}
@@ -127,6 +127,23 @@
 		this.#report();
 	}
 
+	#findReason(rank: number, workspace: string): RejectionReason | undefined {
+		const {now, configurationAge, applyWithin} = this.#options;
+		if (this.#isFull) {
+			return 'no-memory';
+		}
+
+		if (isConfigurationOutdated({age: configurationAge(), isBehind: this.isBehind, applyWithin: applyWithin()})) {
+			return 'old-configuration';
+		}
+
+		return this.#controller.admit({rank, workspace}, now()) ? undefined : 'overloaded';
+	}
+
+	get #isFull(): boolean {
+		return this.#options.runningRequests() >= this.#maximumRunningRequests;
+	}
+
 	// How long the event loop has not run the timer that was due: so long, data may have waited to be read.
 	#currentDelay(): Milliseconds {
 		return Math.max(this.#options.now() - this.#measuredAt - measurementInterval, this.#controller.lastDelay, 0);
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -276,6 +276,8 @@
 	readonly shortestLease: Milliseconds;
 	/** How long after a target version was published a request may still begin on an older version. */
 	readonly weightsWithin: Milliseconds;
+	/** How long after a configuration was stored requests may be handled by an earlier one; `undefined` if that is not limited. */
+	readonly applyWithin?: Milliseconds | undefined;
 	/** How long a stop may take. */
 	readonly stopGrace: Milliseconds;
 	/** The longest time that clients cache an address. */
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -17,7 +17,7 @@
 	readonly bodyMemoryLimit: Bytes;
 	readonly now: () => Milliseconds;
 	/** Decides from the head whether a request is rejected unread; absent if the host does not guard against overload. */
-	readonly guard?: Pick<OverloadGuard, 'evaluate'> | undefined;
+	readonly guard?: Pick<OverloadGuard, 'evaluate' | 'isBehind'> | undefined;
 	/** @returns The limits of the current configuration; `undefined` before a configuration is known. */
 	limits(): ClientLimits | undefined;
 	/** @returns Whether connections are to be closed after the current response. */
@@ -133,9 +133,27 @@
 	const openConnections = new WeakMap<Socket, ClientConnection>();
 	const openResponses = new Set<ResponseWriter>();
 	let bufferedBytes = 0;
+	let deferredRequests = 0;
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
 	}, (request: IncomingMessage, response: ServerResponse) => {
+		if (options.guard?.isBehind === true) {
+			// Whatever else can be read now comes first, such as a new configuration.
+			const receivedAt = options.now();
+			deferredRequests++;
+			setImmediate(() => {
+				deferredRequests--;
+				handleRequest(request, response, receivedAt);
+			});
+		} else {
+			handleRequest(request, response, options.now());
+		}
+	});
+	const handleRequest = (request: IncomingMessage, response: ServerResponse, receivedAt: Milliseconds) => {
+		if (request.socket.destroyed) {
+			return;
+		}
+
 		const head = {method: request.method ?? 'GET', target: request.url ?? '/', rawHeaders: request.rawHeaders};
 		const rejection = options.guard?.evaluate(head.target, () => options.protocol.previewHead(head));
 		if (rejection !== undefined) {
@@ -143,7 +161,6 @@
 			return;
 		}
 
-		const receivedAt = options.now();
 		const connection = openConnections.get(request.socket)!;
 		const requestsAhead = connection.openExchanges;
 		const delivery = connection.addExchange(response);
@@ -212,7 +229,8 @@
 				request: decodedBody.value, body, receivedAt, responseWriter, requestsAhead,
 			});
 		});
-	});
+	};
+
 	const applyLimits = () => {
 		server.headersTimeout = limits().headerTime;
 		server.keepAliveTimeout = limits().idleTime;
@@ -241,7 +259,7 @@
 			// The method of an HTTP server also destroys connections whose last response has ended but is not sent completely.
 			NetServer.prototype.close.call(server);
 		},
-		undeliveredResponses: () => openResponses.size,
+		undeliveredResponses: () => openResponses.size + deferredRequests,
 		async dispose() {
 			server.close();
 			for (const responseWriter of openResponses) {
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -11,6 +11,7 @@
 } from './cluster-state-options.js';
 import {applyObservedWeights, listObservedWeights} from './observed-weights.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
+import {StateConfirmation} from './state-confirmation.js';
 import {TargetVersions} from './target-versions.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
@@ -51,6 +52,7 @@
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
 	readonly serverLimits = new ServerLimits(defaultServerLimitsOptions);
 	readonly weightsTracker = new WeightsTracker(weightsTrackerOptions);
+	readonly confirmation = new StateConfirmation();
 	readonly #listener: ClusterStateListener;
 	readonly #targetVersions: TargetVersions;
 	readonly #log: Logger;
--- a/packages/host/src/state/relay-follower.ts
+++ b/packages/host/src/state/relay-follower.ts
@@ -82,6 +82,7 @@
 		if (this.#stateVersion === message.stateVersion) {
 			// Revisions also count changes that are not part of the cluster state.
 			clusterState.confirmRevision(message.revision);
+			clusterState.confirmation.record(earliestArrival());
 			return;
 		}
 
@@ -95,7 +96,8 @@
 	async #requestChanges(relay: HostDescription, relayKey: string): Promise<void> {
 		const {clusterState, peerClient, log, now} = this.#options;
 		this.#isRequesting = true;
-		this.#lastRequestAt = now();
+		const requestedAt = now();
+		this.#lastRequestAt = requestedAt;
 		const response = await peerClient.fetchChanges(relay.snapshotAddress, {
 			configuration: clusterState.configuration?.version ?? 0, stateVersion: this.#stateVersion ?? 0,
 		});
@@ -109,6 +111,7 @@
 		if (relayKey === this.#relay) {
 			clusterState.applyMissing(response.value, relay.name);
 			this.#stateVersion = response.value.stateVersion;
+			clusterState.confirmation.record(requestedAt);
 		}
 	}
 }
--- a/packages/host/src/state/store-watch.ts
+++ b/packages/host/src/state/store-watch.ts
@@ -88,6 +88,7 @@
 
 		this.#isFollowing = false;
 		this.#isConnected = false;
+		this.#options.clusterState.confirmation.setStoreLost(false);
 	}
 
 	/** @returns Whether the next call may follow without a delay. */
@@ -111,6 +112,7 @@
 		clusterState.apply(batch.value, true, 'store', this.#readUntil);
 		this.#revision = batch.value.revision;
 		this.#readUntil = startedAt;
+		clusterState.confirmation.record(startedAt);
 		return true;
 	}
 
@@ -123,7 +125,9 @@
 				resolve(undefined);
 			};
 		});
+		clusterState.confirmation.openWatch(() => this.#consecutiveFailures === 0 && this.#isConnected ? this.#options.earliestArrival() : Number.NEGATIVE_INFINITY);
 		const batch = await Promise.race([store.watch(this.#revision, watchTimeout), interrupted]);
+		clusterState.confirmation.closeWatch();
 		this.#interruptWatch = undefined;
 		if (batch === undefined || this.#wasRestored) {
 			return true;
@@ -150,6 +154,8 @@
 			this.#revision = Math.max(this.#revision, batch.value.revision);
 		}
 
+		clusterState.confirmation.record(this.#readUntil);
+
 		return true;
 	}
 
@@ -159,6 +165,7 @@
 		if (this.#consecutiveFailures === 2) {
 			this.#isConnected = false;
 			this.#options.clusterState.servers.recordStoreLost();
+			this.#options.clusterState.confirmation.setStoreLost(true);
 			this.#options.log.warn('store-lost', {reason, revision: this.#revision});
 		}
 	}
@@ -174,5 +181,6 @@
 		}
 
 		this.#consecutiveFailures = 0;
+		this.#options.clusterState.confirmation.setStoreLost(false);
 	}
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -48,5 +48,5 @@
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
 export {
-	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+	type ConfigurationFreshness, type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, isConfigurationOutdated, spreadRetryAfter,
 } from './overload/index.js';
