Bound the space for new objects and reject for memory earlier

Cause: in a burst the heap's space for new objects grows to 32 MiB, and memory was measured once a second against 95% of the limit; processes ended over the limit. Memory is measured every 200 ms against 90% of the limit.

--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -6,15 +6,19 @@
 } from '@lacewingpoint/shared';
 import type {RequestPreview} from '../ports.js';
 import {RejectionLog, type RejectionReason} from './rejection-log.js';
+import {YoungGenerationLimit} from './young-generation-limit.js';
 
 /** Time between two measurements of the event loop's delay. */
 const measurementInterval: Milliseconds = 50;
 
-/** Time between two measurements of the memory in use, and between two log lines about rejected requests. */
+/** Time between two measurements of the memory in use. */
+const memoryInterval: Milliseconds = 200;
+
+/** Time between two log lines about rejected requests. */
 const reportInterval: Milliseconds = 1000;
 
 /** Share of the memory that may be in use before new requests are rejected. */
-const memoryShare = 0.95;
+const memoryShare = 0.9;
 
 /** What a running request occupies: its connections, buffers and state. */
 const memoryPerRequest: Bytes = 65_536;
@@ -63,20 +67,26 @@
 	readonly #options: OverloadGuardOptions;
 	readonly #controller = new OverloadController(defaultOverloadControllerOptions);
 	readonly #rejections: RejectionLog;
+	readonly #youngGeneration: YoungGenerationLimit;
 	readonly #timers: readonly NodeJS.Timeout[];
 	#measuredAt: Milliseconds;
 	#targetDelay = chooseTargetDelay([]);
+	#occupied: Bytes = 0;
 	#maximumRunningRequests = Number.POSITIVE_INFINITY;
 
 	constructor(options: OverloadGuardOptions) {
 		this.#options = options;
 		this.#rejections = new RejectionLog(options.log, options.metrics);
+		this.#youngGeneration = new YoungGenerationLimit(options.memory);
 		this.#measuredAt = options.now();
 		options.metrics.registerGauge('event_loop_delay_milliseconds', () => Math.round(this.#currentDelay()));
 		this.#timers = [
 			setInterval(() => {
 				this.#measureDelay();
 			}, measurementInterval),
+			setInterval(() => {
+				this.#measureMemory();
+			}, memoryInterval),
 			setInterval(() => {
 				this.#report();
 			}, reportInterval),
@@ -159,14 +169,19 @@
 		}, measuredAt);
 	}
 
+	#measureMemory(): void {
+		const {memory, measureMemory, runningRequests} = this.#options;
+		this.#youngGeneration.review();
+		this.#occupied = measureMemory();
+		const room = Math.floor(((memory * memoryShare) - this.#occupied) / memoryPerRequest);
+		this.#maximumRunningRequests = Math.max(runningRequests() + room, minimumRunningRequests);
+	}
+
 	#report(): void {
-		const {memory, measureMemory, routes, runningRequests} = this.#options;
+		const {routes, runningRequests} = this.#options;
 		this.#targetDelay = chooseTargetDelay(routes()?.configuration.routes.map(({objective}) => objective) ?? []);
-		const occupied = measureMemory();
-		const room = Math.floor(((memory * memoryShare) - occupied) / memoryPerRequest);
-		this.#maximumRunningRequests = Math.max(runningRequests() + room, minimumRunningRequests);
 		this.#rejections.flush({
-			delay: Math.round(this.#currentDelay()), rate: this.#controller.rate === undefined ? undefined : Math.round(this.#controller.rate * 10) / 10, running: runningRequests(), memory: Math.round(occupied / bytesPerMebibyte),
+			delay: Math.round(this.#currentDelay()), rate: this.#controller.rate === undefined ? undefined : Math.round(this.#controller.rate * 10) / 10, running: runningRequests(), memory: Math.round(this.#occupied / bytesPerMebibyte),
 		});
 	}
 }
