--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -1,20 +1,24 @@
 import {
-	OverloadController, type RouteIndex, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+	OverloadController, type RouteIndex, chooseTargetDelay, defaultOverloadControllerOptions, isConfigurationOutdated, spreadRetryAfter,
 } from '@lacewingpoint/routing';
 import {
 	type Bytes, type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
 } from '@lacewingpoint/shared';
 import type {RequestPreview} from '../ports.js';
 import {RejectionLog, type RejectionReason} from './rejection-log.js';
+import {YoungGenerationLimit} from './young-generation-limit.js';
 
 /** Time between two measurements of the event loop's delay. */
 const measurementInterval: Milliseconds = 50;
 
-/** Time between two measurements of the memory in use, and between two log lines about rejected requests. */
+/** Time between two measurements of the memory in use. */
+const memoryInterval: Milliseconds = 200;
+
+/** Time between two log lines about rejected requests. */
 const reportInterval: Milliseconds = 1000;
 
 /** Share of the memory that may be in use before new requests are rejected. */
-const memoryShare = 0.95;
+const memoryShare = 0.9;
 
 /** What a running request occupies: its connections, buffers and state. */
 const memoryPerRequest: Bytes = 65_536;
@@ -33,6 +37,7 @@
 	overloaded: 'the host is overloaded; the request was not executed',
 	'no-memory': 'the host is out of memory; the request was not executed',
 	'too-old': 'the request was read too late; it was not executed',
+	'old-configuration': 'the host is overloaded and its configuration may be outdated; the request was not executed',
 };
 
 export type OverloadGuardOptions = {
@@ -43,6 +48,10 @@
 	readonly now: () => Milliseconds;
 	/** @returns The routes and workspaces of the current configuration. */
 	routes(): RouteIndex | undefined;
+	/** @returns Time since the configuration was known to be the newest one; `undefined` if the store does not respond. */
+	configurationAge(): Milliseconds | undefined;
+	/** @returns How long after a configuration was stored requests may be handled by an earlier one; `undefined` if that is not limited. */
+	applyWithin(): Milliseconds | undefined;
 	/** @returns The number of requests without a final response. */
 	runningRequests(): number;
 	/** @returns The number of requests that have ended and whose clients have waited for it. */
@@ -58,26 +67,37 @@
 	readonly #options: OverloadGuardOptions;
 	readonly #controller = new OverloadController(defaultOverloadControllerOptions);
 	readonly #rejections: RejectionLog;
+	readonly #youngGeneration: YoungGenerationLimit;
 	readonly #timers: readonly NodeJS.Timeout[];
 	#measuredAt: Milliseconds;
 	#targetDelay = chooseTargetDelay([]);
+	#occupied: Bytes = 0;
 	#maximumRunningRequests = Number.POSITIVE_INFINITY;
 
 	constructor(options: OverloadGuardOptions) {
 		this.#options = options;
 		this.#rejections = new RejectionLog(options.log, options.metrics);
+		this.#youngGeneration = new YoungGenerationLimit(options.memory);
 		this.#measuredAt = options.now();
 		options.metrics.registerGauge('event_loop_delay_milliseconds', () => Math.round(this.#currentDelay()));
 		this.#timers = [
 			setInterval(() => {
 				this.#measureDelay();
 			}, measurementInterval),
+			setInterval(() => {
+				this.#measureMemory();
+			}, memoryInterval),
 			setInterval(() => {
 				this.#report();
 			}, reportInterval),
 		];
 	}
 
+	/** Whether requests wait so long for the event loop that the host may miss their objectives, or are limited for that reason. */
+	get isBehind(): boolean {
+		return this.#controller.rate !== undefined || this.#currentDelay() >= this.#targetDelay;
+	}
+
 	/**
 	 * Decides whether a request is rejected, from what its head shows.
 	 *
@@ -86,30 +106,20 @@
 	 * @returns The rejection; `undefined` if the request is admitted.
 	 */
 	evaluate(target: string, preview: () => RequestPreview): Rejection | undefined {
-		const {now, routes, runningRequests} = this.#options;
 		const age = this.#currentDelay();
-		const isFull = runningRequests() >= this.#maximumRunningRequests;
-		if (this.#controller.rate === undefined && !isFull && age < this.#targetDelay) {
+		if (!this.isBehind && !this.#isFull) {
 			return undefined;
 		}
 
 		const {id, host, credential, deadline} = preview();
 		const query = target.indexOf('?');
-		const index = routes();
+		const index = this.#options.routes();
 		const route = host === undefined ? undefined : index?.findRoute(host, query === -1 ? target : target.slice(0, query));
 		const workspace = credential === undefined ? undefined : index?.findWorkspace(credential);
 		const rank = workspace?.rank ?? route?.rank;
 		const mayBeGivenUp = route?.repeatability === 'idempotent' || route?.repeatability === 'resumable-stream';
 		const longestAge = deadline === undefined ? Number.POSITIVE_INFINITY : (mayBeGivenUp ? Math.min(patience.time, deadline * patience.share) : deadline);
-		let reason: RejectionReason | undefined;
-		if (age >= longestAge) {
-			reason = 'too-old';
-		} else if (isFull) {
-			reason = 'no-memory';
-		} else if (!this.#controller.admit({rank: rank ?? 0, workspace: workspace?.name ?? ''}, now())) {
-			reason = 'overloaded';
-		}
-
+		const reason = age >= longestAge ? 'too-old' : this.#findReason(rank ?? 0, workspace?.name ?? '');
 		if (reason === undefined) {
 			return undefined;
 		}
@@ -127,6 +137,23 @@
 		this.#report();
 	}
 
+	#findReason(rank: number, workspace: string): RejectionReason | undefined {
+		const {now, configurationAge, applyWithin} = this.#options;
+		if (this.#isFull) {
+			return 'no-memory';
+		}
+
+		if (isConfigurationOutdated({age: configurationAge(), isBehind: this.isBehind, applyWithin: applyWithin()})) {
+			return 'old-configuration';
+		}
+
+		return this.#controller.admit({rank, workspace}, now()) ? undefined : 'overloaded';
+	}
+
+	get #isFull(): boolean {
+		return this.#options.runningRequests() >= this.#maximumRunningRequests;
+	}
+
 	// How long the event loop has not run the timer that was due: so long, data may have waited to be read.
 	#currentDelay(): Milliseconds {
 		return Math.max(this.#options.now() - this.#measuredAt - measurementInterval, this.#controller.lastDelay, 0);
@@ -142,14 +169,19 @@
 		}, measuredAt);
 	}
 
+	#measureMemory(): void {
+		const {memory, measureMemory, runningRequests} = this.#options;
+		this.#youngGeneration.review();
+		this.#occupied = measureMemory();
+		const room = Math.floor(((memory * memoryShare) - this.#occupied) / memoryPerRequest);
+		this.#maximumRunningRequests = Math.max(runningRequests() + room, minimumRunningRequests);
+	}
+
 	#report(): void {
-		const {memory, measureMemory, routes, runningRequests} = this.#options;
+		const {routes, runningRequests} = this.#options;
 		this.#targetDelay = chooseTargetDelay(routes()?.configuration.routes.map(({objective}) => objective) ?? []);
-		const occupied = measureMemory();
-		const room = Math.floor(((memory * memoryShare) - occupied) / memoryPerRequest);
-		this.#maximumRunningRequests = Math.max(runningRequests() + room, minimumRunningRequests);
 		this.#rejections.flush({
-			delay: Math.round(this.#currentDelay()), rate: this.#controller.rate === undefined ? undefined : Math.round(this.#controller.rate * 10) / 10, running: runningRequests(), memory: Math.round(occupied / bytesPerMebibyte),
+			delay: Math.round(this.#currentDelay()), rate: this.#controller.rate === undefined ? undefined : Math.round(this.#controller.rate * 10) / 10, running: runningRequests(), memory: Math.round(this.#occupied / bytesPerMebibyte),
 		});
 	}
 }
