--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -19,6 +19,7 @@
 import {GossipSocket} from './members/gossip-socket.js';
 import {toStateUpdate} from './members/host-messages.js';
 import {HostRegistration} from './members/host-registration.js';
+import {PaceReporter} from './state/pace-reporter.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {HostDependencies} from './host-dependencies.js';
 import type {HostBounds, ReceivedRequest} from './ports.js';
@@ -28,6 +29,8 @@
 import {RequestPipeline} from './requests/request-pipeline.js';
 import {RetryBudgets} from './requests/retry-budgets.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
+import {RolloutConstraint} from './rollouts/rollout-constraint.js';
+import {RolloutController} from './rollouts/rollout-controller.js';
 import {readStateGauges} from './state/state-gauges.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
@@ -51,6 +54,8 @@
 	readonly #registration: HostRegistration;
 	readonly #weightsLease: WeightsLease;
 	readonly #weightsController: WeightsController;
+	readonly #paceReporter: PaceReporter;
+	readonly #rolloutController: RolloutController;
 	readonly #placementTracker: PromptPlacementTracker;
 	readonly #crashDetector: ServerCrashDetector;
 	readonly #forwarding: Forwarding;
@@ -91,7 +96,8 @@
 			},
 		});
 		this.#dispatcher = new Dispatcher(this.#clusterState, {
-			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, constraints: [],
+			hostName: settings.description.name, failureDomain: settings.description.failureDomain, random, maxWeightsStaleness: () => this.#bounds.weightsWithin, now, log, metrics, sharesWaitingOrder: settings.sharesWaitingOrder, constraints: [new RolloutConstraint(this.#clusterState, now)],
+			hasIdleConnection: entry => this.#connectionPool.hasIdle(entry),
 		});
 		this.#connectionPool = new BackendConnectionPool({
 			...defaultConnectionLimits,
@@ -150,6 +156,7 @@
 		this.#storeWatch = new StoreWatch({
 			store: adapter.store, clusterState: this.#clusterState, log, random, now, earliestArrival,
 		});
+		this.#paceReporter = new PaceReporter(this.#clusterState, gossip, settings.description.name);
 		this.#placementTracker = new PromptPlacementTracker(this.#clusterState, gossip, now);
 		this.#forwarding = createForwarding({
 			dependencies,
@@ -198,6 +205,9 @@
 			this.#registration.registerAgain();
 			this.#weightsLease.handleRestore(era);
 		});
+		this.#rolloutController = new RolloutController({
+			clusterState: this.#clusterState, lease: this.#weightsLease, gossip, store: adapter.store, protocol: adapter.rollouts, log, metrics, now, bounds: () => this.#bounds,
+		});
 		this.#weightsController = new WeightsController({
 			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
 		});
@@ -211,6 +221,7 @@
 			limits: () => this.#clusterState.configuration?.limits,
 			isStopping: () => this.#isStopping,
 			guard: createOverloadGuard(this.#dependencies, this.#disposables, {
+				configurationAge: () => this.#clusterState.confirmation.age(now()), applyWithin: () => this.#bounds.applyWithin,
 				routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
 			}),
 			onRequest: received => {
@@ -231,6 +242,7 @@
 			formatMetrics: () => this.#formatMetrics(),
 		}));
 		this.#weightsController.start();
+		this.#rolloutController.start();
 		const maintenanceTimer = setInterval(() => {
 			this.#runMaintenance();
 		}, maintenanceInterval);
@@ -335,6 +347,7 @@
 		this.#storeWatch.dispose();
 		this.#weightsLease.stopCampaigning();
 		this.#weightsController.dispose();
+		this.#rolloutController.dispose();
 		await this.#registration.dispose();
 		this.#fleet.dispose();
 		this.#connectionPool.dispose();
@@ -372,6 +385,7 @@
 		this.#clockMonitor.check();
 		this.#fleet.review();
 		this.#forwarding.serverLinks.review();
+		this.#paceReporter.review(this.#dependencies.now());
 		this.#clusterState.removeExpiredServers();
 		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
 		for (const knowledge of [this.#clusterState.learnedCapacity, this.#clusterState.brittleServers]) {
@@ -385,6 +399,7 @@
 		return this.#metrics.formatSeries({
 			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
+			admission_rank: this.#dispatcher.admission.waitingRank(),
 			running: this.#runningRequests,
 			detached: this.#forwarding.serverLinks.isDetached ? 1 : 0,
 			client_connections: this.#clientConnectionCount(),
--- a/packages/host/src/members/gossip-events.ts
+++ b/packages/host/src/members/gossip-events.ts
@@ -1,24 +1,29 @@
 import type {HostReportChanges, NamedLimit} from '@lacewingpoint/coordination';
-import type {ExecutedPart, StreamOriginReport, SuspectCrash} from '@lacewingpoint/routing';
+import type {
+	ExecutedPart, PaceReport, StreamOriginReport, SuspectCrash,
+} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {HostMessage, PromptPlacement} from './host-messages.js';
 
 /** Limits on the content of a datagram that keep it from being fragmented. */
 const limits = {
-	placements: 12, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4,
+	placements: 12, servers: 40, crashes: 24, limits: 24, executed: 40, origins: 48, hosts: 5, departed: 40, updates: 4, paces: 8,
 } as const;
 
+/** Summaries of more servers than this are dropped rather than queued for one peer; others follow. */
+const queuedPaces = 64;
+
 /** A crash with the time at which this host learned of it. */
 export type RecordedCrash = {readonly crash: SuspectCrash; readonly recordedAt: Milliseconds};
 
 type StateVersionUpdate = HostMessage['updates'][number];
 
 /** The events of a message; unlike charges and loads, each is sent once. */
-export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'origins' | 'executed' | 'hosts' | 'departed' | 'updates'>;
+export type GossipEvents = Pick<HostMessage, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'deaths' | 'limits' | 'origins' | 'executed' | 'paces' | 'hosts' | 'departed' | 'updates'>;
 
 /** The content of a message without events. */
 export const noEvents: GossipEvents = {
-	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], hosts: [], departed: [], updates: [],
+	placements: [], weights: [], loading: [], unreachable: [], leaving: [], emptying: [], deaths: [], limits: [], origins: [], executed: [], paces: [], hosts: [], departed: [], updates: [],
 };
 
 /** Events that wait to be sent to one peer. */
@@ -29,17 +34,18 @@
 	readonly #origins: Array<{readonly service: string; readonly version: string; readonly stream: number}> = [];
 	/** When the last response began that a server survived, by prompt part. */
 	readonly #executedAt = new Map<number, Milliseconds>();
+	readonly #paces = new Map<string, PaceReport>();
 	#hosts: HostMessage['hosts'] = [];
 	#departed: string[] = [];
 	readonly #updates: Array<{readonly update: StateVersionUpdate; readonly recordedAt: Milliseconds}> = [];
-	#weights: HostMessage['weights'] = [];
-	#loading: HostMessage['loading'] = [];
+	readonly #weights: HostMessage['weights'] = [];
+	readonly #loading: HostMessage['loading'] = [];
 	readonly #draining = new Set<string>();
 	readonly #unreachable = new Set<string>();
-	#leaving: HostMessage['leaving'] = [];
+	readonly #leaving: HostMessage['leaving'] = [];
 
 	get isEmpty(): boolean {
-		return this.#weights.length === 0 && this.#loading.length === 0 && this.#draining.size === 0 && this.#unreachable.size === 0 && this.#leaving.length === 0 && !this.#hasList;
+		return !this.#hasEvents;
 	}
 
 	/**
@@ -47,11 +53,12 @@
 	 *
 	 * @param events - The events to forward.
 	 */
-	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying'>): void {
+	forward(events: Pick<GossipEvents, 'placements' | 'weights' | 'loading' | 'unreachable' | 'leaving' | 'emptying' | 'paces'>): void {
 		this.#placements.push(...events.placements);
 		this.#weights.push(...events.weights);
 		this.#loading.push(...events.loading);
 		this.#leaving.push(...events.leaving);
+		this.#addPaces(events.paces);
 		for (const server of events.unreachable) {
 			this.#unreachable.add(server);
 		}
@@ -131,25 +138,21 @@
 	take(now: Milliseconds): {readonly events: GossipEvents; readonly hasMore: boolean} {
 		const events: GossipEvents = {
 			placements: this.#placements.splice(0, limits.placements),
-			weights: this.#weights,
-			loading: this.#loading,
-			unreachable: [...this.#unreachable],
-			leaving: this.#leaving,
-			emptying: [...this.#draining],
+			weights: this.#weights.splice(0, limits.servers),
+			loading: this.#loading.splice(0, limits.servers),
+			unreachable: takeFirst(this.#unreachable, limits.servers),
+			leaving: this.#leaving.splice(0, limits.servers),
+			emptying: takeFirst(this.#draining, limits.servers),
 			deaths: this.#crashes.splice(0, limits.crashes).map(({crash, recordedAt}) => ({...crash, age: crash.age + now - recordedAt})),
 			limits: this.#limits.splice(0, limits.limits).map(({limit, recordedAt}) => ({...limit, age: limit.age + now - recordedAt})),
 			origins: this.#takeOrigins(),
 			executed: this.#takeExecutedParts(now),
+			paces: this.#takePaces(),
 			departed: this.#departed.splice(0, limits.departed),
 			hosts: this.#hosts.splice(0, limits.hosts),
 			updates: this.#updates.splice(0, limits.updates).map(({update, recordedAt}) => addWaitingTime(update, now - recordedAt)),
 		};
-		this.#weights = [];
-		this.#loading = [];
-		this.#draining.clear();
-		this.#unreachable.clear();
-		this.#leaving = [];
-		return {events, hasMore: this.#hasList};
+		return {events, hasMore: this.#hasEvents};
 	}
 
 	#takeOrigins(): HostMessage['origins'] {
@@ -164,6 +167,27 @@
 		return [...reports.values()];
 	}
 
+	// Summaries of one server are combined.
+	#addPaces(reports: readonly PaceReport[]): void {
+		for (const report of reports) {
+			const queued = this.#paces.get(report.server);
+			const count = report.count + (queued?.count ?? 0);
+			if (queued !== undefined || this.#paces.size < queuedPaces) {
+				const sum = (report.mean * report.count) + ((queued?.mean ?? 0) * (queued?.count ?? 0));
+				this.#paces.set(report.server, {server: report.server, mean: sum / count, count});
+			}
+		}
+	}
+
+	#takePaces(): PaceReport[] {
+		const taken = [...this.#paces.values()].slice(0, limits.paces);
+		for (const {server} of taken) {
+			this.#paces.delete(server);
+		}
+
+		return taken;
+	}
+
 	#takeExecutedParts(now: Milliseconds): ExecutedPart[] {
 		const taken = [...this.#executedAt].slice(0, limits.executed);
 		for (const [part] of taken) {
@@ -173,10 +197,21 @@
 		return taken.map(([part, beganAt]) => ({part, age: now - beganAt}));
 	}
 
-	/** Whether events remain of the kinds that are split over several messages. */
-	get #hasList(): boolean {
-		return this.#executedAt.size > 0 || [this.#placements, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates].some(list => list.length > 0);
+	get #hasEvents(): boolean {
+		const lists = [
+			this.#placements, this.#weights, this.#loading, this.#leaving, this.#crashes, this.#limits, this.#origins, this.#hosts, this.#departed, this.#updates,
+		];
+		return this.#executedAt.size > 0 || this.#paces.size > 0 || this.#draining.size > 0 || this.#unreachable.size > 0 || lists.some(list => list.length > 0);
+	}
+}
+
+function takeFirst(names: Set<string>, count: number): string[] {
+	const taken = [...names].slice(0, count);
+	for (const name of taken) {
+		names.delete(name);
 	}
+
+	return taken;
 }
 
 function addWaitingTime(update: StateVersionUpdate, waitingTime: Milliseconds): StateVersionUpdate {
--- a/packages/host/src/members/gossip-receiver.ts
+++ b/packages/host/src/members/gossip-receiver.ts
@@ -1,12 +1,16 @@
 import type {FleetLink, HostDescription} from '@lacewingpoint/coordination';
 import type {Quarantine} from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
+import {parseDemandReport} from '../admission/demand-report.js';
 import type {ClusterState} from '../state/cluster-state.js';
 import type {CrashReportReview} from '../state/crash-report-review.js';
+import {mergeRollouts} from '../rollouts/rollout-messages.js';
 import type {PromptPartGuard} from '../state/prompt-part-guard.js';
+import {mergePaces} from '../state/pace-reporter.js';
 import type {HostGossip} from './host-gossip.js';
 import type {LinkSelection} from './peer-link.js';
 import type {HostMessage} from './host-messages.js';
+import {isRecordable, limitAmount, limitHostCount} from './message-amounts.js';
 
 export type GossipReceiverOptions = {
 	readonly clusterState: ClusterState;
@@ -68,12 +72,16 @@
 		}
 
 		this.#mergeLimits(sender, message, recipients);
+		if (mergeRollouts(this.#clusterState.rollouts, message.rollouts ?? [], kind, now)) {
+			this.#gossip.recordTotalsChanged('all', sender.name);
+		}
+
 		this.#clusterState.streamOrigins.merge(message.origins, now);
 		for (const server of message.emptying) {
 			weightsTracker.recordRolloutDraining(server, now);
 		}
 
-		this.#gossip.forwardEvents(message, sender.name, recipients);
+		this.#gossip.forwardEvents({...message, paces: mergePaces(this.#clusterState, message.paces, now)}, sender.name, recipients);
 		if (message.deaths.length > 0) {
 			void this.#mergeCrashes(sender, message, recipients);
 		}
@@ -99,13 +107,27 @@
 	#mergeTotals(sender: HostDescription, kind: FleetLink['kind'], message: HostMessage): void {
 		const {rateLimiter, serverLimits, loads} = this.#clusterState;
 		const now = this.#now();
-		this.#gossip.recordHostCount(sender.name, message.hostCount);
-		const charged = new Map(Object.entries(message.charged));
+		this.#gossip.recordHostCount(sender.name, limitHostCount(message.hostCount));
+		const charged = new Map(Object.entries(message.charged).map(([name, amount]) => [name, limitAmount(amount)]));
 		const hasNewCharges = rateLimiter.mergePeerTotals(sender.name, sender.incarnation, charged, now, message.isWhole);
 		const hasNewRequests = serverLimits.mergePeerTotals(sender, charged, now, message.isWhole);
-		const peerLoads = Object.entries(message.loads).map(([server, [requests, prefillTokens, memoryTokens]]) => [server, {requests, prefillTokens, memoryTokens}] as const);
+		const peerLoads = Object.entries(message.loads).map(([server, amounts]) => {
+			const [requests, prefillTokens, memoryTokens] = amounts.map(amount => limitAmount(amount)) as [number, number, number];
+			return [server, {requests, prefillTokens, memoryTokens}] as const;
+		});
 		const hasNewLoads = loads.mergePeerLoads(sender.name, new Map(peerLoads), now, message.isWhole);
-		if (hasNewCharges || hasNewRequests || hasNewLoads) {
+		for (const [fingerprint, wait] of message.refused ?? []) {
+			this.#clusterState.returningClients.recordRefusal(fingerprint, wait, now, sender.name);
+		}
+
+		const demand = message.demand === undefined ? undefined : parseDemandReport(message.demand, message.hostCount);
+		if (demand === undefined) {
+			this.#clusterState.demand.recordContact(sender.name, now);
+		} else {
+			this.#clusterState.demand.mergePeer(sender.name, demand, now);
+		}
+
+		if (hasNewCharges || hasNewRequests || hasNewLoads || demand !== undefined) {
 			this.#gossip.recordTotalsChanged(kind === 'member' ? 'all' : 'member', sender.name);
 		}
 	}
@@ -126,7 +148,7 @@
 	#applyPlacements(message: HostMessage): void {
 		const {promptCache} = this.#clusterState;
 		const now = this.#now();
-		for (const placement of message.placements) {
+		for (const placement of message.placements.filter(candidate => isRecordable(candidate))) {
 			const parts = placement.parts.map(([id, tokens]) => ({id, tokens}));
 			for (const [location, availableAfter] of placement.places) {
 				if (availableAfter === null) {
--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -1,7 +1,8 @@
-import {decode, encode} from '@msgpack/msgpack';
+import {Decoder, encode} from '@msgpack/msgpack';
 import type {HostState} from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 import type {StateChange} from '../ports.js';
+import {compileSchema, invalid} from './schema-compiler.js';
 
 // A state or role of a later version must not make the whole message unreadable: such a host is alive, but gets no clients.
 const hostStateSchema = v.pipe(v.string(), v.transform(name => selectKnown(['starting', 'serving', 'detached', 'stopping'], name, 'starting')));
@@ -48,6 +49,16 @@
 	weights: v.record(v.string(), v.number()),
 });
 
+const amountSchema = v.pipe(v.number(), v.finite(), v.minValue(0));
+
+const demandSchema = v.object({
+	service: v.string(),
+	/** Admission level, requests that wait and their size. */
+	waiting: v.pipe(v.array(v.pipe(v.tuple([amountSchema, amountSchema, amountSchema]), v.readonly())), v.maxLength(100), v.readonly()),
+	/** Rank, workspace, size offered and size admitted per second; empty if unchanged. */
+	usage: v.optional(v.pipe(v.array(v.pipe(v.tuple([amountSchema, v.string(), amountSchema, amountSchema]), v.readonly())), v.maxLength(200), v.readonly()), []),
+});
+
 /** A change of the cluster state that is small enough for a datagram. */
 const stateUpdateSchema = v.variant('type', [
 	v.object({type: v.literal('server'), revision: v.number(), entry: serverEntrySchema}),
@@ -59,8 +70,14 @@
 
 type WireState = {readonly state: HostState; readonly isDetached: boolean};
 
-function decodeState<Report extends WireState>({isDetached, ...report}: Report): Omit<Report, 'isDetached'> {
-	return isDetached ? {...report, state: 'detached'} : report;
+// Deletes the flag, which schemas define last, because a copy of a message costs more than its validation.
+function decodeState<Report extends {state: HostState; isDetached?: boolean}>(report: Report): Omit<Report, 'isDetached'> {
+	if (report.isDetached === true) {
+		report.state = 'detached';
+	}
+
+	delete report.isDetached;
+	return report;
 }
 
 // Versions before this state take it for an unreadable message; to these, the host is alive and gets no clients.
@@ -70,17 +87,16 @@
 
 const hostReportSchema = v.pipe(
 	v.object({
-		description: hostDescriptionSchema, state: hostStateSchema, isDetached: v.optional(v.boolean(), false), role: hostRoleSchema,
+		description: hostDescriptionSchema, state: hostStateSchema, role: hostRoleSchema, isDetached: v.optional(v.boolean(), false),
 	}),
 	v.transform(decodeState),
 );
 
-const hostMessageSchema = v.pipe(v.object({
+/** The content of a datagram, as it is sent. */
+export const hostMessageSchema = v.pipe(v.object({
 	name: v.string(),
 	incarnation: v.string(),
 	state: hostStateSchema,
-	/** Whether the host has lost its links to all servers. */
-	isDetached: v.optional(v.boolean(), false),
 	role: v.optional(hostRoleSchema, 'relay'),
 	/** Set in messages outside of links: a joining host asks which hosts it can link to, another responds. */
 	introduction: v.optional(v.picklist(['request', 'response'])),
@@ -102,6 +118,10 @@
 	charged: v.optional(v.record(v.string(), v.number()), {}),
 	/** Running requests, uncached prompt tokens that await prefill, and occupied memory tokens, by server. */
 	loads: v.optional(v.record(v.string(), v.tuple([v.number(), v.number(), v.number()])), {}),
+	/** Refused requests, by hash, with the time until their clients may return; unreadable lists are ignored. */
+	refused: v.fallback(v.optional(v.pipe(v.array(v.pipe(v.tuple([amountSchema, amountSchema]), v.readonly())), v.maxLength(200))), undefined),
+	/** What waits and what is used, by service; unreadable reports are ignored. */
+	demand: v.fallback(v.optional(v.pipe(v.array(demandSchema), v.maxLength(100))), undefined),
 	placements: v.optional(v.array(promptPlacementSchema), []),
 	/** Observed versions of the weights, by server and model. */
 	weights: v.optional(v.array(v.object({server: v.string(), model: v.string(), version: v.number()})), []),
@@ -123,6 +143,18 @@
 	})), []),
 	/** The software versions at which streams began, by hashes of their requests' ids. */
 	origins: v.optional(v.array(v.object({service: v.string(), version: v.string(), streams: v.array(v.number())})), []),
+	/** How slow servers were in a number of requests compared to the assumed speed of their service: the mean natural logarithm. */
+	paces: v.optional(v.array(v.object({server: v.string(), mean: v.number(), count: v.number()})), []),
+	/**
+	 * Running rollouts: the latest grant (term, number, share and age), and, to relays, the answers counted since the last message, each with
+	 * its route, whether the server has the target version, the code of the outcome and the number.
+	 */
+	rollouts: v.optional(v.array(v.object({
+		service: v.string(),
+		request: v.string(),
+		grant: v.optional(v.tuple([v.number(), v.number(), v.number(), v.number()])),
+		answers: v.optional(v.array(v.tuple([v.string(), v.boolean(), v.number(), v.number()])), []),
+	}))),
 	/** Suspected prompt parts that a server has executed; `age` is the time since its response began. */
 	executed: v.optional(v.array(v.object({part: v.number(), age: v.number()})), []),
 	/** Prompt parts that the sender keeps from the servers; `age` is the time since the last crash. Present if `isWhole`. */
@@ -133,6 +165,8 @@
 	departed: v.optional(v.array(v.string()), []),
 	/** Changes of the cluster state, each with the state version to which it leads; to members and to relays of the same failure domain. */
 	updates: v.optional(v.array(v.object({version: v.number(), change: stateUpdateSchema})), []),
+	/** Whether the host has lost its links to all servers. */
+	isDetached: v.optional(v.boolean(), false),
 }), v.transform(decodeState));
 
 /** The content of one datagram between hosts. */
@@ -144,6 +178,13 @@
 /** A change of the cluster state that is pushed to peers. */
 export type StateUpdate = v.InferOutput<typeof stateUpdateSchema>;
 
+const parseMessage = compileSchema(hostMessageSchema);
+
+/** Limit on the items of a list: the decoder allocates as many as a list claims to have, even if the datagram ends before. */
+const maximumItems = 1024;
+
+const decoder = new Decoder({maxArrayLength: maximumItems});
+
 /** Values that are not sent, because the recipient assumes them. */
 const assumedValues: Partial<HostMessage> = {
 	role: 'relay', hostCount: 1, hasStoreContact: false, isWhole: false,
@@ -173,8 +214,8 @@
  */
 export function decodeHostMessage(bytes: Uint8Array): HostMessage | undefined {
 	try {
-		const parsed = v.safeParse(hostMessageSchema, decode(bytes));
-		return parsed.success ? parsed.output : undefined;
+		const message = parseMessage(decoder.decode(bytes));
+		return message === invalid ? undefined : message;
 	} catch {
 		// The port may receive other traffic; the caller counts it.
 		return undefined;
--- a/packages/host/src/members/peer-link.ts
+++ b/packages/host/src/members/peer-link.ts
@@ -1,6 +1,8 @@
 import type {FleetLink, UsageTotals} from '@lacewingpoint/coordination';
 import {type ServerLoad, isSameLoad, noLoad} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
+import {DemandReporter} from '../admission/demand-report.js';
+import {RefusalReporter} from '../admission/refusal-report.js';
 import {GossipEventQueue} from './gossip-events.js';
 import type {HostMessage} from './host-messages.js';
 
@@ -17,6 +19,8 @@
 export class PeerLink {
 	readonly target: FleetLink;
 	readonly events = new GossipEventQueue();
+	readonly demandReporter = new DemandReporter();
+	readonly refusalReporter = new RefusalReporter();
 	lastSentAt = Number.NEGATIVE_INFINITY;
 	/** The state version up to which changes have been sent. */
 	sentStateVersion: number;
@@ -24,6 +28,8 @@
 	hostCount = 1;
 	/** Whether charges or loads may have changed since the last message. */
 	hasNewTotals = true;
+	/** Whether events wait that are not to wait for the interval of the others. */
+	hasUrgentEvents = false;
 	/** The charges and loads sent last, so that only changes are sent. */
 	#sentCharges: UsageTotals = new Map();
 	#sentLoads: ReadonlyMap<string, ServerLoad> = new Map();
@@ -52,6 +58,7 @@
 	beginMessage(now: Milliseconds): boolean {
 		this.lastSentAt = now;
 		this.hasNewTotals = false;
+		this.hasUrgentEvents = false;
 		const isWhole = now - this.#lastFullStateAt >= fullStateInterval;
 		if (isWhole) {
 			this.#lastFullStateAt = now;
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -66,7 +66,7 @@
 				this.#onFailure({wasWritten: true, reason}, isServerStalled);
 			},
 		});
-		this.ledger = new AttemptLedger(options.context, options.request.received);
+		this.ledger = new AttemptLedger(options.context, options.request.received, options.route.name);
 		this.#secondTry = new SecondTry({
 			context: options.context,
 			request: options.request,
@@ -209,6 +209,7 @@
 		const {request} = this.#request.received;
 		const {entry} = attempt.chosen;
 		const head = recordHead(this.#context, this.#request, attempt, status, headers);
+		this.#responseObserver.recordHead(attempt);
 		if (head.isNotExecuted && isCredibleRefusal(head, attempt, this.#request, metrics)) {
 			this.#onNotExecuted(attempt, head);
 			return;
@@ -347,7 +348,12 @@
 
 	#onFailure(failure: ExchangeFailure, isServerStalled = false): void {
 		const attempt = this.#attempt;
-		if (attempt === undefined || !this.#abortAttempt(failure.reason)) {
+		if (attempt === undefined) {
+			return;
+		}
+
+		attempt.isUnreachable ||= !failure.wasWritten;
+		if (!this.#abortAttempt(failure.reason)) {
 			return;
 		}
 
--- a/packages/host/src/requests/response-observer.ts
+++ b/packages/host/src/requests/response-observer.ts
@@ -30,6 +30,19 @@
 		return this.#firstByteAt;
 	}
 
+	/**
+	 * Records that the head of a response arrived.
+	 *
+	 * @param attempt - The attempt that it belongs to.
+	 */
+	recordHead({chosen}: Attempt): void {
+		const {context: {clusterState, now}, service} = this.#options;
+		const silence = clusterState.health.recordDataReceived(chosen.entry.id, now());
+		if (chosen.engine !== undefined) {
+			clusterState.engineObservations.recordSilence(service, silence);
+		}
+	}
+
 	/**
 	 * Records that a piece of the response body arrived.
 	 *
@@ -37,13 +50,14 @@
 	 */
 	recordData(attempt: Attempt): void {
 		const {clusterState, now} = this.#options.context;
-		clusterState.health.recordDataReceived(attempt.chosen.entry.id, now());
+		const receivedAt = now();
+		clusterState.health.recordDataReceived(attempt.chosen.entry.id, receivedAt);
 		if (!attempt.hasFirstByte) {
 			this.#recordFirstByte(attempt);
 		}
 
-		this.#recordPause(attempt);
-		if (now() - attempt.firstDataAt! >= responseSurvivalTime) {
+		this.#recordPause(attempt, receivedAt);
+		if (receivedAt - attempt.firstDataAt! >= responseSurvivalTime) {
 			this.recordSurvival(attempt);
 		}
 	}
@@ -62,7 +76,7 @@
 	}
 
 	#recordFirstByte(attempt: Attempt): void {
-		const {context, received, route} = this.#options;
+		const {context, received, route, service} = this.#options;
 		const {clusterState, metrics, now} = context;
 		const {entry, engine} = attempt.chosen;
 		attempt.hasFirstByte = true;
@@ -73,9 +87,14 @@
 			context.onPrefillEnded(attempt.chosen, received, true);
 			clusterState.loads.completePrefill(entry.id, attempt.load.prefillTokens);
 			attempt.load = {...attempt.load, prefillTokens: 0};
-			// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
-			const unscaledTime = (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness;
-			clusterState.health.recordSlowness(entry.id, (timeToFirstByte - engine.fetchTime) / Math.max(unscaledTime, 1), now());
+			clusterState.engineObservations.recordFirstToken(service, {
+				server: entry.id,
+				prefillTokens: engine.prefillTokens,
+				time: timeToFirstByte - engine.fetchTime,
+				// The prediction is scaled by the slowness, which has to be learned relative to the unscaled one.
+				expectedTime: (engine.predictedTimeToFirstToken - engine.fetchTime) / engine.slowness,
+				isUndisturbed: engine.isLightlyLoaded && engine.fetchedTokens === 0,
+			}, now());
 		}
 
 		if (this.#firstByteAt === undefined) {
@@ -84,16 +103,16 @@
 		}
 	}
 
-	#recordPause(attempt: Attempt): void {
+	#recordPause(attempt: Attempt, now: Milliseconds): void {
 		const {context, route, service, isStream} = this.#options;
-		const {clusterState, now} = context;
-		const pause = now() - (attempt.lastDataAt ?? now());
-		attempt.lastDataAt = now();
+		const {clusterState} = context;
+		const pause = now - (attempt.lastDataAt ?? now);
+		attempt.lastDataAt = now;
 		if (isStream && pause > attempt.longestPause) {
 			attempt.longestPause = pause;
-			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now()).prefillTokens;
+			attempt.pauseBacklog = clusterState.loads.totalLoad(attempt.chosen.entry.id, now).prefillTokens;
 			if (route.pauseObjective !== undefined && attempt.chosen.engine !== undefined) {
-				clusterState.engineObservations.recordPause(service, {pause, objective: route.pauseObjective, backlog: attempt.pauseBacklog}, now());
+				clusterState.engineObservations.recordPause(service, {pause, objective: route.pauseObjective, backlog: attempt.pauseBacklog}, now);
 			}
 		}
 	}
--- a/packages/host/src/requests/stall-watch.ts
+++ b/packages/host/src/requests/stall-watch.ts
@@ -7,7 +7,7 @@
 import type {RoutedRequest} from './routed-request.js';
 import {StallDetector} from './stall-detector.js';
 
-/** A server that has requests in flight and has sent no data for this long is considered crashed. */
+/** A server that has requests in flight and has sent no data for this long is considered crashed. For model servers, the limit is learned. */
 const serverStallTimeout: Milliseconds = 350;
 
 export type StallWatchOptions = {
@@ -66,7 +66,9 @@
 			return;
 		}
 
-		const isServerStalled = context.clusterState.health.stallDuration(attempt.chosen.entry.id, context.now()) >= serverStallTimeout;
+		const {health, engineObservations} = context.clusterState;
+		const limit = attempt.chosen.engine === undefined ? serverStallTimeout : engineObservations.silenceLimit(request.service);
+		const isServerStalled = health.stallDuration(attempt.chosen.entry.id, context.now()) >= limit;
 		if (isServerStalled || isFinal) {
 			onStalled(`no data for ${Math.round(duration)} ms`, isServerStalled);
 		}
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -2,15 +2,17 @@
 	type RateLimit, DistributedRateLimiter, HostDirectory, ServerLimits, defaultServerLimitsOptions,
 } from '@lacewingpoint/coordination';
 import {
-	type Configuration, EngineObservations, PromptCacheIndex, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
+	type Configuration, EngineObservations, FleetDemand, PromptCacheIndex, ReturningClients, RolloutTable, RouteIndex, ServerDirectory, type ServerEntry, ServerHealth, ServerLoads, BrittleServers, LearnedCapacity, ServerNotices, defaultLearnedCapacityOptions, StreamOrigins, WeightsTracker,
 } from '@lacewingpoint/routing';
 import type {Logger, Milliseconds} from '@lacewingpoint/shared';
 import type {StateChange, ChangeBatch} from '../ports.js';
+import {applyRolloutChange, listRolloutChanges, grantLifetime} from '../rollouts/rollout-changes.js';
 import {
 	cacheMemoryShare, healthOptions, heartbeatTimeout, rateLimiterOptions, weightsTrackerOptions,
 } from './cluster-state-options.js';
 import {applyObservedWeights, listObservedWeights} from './observed-weights.js';
 import type {KnownState, MissingChanges} from './peer-snapshots.js';
+import {StateConfirmation} from './state-confirmation.js';
 import {TargetVersions} from './target-versions.js';
 
 /** How long after a store outage an entry that expired meanwhile may be written again: about two seconds by the users' requirements. */
@@ -41,16 +43,20 @@
 	readonly servers = new ServerDirectory({reregistrationGrace});
 	readonly hosts = new HostDirectory({heartbeatTimeout, reportTimeout, removalDelay: hostRemovalDelay});
 	readonly loads = new ServerLoads(peerLoadExpiry);
+	readonly demand = new FleetDemand({freshTime: 500, expiry: peerLoadExpiry});
+	readonly returningClients = new ReturningClients({maximumEntries: 4096, retention: 3000});
 	readonly health = new ServerHealth(healthOptions);
 	readonly serverNotices = new ServerNotices();
 	readonly learnedCapacity = new LearnedCapacity(defaultLearnedCapacityOptions);
 	readonly brittleServers = new BrittleServers();
 	readonly streamOrigins = new StreamOrigins();
+	readonly rollouts = new RolloutTable(grantLifetime);
 	readonly promptCache = new PromptCacheIndex();
 	readonly engineObservations = new EngineObservations();
 	readonly rateLimiter = new DistributedRateLimiter(rateLimiterOptions);
 	readonly serverLimits = new ServerLimits(defaultServerLimitsOptions);
 	readonly weightsTracker = new WeightsTracker(weightsTrackerOptions);
+	readonly confirmation = new StateConfirmation();
 	readonly #listener: ClusterStateListener;
 	readonly #targetVersions: TargetVersions;
 	readonly #log: Logger;
@@ -168,6 +174,7 @@
 				...changedServers.map(({entry, revision}) => ({type: 'server', revision, entry} as const)),
 				...listObservedWeights(this, changedServers),
 				...this.#targetVersions.describe(),
+				...listRolloutChanges(this.rollouts, this.#now()),
 			],
 			revision: this.#revision,
 			serverIds: servers.map(({entry}) => entry.id),
@@ -183,7 +190,7 @@
 			changes.push({type: 'configuration', revision: this.#configurationRevision, configuration});
 		}
 
-		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#targetVersions.describe());
+		changes.push(...listObservedWeights(this, this.servers.listEntries()), ...this.#targetVersions.describe(), ...listRolloutChanges(this.rollouts, this.#now()));
 		for (const description of this.hosts.listRelays(this.#now())) {
 			changes.push({type: 'host', revision: 0, description});
 		}
@@ -270,6 +277,17 @@
 				break;
 			}
 
+			case 'rollout':
+			case 'rollout-progress': {
+				if (applyRolloutChange(this.rollouts, change, {
+					now: this.#now(), unchangedUntil, source, log: this.#log,
+				})) {
+					this.#recordStateChange(change);
+				}
+
+				break;
+			}
+
 			case 'host': {
 				this.hosts.addListed(change.description);
 				break;
@@ -365,6 +383,7 @@
 	#clearServerState(id: string): void {
 		this.promptCache.clearLocation(id);
 		this.health.clearServer(id);
+		this.engineObservations.clearServer(id);
 		this.weightsTracker.clearServer(id);
 	}
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -22,7 +22,9 @@
 export {
 	type RequestLoad, type ServerLoad, ServerLoads, isSameLoad, noLoad,
 } from './server-loads.js';
-export {defaultSampleSize, findPartOwners, sampleServers} from './server-sample.js';
+export {
+	defaultSampleSize, findPartOwners, sampleMatchingServers, sampleServers,
+} from './server-sample.js';
 export {type ServerHealthOptions, ServerHealth} from './server-health.js';
 export {type LearnedCapacityOptions, LearnedCapacity, defaultLearnedCapacityOptions} from './learned-capacity.js';
 export {type ServerLinksOptions, ServerLinks} from './server-links.js';
@@ -31,12 +33,23 @@
 	type EngineCandidate, type EnginePlacement, type EnginePlacementOptions, type GenerationRequest, type PlacementContext, type PromptStoreLocation,
 	EnginePlacer, defaultEnginePlacementOptions, estimateMemoryTokens,
 } from './engine-placement.js';
-export {EngineObservations} from './engine-observations.js';
+export {type FirstTokenObservation, EngineObservations} from './engine-observations.js';
+export {
+	type EngineSpeed, type EngineSpeedOptions, type ObservedFirstToken, EngineSpeedEstimate, defaultEngineSpeed, defaultEngineSpeedOptions,
+} from './engines/engine-speed.js';
+export {
+	type PaceReport, type ServerPaceOptions, ServerPaces, defaultServerPaceOptions,
+} from './engines/server-paces.js';
+export {type SilenceLimitOptions, SilenceLimit, defaultSilenceLimitOptions} from './engines/silence-limit.js';
 export {type ObservedPause, type PrefillBacklogLimitOptions, PrefillBacklogLimit} from './prefill-backlog-limit.js';
 export {
 	type ServerCandidate, type ServerPlacementOptions, chooseLeastLoadedServer, defaultServerPlacementOptions, estimateQueueTime,
 } from './server-placement.js';
 export {type QueuedRequest, RequestQueue} from './request-queue.js';
+export {
+	type Demand, type FleetDemandOptions, type HeldRequest, type RefusedRequest, type ReturnState, type ReturningClientsOptions, type ServiceDemand,
+	AdmissionController, FleetDemand, ReturningClients, describeLevel, otherWorkspaces, rankOf, summarizeDemand, toLevel, usesDifferentRanks,
+} from './admission/index.js';
 export {
 	type RolloutOptions, type RolloutPlan, type RolloutServer, WeightsRollout,
 } from './weights-rollout.js';
@@ -48,5 +61,6 @@
 } from './host-selection.js';
 export {type TargetVersion, type WeightsTrackerOptions, WeightsTracker} from './weights-tracker.js';
 export {
-	type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, spreadRetryAfter,
+	type ConfigurationFreshness, type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, isConfigurationOutdated, spreadRetryAfter,
 } from './overload/index.js';
+export * from './rollouts/index.js';
