--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -1,7 +1,8 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {type HostState, createLeaseTiming} from '@lacewingpoint/coordination';
 import {Quarantine} from '@lacewingpoint/routing';
 import {
-	DisposableStore, type Metrics, type Milliseconds, bytesPerMebibyte, systemScheduler,
+	DisposableStore, type Milliseconds, bytesPerMebibyte, systemScheduler,
 } from '@lacewingpoint/shared';
 import {BackendConnectionPool, defaultConnectionLimits} from './requests/backend-connection-pool.js';
 import {ClockMonitor} from './state/clock-monitor.js';
@@ -44,7 +45,6 @@
 /** The router process of one host: it connects the request pipeline, the cluster state, the gossip with peers and the weights rollout. */
 export class Host {
 	readonly #dependencies: HostDependencies;
-	readonly #metrics: Metrics;
 	readonly #clusterState: ClusterState;
 	readonly #dispatcher: Dispatcher;
 	readonly #connectionPool: BackendConnectionPool;
@@ -74,7 +74,6 @@
 	constructor(dependencies: HostDependencies) {
 		const {settings, adapter, log, metrics, random, now, wallClock} = dependencies;
 		this.#dependencies = dependencies;
-		this.#metrics = metrics;
 		this.#bounds = settings.bounds;
 		this.#retryBudgets = new RetryBudgets(settings.bounds, now());
 		this.#clusterState = new ClusterState(log, now, () => this.#bounds.weightsWithin, {
@@ -108,7 +107,7 @@
 				this.#noticeRecorder.recordResponse(target, status, headers, sentAt);
 			},
 			onConnectionOpened: () => {
-				this.#metrics.incrementCounter('backend_connections');
+				this.#dependencies.metrics.incrementCounter('backend_connections');
 			},
 		});
 		this.#clockMonitor = new ClockMonitor({
@@ -124,11 +123,11 @@
 			seedSnapshotAddresses: settings.seeds,
 			clusterState: this.#clusterState,
 			quarantine: this.#quarantine,
-			transport: new GossipSocket({address: settings.datagramAddress, log, metrics: this.#metrics}),
+			transport: new GossipSocket({address: settings.datagramAddress, log, metrics}),
 			peerClient: httpPeerClient,
 			scheduler: systemScheduler,
 			log,
-			metrics: this.#metrics,
+			metrics,
 			now,
 			earliestArrival,
 			random,
@@ -191,10 +190,7 @@
 			hostName, leaseTiming: createLeaseTiming(settings.bounds.weightsLease, settings.bounds.shortestLease, controlCallTimeout), store: adapter.store, log, random, now, wallClock,
 		});
 		const modelServerClient = new ModelServerClient({
-			connections: this.#connectionPool,
-			backend: adapter.backend,
-			log,
-			metrics: this.#metrics,
+			connections: this.#connectionPool, backend: adapter.backend, log, metrics,
 			isPaused: entry => this.#clusterState.serverNotices.pausedUntil(entry, now()) !== undefined,
 		});
 		adapter.store.onRestored((era, previousEra) => {
@@ -301,8 +297,7 @@
 	 */
 	applyBounds(bounds: HostBounds): void {
 		const previousBounds = this.#bounds;
-		const names = Object.keys(bounds) as Array<keyof HostBounds>;
-		const changed = names.filter(name => bounds[name] !== previousBounds[name]);
+		const changed = (Object.keys(bounds) as Array<keyof HostBounds>).filter(name => bounds[name] !== previousBounds[name]);
 		const afterRestart = changed.filter(name => name === 'weightsLease' || name === 'shortestLease');
 		this.#bounds = bounds;
 		if (changed.some(name => name.startsWith('retry'))) {
@@ -330,9 +325,7 @@
 		await this.#registration.release();
 		const {deadline, addressesExpireAt} = computeStopTimes(startedAt, this.#bounds);
 		while (now() < deadline && (now() < addressesExpireAt || this.#runningRequests > 0 || this.#weightsController.hasPendingUpdates)) {
-			await new Promise(resolve => {
-				setTimeout(resolve, 50);
-			});
+			await pause(50);
 		}
 
 		const undelivered = await drainListeners(this.#clientListeners, deadline, now);
@@ -387,16 +380,11 @@
 		this.#forwarding.serverLinks.review();
 		this.#paceReporter.review(this.#dependencies.now());
 		this.#clusterState.removeExpiredServers();
-		this.#clusterState.serverNotices.removeExpired(this.#dependencies.now());
-		for (const knowledge of [this.#clusterState.learnedCapacity, this.#clusterState.brittleServers]) {
-			knowledge.removeUnknown(({id, incarnation}) => this.#clusterState.servers.findEntry(id)?.incarnation === incarnation);
-		}
-
 		this.#quarantine.removeExpired(this.#dependencies.now());
 	}
 
 	#formatMetrics(): string {
-		return this.#metrics.formatSeries({
+		return this.#dependencies.metrics.formatSeries({
 			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
 			admission_rank: this.#dispatcher.admission.waitingRank(),
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -71,8 +71,11 @@
 		onAttemptFailed(server, request) {
 			crashDetector.recordBrokenRequest(server, request);
 		},
-		onStreamBegun(origin) {
-			fleet.gossip.announceOrigins([origin]);
+		onStreamBegun(service, requestId, version) {
+			const origin = clusterState.streamOrigins.record(service, requestId, version, now());
+			if (origin !== undefined) {
+				fleet.gossip.announceOrigins([origin]);
+			}
 		},
 		findStreamOrigin: async (service, requestId) => fleet.streamOriginFinder.findVersion(service, requestId),
 		onServerUnreachable(server) {
--- a/packages/host/src/requests/attempt-records.ts
+++ b/packages/host/src/requests/attempt-records.ts
@@ -1,9 +1,13 @@
+import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ResponseHead} from '../ports.js';
 import {type Attempt, isEventStream} from './attempt.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {sharedPartIds} from './request-admission.js';
 import type {RoutedRequest} from './routed-request.js';
 
+/** A server that has sent anything, in any response, this long after a request was written has received the request. */
+const deliveryTime: Milliseconds = 50;
+
 /**
  * Records that a server could not be reached or has stalled.
  *
@@ -58,3 +62,15 @@
 
 	return head;
 }
+
+/**
+ * Closes the connection of an attempt that is given up.
+ *
+ * @param context - The components of the host that all requests share.
+ * @param attempt - The attempt, whose request may have been written.
+ */
+export function abortExchange({clusterState, now}: PipelineContext, attempt: Attempt): void {
+	const {id} = attempt.chosen.entry;
+	attempt.silentTime = clusterState.health.stallDuration(id, now());
+	attempt.exchange?.abort({isDelivered: clusterState.health.hasSentSince(id, attempt.sentAt + deliveryTime)});
+}
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -6,7 +6,9 @@
 	type Attempt, type AttemptListener, type AttemptRecord, responseFraming,
 } from './attempt.js';
 import {AttemptLedger} from './attempt-ledger.js';
-import {recordFailedExecution, recordHead, recordUnreachable} from './attempt-records.js';
+import {
+	abortExchange, recordFailedExecution, recordHead, recordUnreachable,
+} from './attempt-records.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {PipelineContext} from './pipeline-context.js';
 import type {RelayedResponse} from './relayed-response.js';
@@ -21,9 +23,6 @@
 import type {TriedServers} from './tried-servers.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
-/** A server that has sent anything, in any response, this long after a request was written has received the request. */
-const deliveryTime: Milliseconds = 50;
-
 export type AttemptRunnerOptions = {
 	readonly context: PipelineContext;
 	readonly request: RoutedRequest;
@@ -159,10 +158,7 @@
 			return false;
 		}
 
-		const {clusterState, now} = this.#context;
-		const {id} = attempt.chosen.entry;
-		attempt.silentTime = clusterState.health.stallDuration(id, now());
-		attempt.exchange?.abort({isDelivered: clusterState.health.hasSentSince(id, attempt.sentAt + deliveryTime)});
+		abortExchange(this.#context, attempt);
 		this.#endAttempt(attempt, result);
 		return true;
 	}
--- a/packages/host/src/requests/attempt.ts
+++ b/packages/host/src/requests/attempt.ts
@@ -2,7 +2,8 @@
 import type {Bytes, Milliseconds, Tokens} from '@lacewingpoint/shared';
 import type {ClientRequest, ResponseHead} from '../ports.js';
 import type {ChosenServer} from '../placement/placement-request.js';
-import type {Exchange, ResetCheck} from './backend-connection-pool.js';
+import type {Exchange} from './backend-connection-pool.js';
+import type {ResetCheck} from './socket-state.js';
 
 /** Called when an attempt has ended. */
 export type AttemptListener = {
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -1,8 +1,10 @@
-import type {Socket} from 'node:net';
 import {type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {Client} from 'undici';
 import type {HeaderList} from '../ports.js';
 import {type OpenSocket, connectToServer, openTcpSocket} from './server-connector.js';
+import {
+	type ResetCheck, type SocketState, createSocketState, detectReset, isCloseDelimited,
+} from './socket-state.js';
 
 /** The server to connect to. Connections are reused only for the same server, incarnation and address. */
 export type ConnectionTarget = {readonly id: string; readonly incarnation: string; readonly address: string};
@@ -18,12 +20,6 @@
 /** Why an exchange failed, and whether the request may have reached the server. */
 export type ExchangeFailure = {readonly wasWritten: boolean; readonly reason: string};
 
-/**
- * Whether the connection of a close-delimited response was reset at its end: the code of the error that the connection reported, `none`
- * if it could still be written to, or `pending` while this is not known.
- */
-export type ResetCheck = string;
-
 /** How the end of a response was recognized. */
 export type ResponseEnding = {
 	/** `undefined` if the response has a content length or chunks and needs no check. */
@@ -84,21 +80,6 @@
 	reuseDelay: 4,
 } as const satisfies Partial<BackendConnectionPoolOptions>;
 
-/** What is known of one socket. Undici may open another one for the same client, of which none of this holds. */
-type SocketState = {
-	/** `undefined` until it is connected. */
-	readonly socket: Socket | undefined;
-	/** Whether the socket reported an error. Undici reports a reset during a close-delimited response as its end. */
-	hasSocketError: boolean;
-	resetCheck: ResetCheck;
-	/** Whether the server ended the connection in an orderly way, as far as Node.js reports it. */
-	isEndReceived: boolean;
-	/** Called when `resetCheck` is known. */
-	onResetChecked: (() => void) | undefined;
-	/** Whether the body of the current response ends with the connection, because it has neither a content length nor chunks. */
-	isCloseDelimited: boolean;
-};
-
 type Connection = {
 	readonly client: Client;
 	readonly key: string;
@@ -110,29 +91,6 @@
 	socketState: SocketState;
 };
 
-function createSocketState(socket?: Socket): SocketState {
-	return {
-		socket, hasSocketError: false, resetCheck: 'pending', isEndReceived: false, onResetChecked: undefined, isCloseDelimited: false,
-	};
-}
-
-/**
- * Distinguishes a connection reset from an ordinary end. When data and a reset arrive in one turn of the event loop, Node.js reports an
- * ordinary end; only a write fails then. The write does no harm: servers ignore an empty line before a request (RFC 9112, section 2.2).
- */
-function detectReset(socket: Socket, state: SocketState): void {
-	socket.write('\r\n', error => {
-		state.resetCheck = error instanceof Error ? ('code' in error ? String(error.code) : error.message) : 'none';
-		state.onResetChecked?.();
-	});
-}
-
-// A response to HEAD and one with status 204 or 304 has no body, so that its end is known with its head.
-function isCloseDelimited(method: string, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): boolean {
-	const hasBody = method !== 'HEAD' && status !== 204 && status !== 304;
-	return hasBody && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
-}
-
 function createKey(target: ConnectionTarget): string {
 	return `${target.id}|${target.incarnation}|${target.address}`;
 }
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -1,5 +1,5 @@
 import type {
-	Quarantine, RetryBudget, SecondTryPolicy, StreamOriginReport,
+	Quarantine, RetryBudget, SecondTryPolicy,
 } from '@lacewingpoint/routing';
 import type {
 	Logger, Metrics, Milliseconds, RandomSource,
@@ -47,8 +47,14 @@
 	onPrefillEnded(chosen: ChosenServer, received: ReceivedRequest, isPrefilled: boolean): void;
 	/** Called when an attempt failed that the server may have executed. */
 	onAttemptFailed(server: string, request: BrokenRequest): void;
-	/** Called with the first event of a stream while servers of several software versions serve, so that other hosts learn of its origin. */
-	onStreamBegun(origin: StreamOriginReport): void;
+	/**
+	 * Called with the first event of a stream, so that other hosts learn of its origin while servers of several software versions serve.
+	 *
+	 * @param service - Name of the service.
+	 * @param requestId - Id of the request that brought the first event.
+	 * @param version - The software version of its server.
+	 */
+	onStreamBegun(service: string, requestId: string, version: string): void;
 	/**
 	 * Finds the software version that began a stream that a client takes up.
 	 *
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -258,12 +258,8 @@
 
 	// A client that takes the stream up again goes on naming the request that brought the first event.
 	#recordOrigin(version: string): void {
-		const {clusterState, onStreamBegun, now} = this.#context;
 		const {request} = this.#request.received;
-		const report = clusterState.streamOrigins.record(this.#request.service, request.resumedRequestId ?? request.id, version, now());
-		if (report !== undefined) {
-			onStreamBegun(report);
-		}
+		this.#context.onStreamBegun(this.#request.service, request.resumedRequestId ?? request.id, version);
 	}
 
 	#send(chosen: ChosenServer): void {
--- a/packages/host/src/requests/second-try.ts
+++ b/packages/host/src/requests/second-try.ts
@@ -2,6 +2,7 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ChosenServer} from '../placement/placement-request.js';
 import type {AttemptLedger} from './attempt-ledger.js';
+import {abortExchange} from './attempt-records.js';
 import type {Attempt} from './attempt.js';
 import type {PipelineContext} from './pipeline-context.js';
 import type {RetryAllowance} from './retry-allowance.js';
@@ -109,7 +110,7 @@
 		this.#attempt = undefined;
 		this.#count(outcome);
 		attempt.isFinished = true;
-		attempt.exchange?.abort({isDelivered: context.clusterState.health.hasSentSince(attempt.chosen.entry.id, attempt.sentAt)});
+		abortExchange(context, attempt);
 		if (attempt.isSent && outcome !== 'refused') {
 			retries.executions++;
 		}
--- a/packages/host/src/state/cluster-state.ts
+++ b/packages/host/src/state/cluster-state.ts
@@ -198,11 +198,16 @@
 		return {changes, revision: this.#revision};
 	}
 
-	/** Removes servers whose entries expired during a store outage and that have not registered again. */
+	/** Removes servers whose entries expired during a store outage and that have not registered again, and what was known of servers that are gone. */
 	removeExpiredServers(): void {
 		for (const id of this.servers.removeExpired(this.#now())) {
 			this.#removeServer(id, this.#revision, 'lapse');
 		}
+
+		this.serverNotices.removeExpired(this.#now());
+		for (const knowledge of [this.learnedCapacity, this.brittleServers]) {
+			knowledge.removeUnknown(({id, incarnation}) => this.servers.findEntry(id)?.incarnation === incarnation);
+		}
 	}
 
 	/**
