--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -15,7 +15,7 @@
 import {Dispatcher} from './requests/dispatcher.js';
 import {serveEndpoints} from './host-endpoints.js';
 import {type Forwarding, createForwarding} from './forwarding.js';
-import {createOverloadGuard} from './overload/create-overload-guard.js';
+import {type OverloadGuard, createOverloadGuard} from './overload/index.js';
 import {Fleet} from './members/fleet.js';
 import {GossipSocket} from './members/gossip-socket.js';
 import {toStateUpdate} from './members/host-messages.js';
@@ -62,6 +62,7 @@
 	readonly #noticeRecorder: ServerNoticeRecorder;
 	readonly #quarantine = new Quarantine(quarantineOptions);
 	readonly #retryBudgets: RetryBudgets;
+	readonly #overloadGuard: OverloadGuard | undefined;
 	readonly #pipelineContext: PipelineContext;
 	readonly #disposables = new DisposableStore();
 	#clientListeners: readonly ClientListener[] = [];
@@ -176,18 +177,21 @@
 		this.#noticeRecorder = new ServerNoticeRecorder({
 			backend: adapter.backend, clusterState: this.#clusterState, gossip, log, metrics, random, now,
 		});
+		this.#overloadGuard = createOverloadGuard(dependencies, this.#disposables, {
+			configurationAge: () => this.#clusterState.confirmation.age(now()), applyWithin: () => this.#bounds.applyWithin,
+			routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
+		});
 		this.#pipelineContext = createPipelineContext({
 			dependencies, clusterState: this.#clusterState, dispatcher: this.#dispatcher, connections: this.#connectionPool, forwarding: this.#forwarding, fleet: this.#fleet,
-			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, earliestArrival,
+			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, earliestArrival, isOverloaded: () => this.#overloadGuard?.isBehind === true,
 			onRequestFinished: isAbandoned => {
 				this.#runningRequests--;
 				this.#finishedRequests += isAbandoned ? 0 : 1;
 			},
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
-		const {name: hostName} = settings.description;
 		this.#weightsLease = new WeightsLease({
-			hostName, leaseTiming: createLeaseTiming(settings.bounds.weightsLease, settings.bounds.shortestLease, controlCallTimeout), store: adapter.store, log, random, now, wallClock,
+			hostName: settings.description.name, leaseTiming: createLeaseTiming(settings.bounds.weightsLease, settings.bounds.shortestLease, controlCallTimeout), store: adapter.store, log, random, now, wallClock,
 		});
 		const modelServerClient = new ModelServerClient({
 			connections: this.#connectionPool, backend: adapter.backend, log, metrics,
@@ -205,7 +209,7 @@
 			clusterState: this.#clusterState, lease: this.#weightsLease, gossip, store: adapter.store, protocol: adapter.rollouts, log, metrics, now, bounds: () => this.#bounds,
 		});
 		this.#weightsController = new WeightsController({
-			hostName, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
+			hostName: settings.description.name, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
 		});
 	}
 
@@ -216,10 +220,7 @@
 		this.#clientListeners = await serveInterfaces(this.#dependencies, {
 			limits: () => this.#clusterState.configuration?.limits,
 			isStopping: () => this.#isStopping,
-			guard: createOverloadGuard(this.#dependencies, this.#disposables, {
-				configurationAge: () => this.#clusterState.confirmation.age(now()), applyWithin: () => this.#bounds.applyWithin,
-				routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
-			}),
+			guard: this.#overloadGuard,
 			onRequest: received => {
 				this.#onRequest(received);
 			},
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -24,6 +24,8 @@
 	readonly retryBudgets: RetryBudgets;
 	readonly placementTracker: PromptPlacementTracker;
 	readonly crashDetector: ServerCrashDetector;
+	/** @returns Whether this host is behind with its work. */
+	isOverloaded(): boolean;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
 	earliestArrival(): Milliseconds;
 	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
@@ -57,7 +59,7 @@
 		metrics,
 		now,
 		earliestArrival: () => components.earliestArrival(),
-		isOverloaded: () => false,
+		isOverloaded: () => components.isOverloaded(),
 		isDetached: () => forwarding.serverLinks.isDetached,
 		retryBudget: service => retryBudgets.forService(service),
 		hostCount: () => fleet.gossip.hostCount,
