--- a/packages-private/measure/src/workload.ts
+++ b/packages-private/measure/src/workload.ts
@@ -146,7 +146,7 @@
 	],
 };
 
-/** Villasenor: long manifest summaries and short queries on engines of equal speed, with little memory. */
+/** Villasenor: summaries of long documents and short queries on engines of equal speed, with little memory. */
 export const villasenor: Site = {
 	name: 'Villasenor',
 	engineCount: 98,
@@ -157,7 +157,7 @@
 	maxConcurrentLoads: 28,
 	requestKinds: [
 		{
-			name: 'manifest digest', requestsPerSecond: 265, objective: 815, pauseObjective: 400, deadline: 4076, rank: 1, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 6, documentCount: 1500, popularityExponent: 0.3,
+			name: 'digest', requestsPerSecond: 265, objective: 815, pauseObjective: 400, deadline: 4076, rank: 1, instructionTokens: 2520, documentTokens: 3780, uniqueTokens: 2890, outputTokens: 6, documentCount: 1500, popularityExponent: 0.3,
 		},
 		{
 			name: 'seal query', requestsPerSecond: 227, objective: 257, pauseObjective: 400, deadline: 10_260, rank: 0,
--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -32,7 +32,7 @@
 /** A rejected request, of which nothing was executed. */
 export type Rejection = {readonly reason: RejectionReason; readonly retryAfter: Milliseconds | undefined};
 
-/** What the client is told. */
+/** Messages of the responses to rejected requests. */
 export const rejectionMessages: Readonly<Record<RejectionReason, string>> = {
 	overloaded: 'the host is overloaded; the request was not executed',
 	'no-memory': 'the host is out of memory; the request was not executed',
--- a/packages/host/src/rollouts/rollout-decider.ts
+++ b/packages/host/src/rollouts/rollout-decider.ts
@@ -91,7 +91,7 @@
 
 		const {progress} = stored.value;
 		if (progress !== undefined && this.#isBehind(progress, known)) {
-			// This host lags behind; it is told of the newer term or request.
+			// This host lags behind; the change that brings the newer term or request follows.
 			this.#hasEnded = progress.term > term;
 			return;
 		}
