Leave a rollout where it is while its decider hears none of the other hosts

Cause: a decider that reached the store but no other host went on by time alone, and could write that the rollout is complete while the others still sent requests to the old servers, which stop then. Change: such a decider does nothing until it hears another host again.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -206,7 +206,7 @@
 			this.#weightsLease.handleRestore(era);
 		});
 		this.#rolloutController = new RolloutController({
-			clusterState: this.#clusterState, lease: this.#weightsLease, gossip, store: adapter.store, protocol: adapter.rollouts, log, metrics, now, bounds: () => this.#bounds,
+			hostName: settings.description.name, clusterState: this.#clusterState, lease: this.#weightsLease, gossip, store: adapter.store, protocol: adapter.rollouts, log, metrics, now, bounds: () => this.#bounds,
 		});
 		this.#weightsController = new WeightsController({
 			hostName: settings.description.name, weightsLease: this.#weightsLease, modelServerClient, clusterState: this.#clusterState, hostGossip: gossip, log, now,
--- a/packages/host/src/rollouts/rollout-controller.ts
+++ b/packages/host/src/rollouts/rollout-controller.ts
@@ -15,6 +15,7 @@
 const defaultExposure = {share: 0.1, slack: 50} as const;
 
 export type RolloutControllerOptions = {
+	readonly hostName: string;
 	readonly clusterState: ClusterState;
 	readonly lease: Pick<WeightsLease, 'term'>;
 	readonly gossip: HostGossip;
@@ -53,6 +54,10 @@
 			return;
 		}
 
+		if (this.#isCutOff()) {
+			return;
+		}
+
 		for (const {request} of clusterState.rollouts.list().values()) {
 			const known = this.#deciders.get(request.service);
 			if (known?.term === term && known.decider.request.id === request.id) {
@@ -68,6 +73,13 @@
 		this.#deciders.clear();
 	}
 
+	// Whether this host reaches the store, but has lost touch with the hosts whose answers and running requests it would have to know.
+	#isCutOff(): boolean {
+		const {clusterState: {hosts}, hostName, now} = this.#options;
+		const hearsOthers = hosts.listAlive(now()).some(({description}) => description.name !== hostName);
+		return !hearsOthers && hosts.listUnresponsive(now()).some(name => name !== hostName);
+	}
+
 	#createDecider(request: RolloutDecider['request'], term: number, protocol: RolloutProtocol): RolloutDecider {
 		const {clusterState, gossip, store, log, metrics, now, lease, bounds} = this.#options;
 		const {exposureShare = defaultExposure.share, exposureSlack = defaultExposure.slack} = bounds();
