--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -28,6 +28,9 @@
 /** Assumed service time of a request other than a generation, for the estimate of queue times. */
 const assumedServiceTime: Milliseconds = 50;
 
+/** The share of requests whose server is chosen without regard to connections. Otherwise a new server would get none while the others have room. */
+const unconnectedShare = 0.1;
+
 type WaitingEntry = QueuedRequest<PendingRequest> & HeldRequest;
 
 export type DispatcherOptions = ServerFilterOptions & GenerationPlacementOptions & {
@@ -224,6 +227,7 @@
 
 	#placePlain(entries: readonly ServerEntry[], service: string): PlacementResult {
 		const now = this.#now();
+		const prefersConnections = this.#random.next() >= unconnectedShare;
 		const candidates: ServerCandidate[] = entries.map(entry => ({
 			id: entry.id,
 			failureDomain: entry.failureDomain,
@@ -231,7 +235,7 @@
 			requests: this.#clusterState.loads.totalLoad(entry.id, now).requests,
 			slowness: this.#clusterState.engineObservations.slowness(service, entry.id, now),
 			isFailing: this.#clusterState.health.evaluateStatus(entry.id, now) === 'failing',
-			hasIdleConnection: this.#hasIdleConnection(entry),
+			hasIdleConnection: !prefersConnections || this.#hasIdleConnection(entry),
 		}));
 		const chosen = chooseLeastLoadedServer(candidates, this.#failureDomain);
 		if (chosen === undefined) {
