--- a/review/lib/servers.js
+++ b/review/lib/servers.js
@@ -15,6 +15,7 @@
 	#born = Date.now();
 	#sequence = 0;
 	#timer;
+	#sockets = new Set();
 	#server = createServer((request, response) => {
 		const chunks = [];
 		request.on('data', chunk => chunks.push(chunk));
@@ -36,6 +37,11 @@
 		this.#zone = zone;
 		this.#handler = handler;
 		this.#server.keepAliveTimeout = 15_000;
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('error', () => {/* The caller has closed the connection. */});
+			socket.once('close', () => this.#sockets.delete(socket));
+		});
 	}
 
 	get address() {
@@ -70,6 +76,15 @@
 		this.#server.closeAllConnections();
 	}
 
+	/** Ends as in a crash: the port is closed, all connections are reset, and the entry in the store is not written any more. */
+	crash() {
+		clearInterval(this.#timer);
+		this.#server.close();
+		for (const socket of this.#sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
 	/**
 	 * Handles calls other than requests.
 	 *
