--- a/review/5/scenario.js
+++ b/review/5/scenario.js
@@ -8,8 +8,9 @@
 const routeTimeout = 1000;
 const tolerance = 500;
 
-/** Bytes that the server in trouble sends each 10 ms: 100 Mbit/s, a tenth of a machine's link. */
-const noise = Buffer.alloc(125_000, 'x');
+/** What the server in trouble sends: pieces of this size, so many of them each 10 ms. Together that is 80 Mbit/s, less than a tenth of a machine's link. */
+const piece = Buffer.alloc(1000, 'x');
+const piecesAtOnce = 100;
 
 await runScenario(import.meta.url, async ({store, hosts, record, hasTrouble, own}) => {
 	store.put('op/config', createManifest(3));
@@ -41,9 +42,9 @@
 			record('the server begins to send bytes that are no answer, without end');
 			let sentBytes = 0;
 			const timer = setInterval(() => {
-				if (!response.writableNeedDrain) {
-					response.write(noise);
-					sentBytes += noise.length;
+				for (let count = 0; count < piecesAtOnce && !response.writableNeedDrain; count++) {
+					response.write(piece);
+					sentBytes += piece.length;
 				}
 			}, 10);
 			response.on('close', () => {
