--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -12,6 +12,7 @@
 	#history = [];
 	#watches = new Set();
 	#revision = 1;
+	#compactedRevision = 0;
 	#nextLease = 1;
 	#server = createServer(async (request, response) => this.#handle(request, response));
 
@@ -44,6 +45,32 @@
 		this.#notify();
 	}
 
+	/** @returns A copy of all items, the revision and the leases. */
+	copy() {
+		return {items: [...this.#items.values()], revision: this.#revision, leases: [...this.#leases.keys()]};
+	}
+
+	/**
+	 * Comes back from a copy: later changes and leases are lost, and their revisions are given out again.
+	 *
+	 * @param copy - A copy made earlier.
+	 */
+	restore({items, revision, leases}) {
+		this.era++;
+		this.#revision = revision;
+		this.#compactedRevision = revision;
+		this.#history = [];
+		this.#items = new Map(items.map(item => [item.key, item]));
+		for (const [lease, {timer}] of this.#leases) {
+			if (!leases.includes(lease)) {
+				clearTimeout(timer);
+				this.#leases.delete(lease);
+			}
+		}
+
+		this.#notify();
+	}
+
 	read(key) {
 		const item = this.#items.get(key);
 		return item === undefined ? undefined : Buffer.from(item.value, 'base64').toString('utf8');
@@ -153,7 +180,8 @@
 	async #watch(query, respond) {
 		const after = Number(query.get('after'));
 		const findEvents = () => this.#history.filter(({key, revision}) => revision > after && key.startsWith(query.get('prefix') ?? ''));
-		if (findEvents().length === 0) {
+		const isKnown = () => after >= this.#compactedRevision && after <= this.#revision;
+		if (isKnown() && findEvents().length === 0) {
 			await new Promise(resolve => {
 				const wake = () => {
 					clearTimeout(timer);
@@ -166,7 +194,11 @@
 			});
 		}
 
-		respond(200, {events: findEvents(), asOf: this.#revision});
+		if (isKnown()) {
+			respond(200, {events: findEvents(), asOf: this.#revision});
+		} else {
+			respond(410);
+		}
 	}
 
 	#transact(transaction, request, respond) {
