--- a/review/lib/scenario.js
+++ b/review/lib/scenario.js
@@ -28,13 +28,17 @@
 	const end = async (status, text) => {
 		clearTimeout(timer);
 		record(`exit ${status}: ${text}`);
-		process.stdout.write(`${text}\n`);
 		await dispose();
-		process.exit(status);
+		process.stdout.write(`${text}\n`, () => {
+			process.exit(status);
+		});
 	};
 
 	const timer = setTimeout(async () => end(2, 'the scenario took too long'), longestRun);
-	for (const signal of ['SIGINT', 'SIGTERM']) {
+	// Without a listener, output that nobody reads would end the process before the hosts.
+	process.stdout.on('error', () => {/* The record says the same. */});
+	process.on('uncaughtException', async error => end(2, `the scenario failed: ${error.stack}`));
+	for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) {
 		process.on(signal, async () => end(2, `ended by ${signal}`));
 	}
 
