Limit the size of an incomplete event, and scan each byte of a stream once

Cause: with each piece of a stream, EventRelay copied the whole incomplete event and searched it from its end, so that the time for a piece grew with the event. Nothing limited the event either.

Related paths: what peers relay passes the same check; a response to a control call is limited to 1 MiB.

--- a/packages/host/__tests__/event-relay.test.ts
+++ b/packages/host/__tests__/event-relay.test.ts
@@ -57,4 +57,37 @@
 	}), {seed});
 });
 
+// Guards against a host that handles nothing else while a server sends an event without an end: the time for each piece grew with the event.
+test('the time to receive an incomplete event grows with its size, not with the square of it', () => {
+	const piece = Buffer.alloc(1000, 'x');
+	const relay = new EventRelay();
+	const startedAt = performance.now();
+	for (let bytes = 0; bytes < 6_000_000; bytes += piece.length) {
+		assert.is(relay.push(piece).length, 0);
+	}
+
+	assert.is(text(relay.push(Buffer.from('\n\n'))).length, 6_000_002);
+	// A route's time-out of a second, and half a second by which a response may be late, are taken up by nothing else in this time.
+	assert.ok(performance.now() - startedAt < 1500, `${Math.round(performance.now() - startedAt)} ms`);
+});
+
+test('an event whose end arrives in another piece than its last line is complete', () => {
+	for (const [first, ...rest] of [['data: a\n', '\n'], ['data: a\r\n\r', '\n'], ['data: a\r\n', '\r\n'], ['data: a\n', '\r', '\n'], ['data: a', '\n', '\n']]) {
+		const relay = new EventRelay();
+		assert.is(relay.push(Buffer.from(first!)).length, 0);
+		const forwarded = rest.map(piece => text(relay.push(Buffer.from(piece)))).join('');
+		assert.is(forwarded, first! + rest.join(''));
+		assert.is(relay.bufferedBytes, 0);
+	}
+});
+
+test('events that were returned stay as they are when more arrives', () => {
+	const relay = new EventRelay();
+	relay.push(Buffer.from('data: a'));
+	const first = relay.push(Buffer.from('a\n\ndata: b'));
+	const second = relay.push(Buffer.from('b\n\n'));
+	relay.push(Buffer.from('data: c'));
+	assert.equal([text(first), text(second)], ['data: aa\n\n', 'data: bb\n\n']);
+});
+
 test.run();
--- a/packages/host/src/requests/attempt-runner.ts
+++ b/packages/host/src/requests/attempt-runner.ts
@@ -1,17 +1,15 @@
-import type {Route} from '@lacewingpoint/routing';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import type {ChosenServer} from '../placement/placement-request.js';
 import type {HeaderList, ResponseHead} from '../ports.js';
-import {
-	type Attempt, type AttemptListener, type AttemptRecord, responseFraming,
-} from './attempt.js';
+import {type Attempt, type AttemptRecord, responseFraming} from './attempt.js';
 import {AttemptLedger} from './attempt-ledger.js';
 import {
 	abortExchange, recordFailedExecution, recordHead, recordUnreachable,
 } from './attempt-records.js';
 import type {ExchangeFailure, ResponseEnding} from './backend-connection-pool.js';
 import type {PipelineContext} from './pipeline-context.js';
-import type {RelayedResponse} from './relayed-response.js';
+import type {AttemptRunnerOptions} from './attempt-runner-options.js';
+import {type RelayedResponse, oversizedEvent} from './relayed-response.js';
 import type {AttemptProgress} from './request-completion.js';
 import {identifyRefusal, isCredibleRefusal, recordRefusal} from './refusal.js';
 import {ResponseObserver} from './response-observer.js';
@@ -20,19 +18,8 @@
 import {SecondTry} from './second-try.js';
 import {createServerRequest} from './server-request.js';
 import {StallWatch} from './stall-watch.js';
-import type {TriedServers} from './tried-servers.js';
 import {defaultRetryAfter, limitRetryAfter, minimumRemainingTime} from './wait-decision.js';
 
-export type AttemptRunnerOptions = {
-	readonly context: PipelineContext;
-	readonly request: RoutedRequest;
-	readonly route: Route;
-	readonly response: RelayedResponse;
-	readonly retries: RetryAllowance;
-	readonly triedServers: TriedServers;
-	readonly listener: AttemptListener;
-};
-
 /** Makes the attempts of one request, one at a time: sends it to a server, relays the response and decides whether a failure allows another. */
 export class AttemptRunner implements AttemptProgress {
 	/** The attempts so far; those that were forwarded to peers are added to it. */
@@ -285,6 +272,10 @@
 			this.#isPaused = true;
 			attempt.exchange?.pause();
 		}
+
+		if (this.#response.hasOversizedEvent) {
+			this.#onFailure({wasWritten: true, reason: oversizedEvent});
+		}
 	}
 
 	#onEnd(attempt: Attempt, ending: ResponseEnding): void {
--- a/packages/host/src/requests/event-relay.ts
+++ b/packages/host/src/requests/event-relay.ts
@@ -3,12 +3,20 @@
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
+/** Largest incomplete event that is held. Pieces of completions have a few hundred bytes, whole answers tens of kilobytes. */
+export const maximumEventSize: Bytes = 262_144;
+
+/** An event can end at the first byte of a piece, after a line end of up to this many bytes before it. */
+const longestPrecedingLineEnd = 2;
+
 /**
  * Splits a stream of server-sent events at event boundaries. Only complete events are forwarded, so that another server can resume the
- * stream after the last of them.
+ * stream after the last of them. The time for each piece depends on its own size only, not on that of the incomplete event before it.
  */
 export class EventRelay {
-	#partialEvent: Uint8Array = new Uint8Array();
+	/** Holds the incomplete event in its first `#partialBytes` bytes. */
+	#buffer: Uint8Array = Buffer.alloc(0);
+	#partialBytes: Bytes = 0;
 	#lastEventId: string | undefined;
 	#hasForwardedEvents = false;
 
@@ -24,7 +32,7 @@
 
 	/** Number of bytes after the last complete event. */
 	get bufferedBytes(): Bytes {
-		return this.#partialEvent.length;
+		return this.#partialBytes;
 	}
 
 	/** Whether the bytes after the last complete event belong to an event. Comments and empty lines do not. */
@@ -34,21 +42,22 @@
 	}
 
 	/**
-	 * Adds bytes received from the stream.
+	 * Adds bytes received from the stream. The caller limits the size of an incomplete event: check `bufferedBytes` after each call.
 	 *
 	 * @param chunk - The next bytes of the stream; events may begin and end anywhere in them.
 	 * @returns The events that they complete, to be forwarded; empty if there are none.
 	 */
 	push(chunk: Uint8Array): Uint8Array {
-		const buffered = this.#partialEvent.length === 0 ? chunk : Buffer.concat([this.#partialEvent, chunk]);
-		const end = findLastEventEnd(buffered);
-		const completeEvents = buffered.subarray(0, end);
-		this.#partialEvent = buffered.subarray(end);
-		if (completeEvents.length > 0) {
+		const preceding = this.#partialEvent.subarray(-longestPrecedingLineEnd);
+		const end = Math.max(findLastEventEnd(preceding.length === 0 ? chunk : Buffer.concat([preceding, chunk])) - preceding.length, 0);
+		const completeEvents = end === 0 || this.#partialBytes === 0 ? chunk.subarray(0, end) : Buffer.concat([this.#partialEvent, chunk.subarray(0, end)]);
+		if (end > 0) {
+			this.discardPartialEvent();
 			this.#hasForwardedEvents = true;
 			this.#lastEventId = findLastEventId(completeEvents) ?? this.#lastEventId;
 		}
 
+		this.#append(chunk.subarray(end));
 		return completeEvents;
 	}
 
@@ -59,13 +68,31 @@
 	 */
 	flush(): Uint8Array {
 		const remainder = this.#partialEvent;
-		this.#partialEvent = new Uint8Array();
+		this.discardPartialEvent();
 		return remainder;
 	}
 
 	/** Discards the bytes of an incomplete event, before another server resumes the stream. */
 	discardPartialEvent(): void {
-		this.#partialEvent = new Uint8Array();
+		// Not used again, as the bytes may have been returned.
+		this.#buffer = Buffer.alloc(0);
+		this.#partialBytes = 0;
+	}
+
+	get #partialEvent(): Uint8Array {
+		return this.#buffer.subarray(0, this.#partialBytes);
+	}
+
+	#append(bytes: Uint8Array): void {
+		const size = this.#partialBytes + bytes.length;
+		if (size > this.#buffer.length) {
+			const grown = Buffer.allocUnsafe(Math.max(size, 2 * this.#buffer.length));
+			grown.set(this.#partialEvent);
+			this.#buffer = grown;
+		}
+
+		this.#buffer.set(bytes, this.#partialBytes);
+		this.#partialBytes = size;
 	}
 }
 
--- a/packages/host/src/requests/forwarded-attempt.ts
+++ b/packages/host/src/requests/forwarded-attempt.ts
@@ -6,7 +6,7 @@
 import {type ForwardedHead, decodeForwardedHead} from './forwarded-request.js';
 import type {ForwardingOutcome} from './peer-forwarder.js';
 import type {PipelineContext} from './pipeline-context.js';
-import type {RelayedResponse} from './relayed-response.js';
+import {type RelayedResponse, oversizedEvent} from './relayed-response.js';
 import {outOfTime} from './request-completion.js';
 import type {RetryAllowance} from './retry-allowance.js';
 import type {RoutedRequest} from './routed-request.js';
@@ -178,6 +178,10 @@
 			this.#isPaused = true;
 			this.#exchange?.pause();
 		}
+
+		if (this.#options.response.hasOversizedEvent) {
+			this.#fail(oversizedEvent);
+		}
 	}
 
 	#onEnd(): void {
--- a/packages/host/src/requests/relayed-response.ts
+++ b/packages/host/src/requests/relayed-response.ts
@@ -1,6 +1,9 @@
 import type {Bytes} from '@lacewingpoint/shared';
 import type {HeaderList, ResponseWriter} from '../ports.js';
-import {EventRelay} from './event-relay.js';
+import {EventRelay, maximumEventSize} from './event-relay.js';
+
+/** The reason for the failure of an attempt whose server has sent too large an event. */
+export const oversizedEvent = `an event exceeds the limit of ${maximumEventSize} bytes`;
 
 /** The head of a response that is forwarded to the client. */
 export type RelayedHead = {
@@ -60,6 +63,11 @@
 		return this.#softwareVersion;
 	}
 
+	/** Whether the server has sent more of an event than is held, so that its response has failed. */
+	get hasOversizedEvent(): boolean {
+		return this.#eventRelay.bufferedBytes > maximumEventSize;
+	}
+
 	/** The version of the weights expected at the server whose response head was forwarded. */
 	get weightsVersion(): number | undefined {
 		return this.#weightsVersion;
--- a/packages/host/src/weights/model-server-client.ts
+++ b/packages/host/src/weights/model-server-client.ts
@@ -1,6 +1,6 @@
 import type {ServerEntry} from '@lacewingpoint/routing';
 import {
-	type Logger, type Metrics, type Milliseconds, describeError, getErrorMessage,
+	type Bytes, type Logger, type Metrics, type Milliseconds, describeError, getErrorMessage,
 } from '@lacewingpoint/shared';
 import type {BackendConnectionPool} from '../requests/backend-connection-pool.js';
 import type {
@@ -10,6 +10,9 @@
 /** Timeout of a control call. Servers respond within milliseconds. */
 export const controlCallTimeout: Milliseconds = 400;
 
+/** Largest response to a control call; a report has a few kilobytes. */
+const maximumResponseSize: Bytes = 1_048_576;
+
 type CallResponse = {readonly status: number; readonly body: string};
 
 export type ModelServerClientOptions = {
@@ -75,7 +78,7 @@
 	}
 
 	async #call(entry: ServerEntry, method: string, target: string, body: string | undefined): Promise<CallResponse | undefined> {
-		const {connections, backend, isPaused} = this.#options;
+		const {connections, backend, log, isPaused} = this.#options;
 		if (isPaused(entry)) {
 			return undefined;
 		}
@@ -84,6 +87,13 @@
 		return new Promise(resolve => {
 			let status = 0;
 			const chunks: Uint8Array[] = [];
+			let receivedBytes = 0;
+			const giveUp = () => {
+				clearTimeout(timer);
+				exchange.abort({isDelivered: status > 0});
+				resolve(undefined);
+			};
+
 			const exchange = connections.send(entry, {
 				method, target, headers: body === undefined ? headers : [...headers, 'Content-Type', 'application/json'], body: body === undefined ? undefined : Buffer.from(body),
 			}, {
@@ -92,6 +102,11 @@
 				},
 				onData(chunk) {
 					chunks.push(chunk);
+					receivedBytes += chunk.length;
+					if (receivedBytes > maximumResponseSize) {
+						log.warn('control-response-too-large', {server: entry.id, target});
+						giveUp();
+					}
 				},
 				onEnd() {
 					clearTimeout(timer);
@@ -102,10 +117,7 @@
 					resolve(undefined);
 				},
 			});
-			const timer = setTimeout(() => {
-				exchange.abort({isDelivered: false});
-				resolve(undefined);
-			}, controlCallTimeout);
+			const timer = setTimeout(giveUp, controlCallTimeout);
 		});
 	}
 }
