A stopping host accepts only what it can end, and answers what it cannot

Cause: Host.stop accepted every request until its deadline, 7.3 s after SIGTERM, and then closed all connections, whatever ran on them. A host that knew no serving host also named itself in lookups with the usual time to live until it ended.

Evidence: planned-stop.test.ts, hosts as processes: streams cut off from 3.0 s after SIGTERM on (42 events, 100 ms apart), calls without a status from 7.0 s on. Requests had waited in the queue as well (status 0, sent at 3.4 s, ended at 7.4 s).

Now, from 2.5 s after SIGTERM on, when clients can know of the stop, a request is accepted only if it ends in time even if it uses up its deadline; others are refused with 503, from their head if possible, and get no Retry-After if another host serves. At the deadline, what has no response gets one: 503 if it was never sent, 502 otherwise, also requests of peers and those whose bodies are still arriving. In lookups, a stopping host names itself only as long as it accepts anything, with a time to live that ends before.

--- a/packages/host/__tests__/client-listener.test.ts
+++ b/packages/host/__tests__/client-listener.test.ts
@@ -86,7 +86,7 @@
 	respond(received[0]!);
 	isStopping = true;
 	const responses = clients.map(async client => readAll(client, 1));
-	const drained = drainListeners([listener], performance.now() + 5000, () => performance.now());
+	const drained = drainListeners({listeners: [listener], deadline: performance.now() + 5000, now: () => performance.now()});
 	respond(received[1]!);
 	respond(received[2]!);
 
@@ -113,7 +113,7 @@
 	}
 
 	const startedAt = performance.now();
-	assert.is(await drainListeners([listener], startedAt + 200, () => performance.now()), 1);
+	assert.is(await drainListeners({listeners: [listener], deadline: startedAt + 200, now: () => performance.now()}), 1);
 	assert.ok(performance.now() - startedAt < 1000);
 	client.destroy();
 	await listener.dispose();
--- a/packages/host/src/host-endpoints.ts
+++ b/packages/host/src/host-endpoints.ts
@@ -9,15 +9,16 @@
 import createRouter from 'find-my-way';
 import {listen} from './requests/client-listener.js';
 import type {DirectoryProtocol, HostSettings} from './ports.js';
+import {addressTimeToLive} from './stopping/index.js';
 
 export type HostEndpointsOptions = {
 	readonly settings: HostSettings;
 	readonly directoryProtocol: DirectoryProtocol;
-	/** How long clients may cache an address. */
-	readonly addressTimeToLive: Milliseconds;
 	readonly log: Logger;
 	readonly random: RandomSource;
 	hostState(): HostState;
+	/** How long clients may cache this host's address; 0 if it is not to be used any more. */
+	ownTimeToLive(): Milliseconds;
 	/** The peers that are offered to clients. */
 	offeredHosts(): readonly HostDescription[];
 	formatMetrics(): string;
@@ -77,19 +78,21 @@
 }
 
 function respondToLookup(options: HostEndpointsOptions, request: IncomingMessage, response: ServerResponse): void {
-	const {settings, directoryProtocol, addressTimeToLive} = options;
+	const {settings, directoryProtocol} = options;
 	const url = request.url ?? '';
 	const clientLocation = directoryProtocol.decodeLookup(url.slice(url.indexOf('?') + 1));
 	const state = options.hostState();
 	const ownDescription = state === 'serving' ? [settings.description] : [];
 	const hosts = selectNearbyHosts([...ownDescription, ...options.offeredHosts()], clientLocation, options.random);
 	// A stopping or detached host still serves requests for a while, so its own address is better than none.
-	const listedHosts = hosts.length > 0 || state === 'starting' ? hosts : [settings.description];
-	if (listedHosts.length === 0) {
+	const isOnlyHost = hosts.length === 0 && state !== 'starting';
+	const listedHosts = isOnlyHost ? [settings.description] : hosts;
+	const timeToLive = isOnlyHost ? options.ownTimeToLive() : addressTimeToLive;
+	if (listedHosts.length === 0 || timeToLive === 0) {
 		response.writeHead(503).end();
 		return;
 	}
 
-	const body = directoryProtocol.lookupBody(listedHosts.map(host => host.clientAddress), addressTimeToLive);
+	const body = directoryProtocol.lookupBody(listedHosts.map(host => host.clientAddress), timeToLive);
 	response.writeHead(200, {'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body)}).end(body);
 }
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -23,11 +23,11 @@
 import {PaceReporter} from './state/pace-reporter.js';
 import {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {HostDependencies} from './host-dependencies.js';
-import type {HostBounds, ReceivedRequest} from './ports.js';
-import {addressTimeToLive, computeStopTimes} from './stop-timing.js';
+import type {HostBounds} from './ports.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
 import {createPipelineContext} from './request-context.js';
 import {RequestPipeline} from './requests/request-pipeline.js';
+import {RunningRequests} from './requests/running-requests.js';
 import {RetryBudgets} from './requests/retry-budgets.js';
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
 import {RolloutConstraint} from './rollouts/rollout-constraint.js';
@@ -36,6 +36,7 @@
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
 import {httpPeerClient, serveSnapshots} from './state/peer-snapshots.js';
+import {PlannedStop, StopGuard} from './stopping/index.js';
 import {WeightsController} from './weights/weights-controller.js';
 import {WeightsLease} from './weights/weights-lease.js';
 
@@ -66,16 +67,15 @@
 	readonly #pipelineContext: PipelineContext;
 	readonly #disposables = new DisposableStore();
 	#clientListeners: readonly ClientListener[] = [];
-	#runningRequests = 0;
-	/** Without those whose clients have not waited for the outcome. */
-	#finishedRequests = 0;
-	#isStopping = false;
+	readonly #runningRequests = new RunningRequests();
+	readonly #plannedStop: PlannedStop;
 	#bounds: HostBounds;
 
 	constructor(dependencies: HostDependencies) {
 		const {settings, adapter, log, metrics, random, now, wallClock} = dependencies;
 		this.#dependencies = dependencies;
 		this.#bounds = settings.bounds;
+		this.#plannedStop = new PlannedStop(now, () => this.#clusterState.hosts.listOffered(now()).length > 0);
 		this.#retryBudgets = new RetryBudgets(settings.bounds, now());
 		this.#clusterState = new ClusterState(log, now, () => this.#bounds.weightsWithin, {
 			onServersChanged: () => {
@@ -136,7 +136,7 @@
 			canConnect: async server => this.#connectionPool.canConnect(server),
 			hostState: () => this.#hostState(),
 			hasStoreContact: () => this.#storeWatch.isConnected,
-			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#isStopping && this.#fleet.role === 'relay'),
+			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#plannedStop.isStopping && this.#fleet.role === 'relay'),
 			onReaderChanged: isReader => {
 				if (isReader) {
 					this.#storeWatch.start();
@@ -168,7 +168,7 @@
 				this.#dispatcher.dispatchQueued();
 			},
 			onRequest: received => {
-				this.#onRequest(received);
+				new RequestPipeline(received, this.#pipelineContext).start();
 			},
 		});
 		this.#crashDetector = new ServerCrashDetector({
@@ -179,15 +179,12 @@
 		});
 		this.#overloadGuard = createOverloadGuard(dependencies, this.#disposables, {
 			configurationAge: () => this.#clusterState.confirmation.age(now()), applyWithin: () => this.#bounds.applyWithin,
-			routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests, finishedRequests: () => this.#finishedRequests,
+			routes: () => this.#clusterState.routes, runningRequests: () => this.#runningRequests.count, finishedRequests: () => this.#runningRequests.finishedCount,
 		});
 		this.#pipelineContext = createPipelineContext({
 			dependencies, clusterState: this.#clusterState, dispatcher: this.#dispatcher, connections: this.#connectionPool, forwarding: this.#forwarding, fleet: this.#fleet,
-			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, earliestArrival, isOverloaded: () => this.#overloadGuard?.isBehind === true,
-			onRequestFinished: isAbandoned => {
-				this.#runningRequests--;
-				this.#finishedRequests += isAbandoned ? 0 : 1;
-			},
+			quarantine: this.#quarantine, retryBudgets: this.#retryBudgets, placementTracker: this.#placementTracker, crashDetector: this.#crashDetector, runningRequests: this.#runningRequests, plannedStop: this.#plannedStop,
+			earliestArrival, isOverloaded: () => this.#overloadGuard?.isBehind === true,
 		});
 		this.#registration = new HostRegistration(adapter.store, settings.description, log, now);
 		this.#weightsLease = new WeightsLease({
@@ -215,14 +212,16 @@
 
 	/** Starts serving. Clients get 503 until a configuration is known. */
 	async start(): Promise<void> {
-		const {settings, adapter, log, random, now} = this.#dependencies;
+		const {settings, adapter, log, metrics, random, now} = this.#dependencies;
 		await this.#fleet.start();
 		this.#clientListeners = await serveInterfaces(this.#dependencies, {
 			limits: () => this.#clusterState.configuration?.limits,
-			isStopping: () => this.#isStopping,
-			guard: this.#overloadGuard,
+			isStopping: () => this.#plannedStop.isStopping,
+			guard: new StopGuard({
+				plannedStop: this.#plannedStop, overloadGuard: this.#overloadGuard, routes: () => this.#clusterState.routes, log, metrics,
+			}),
 			onRequest: received => {
-				this.#onRequest(received);
+				new RequestPipeline(received, this.#pipelineContext).start();
 			},
 		});
 		this.#disposables.add(await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource, (request, response) => {
@@ -231,7 +230,7 @@
 		this.#disposables.add(await serveEndpoints({
 			settings,
 			directoryProtocol: adapter.directory,
-			addressTimeToLive,
+			ownTimeToLive: () => this.#plannedStop.ownTimeToLive(),
 			log,
 			random,
 			hostState: () => this.#hostState(),
@@ -263,7 +262,7 @@
 
 	/** Number of requests without a final response. */
 	get runningRequests(): number {
-		return this.#runningRequests;
+		return this.#runningRequests.count;
 	}
 
 	/** Number of servers in the cluster state. */
@@ -313,27 +312,9 @@
 	 * finished, at most for the grace period.
 	 */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
-
-		const {log, now} = this.#dependencies;
-		const startedAt = now();
-		this.#isStopping = true;
-		log.info('stop', {requests: this.#runningRequests, connections: this.#clientConnectionCount()});
-		this.#fleet.gossip.broadcastState();
-		this.#weightsLease.stopCampaigning();
-		await this.#registration.release();
-		const {deadline, addressesExpireAt} = computeStopTimes(startedAt, this.#bounds);
-		while (now() < deadline && (now() < addressesExpireAt || this.#runningRequests > 0 || this.#weightsController.hasPendingUpdates)) {
-			await pause(50);
+		if (!this.#plannedStop.isStopping) {
+			await this.#runStop();
 		}
-
-		const undelivered = await drainListeners(this.#clientListeners, deadline, now);
-		await this.#weightsController.release();
-		log.info('stopped', {requests: this.#runningRequests, undelivered, took: Math.round(now() - startedAt)});
-		this.#fleet.gossip.broadcastState();
-		await this.dispose();
 	}
 
 	/** Stops at once, as a loss of power would; running requests are cut off. */
@@ -354,12 +335,33 @@
 		await this.#disposables.dispose();
 	}
 
+	async #runStop(): Promise<void> {
+		const {log, now} = this.#dependencies;
+		const startedAt = now();
+		const {deadline, addressesExpireAt} = this.#plannedStop.begin(this.#bounds);
+		log.info('stop', {requests: this.#runningRequests.count, connections: this.#clientConnectionCount()});
+		this.#fleet.gossip.broadcastState();
+		this.#weightsLease.stopCampaigning();
+		await this.#registration.release();
+		while (now() < deadline && (now() < addressesExpireAt || this.#runningRequests.count > 0 || this.#weightsController.hasPendingUpdates)) {
+			await pause(Math.min(50, deadline - now()));
+		}
+
+		const undelivered = await drainListeners({
+			listeners: this.#clientListeners, deadline, now, undeliveredToPeers: () => this.#forwarding.listener.undeliveredResponses(), runningRequests: this.#runningRequests,
+		});
+		await this.#weightsController.release();
+		log.info('stopped', {requests: this.#runningRequests.count, undelivered, took: Math.round(now() - startedAt)});
+		this.#fleet.gossip.broadcastState();
+		await this.dispose();
+	}
+
 	#clientConnectionCount(): number {
 		return this.#clientListeners.reduce((sum, listener) => sum + listener.connectionCount(), 0);
 	}
 
 	#hostState(): HostState {
-		if (this.#isStopping) {
+		if (this.#plannedStop.isStopping) {
 			return 'stopping';
 		}
 
@@ -370,11 +372,6 @@
 		return this.#forwarding.serverLinks.isDetached ? 'detached' : 'serving';
 	}
 
-	#onRequest(received: ReceivedRequest): void {
-		this.#runningRequests++;
-		new RequestPipeline(received, this.#pipelineContext).start();
-	}
-
 	#runMaintenance(): void {
 		this.#clockMonitor.check();
 		this.#fleet.review();
@@ -389,7 +386,7 @@
 			...readStateGauges(this.#clusterState, this.#dependencies.now()),
 			waiting: this.#dispatcher.queuedRequests,
 			admission_rank: this.#dispatcher.admission.waitingRank(),
-			running: this.#runningRequests,
+			running: this.#runningRequests.count,
 			detached: this.#forwarding.serverLinks.isDetached ? 1 : 0,
 			client_connections: this.#clientConnectionCount(),
 			quarantined_parts: this.#fleet.promptPartGuard.quarantinedCount,
--- a/packages/host/src/overload/index.ts
+++ b/packages/host/src/overload/index.ts
@@ -1,2 +1,2 @@
 export {createOverloadGuard} from './create-overload-guard.js';
-export type {OverloadGuard} from './overload-guard.js';
+export type {AdmissionGuard, OverloadGuard} from './overload-guard.js';
--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -5,6 +5,7 @@
 	type Bytes, type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
 } from '@lacewingpoint/shared';
 import type {RequestPreview} from '../ports.js';
+import {stoppingReason} from '../stopping/planned-stop.js';
 import {RejectionLog, type RejectionReason} from './rejection-log.js';
 import {YoungGenerationLimit} from './young-generation-limit.js';
 
@@ -38,6 +39,21 @@
 	'no-memory': 'the host is out of memory; the request was not executed',
 	'too-old': 'the request was read too late; it was not executed',
 	'old-configuration': 'the host is overloaded and its configuration may be outdated; the request was not executed',
+	stopping: stoppingReason,
+};
+
+/** Decides which requests are rejected before they are read. */
+export type AdmissionGuard = {
+	/** Whether requests wait so long for the event loop that the host may miss their objectives, or are limited for that reason. */
+	readonly isBehind: boolean;
+	/**
+	 * Decides whether a request is rejected, from what its head shows.
+	 *
+	 * @param target - Path and query of the request.
+	 * @param preview - Reads the head; not called unless requests may be rejected at present.
+	 * @returns The rejection; `undefined` if the request is admitted.
+	 */
+	evaluate(target: string, preview: () => RequestPreview): Rejection | undefined;
 };
 
 export type OverloadGuardOptions = {
@@ -63,7 +79,7 @@
 };
 
 /** Measures how far the host is behind and how much memory it occupies, and rejects requests that it cannot serve before they are read. */
-export class OverloadGuard implements Disposable {
+export class OverloadGuard implements AdmissionGuard, Disposable {
 	readonly #options: OverloadGuardOptions;
 	readonly #controller = new OverloadController(defaultOverloadControllerOptions);
 	readonly #rejections: RejectionLog;
@@ -93,18 +109,10 @@
 		];
 	}
 
-	/** Whether requests wait so long for the event loop that the host may miss their objectives, or are limited for that reason. */
 	get isBehind(): boolean {
 		return this.#controller.rate !== undefined || this.#currentDelay() >= this.#targetDelay;
 	}
 
-	/**
-	 * Decides whether a request is rejected, from what its head shows.
-	 *
-	 * @param target - Path and query of the request.
-	 * @param preview - Reads the head; not called while the host keeps up.
-	 * @returns The rejection; `undefined` if the request is admitted.
-	 */
 	evaluate(target: string, preview: () => RequestPreview): Rejection | undefined {
 		const age = this.#currentDelay();
 		if (!this.isBehind && !this.#isFull) {
--- a/packages/host/src/overload/rejection-log.ts
+++ b/packages/host/src/overload/rejection-log.ts
@@ -1,7 +1,7 @@
 import type {Logger, Metrics} from '@lacewingpoint/shared';
 
 /** Why a request was rejected before it was read completely. */
-export type RejectionReason = 'overloaded' | 'no-memory' | 'too-old' | 'old-configuration';
+export type RejectionReason = 'overloaded' | 'no-memory' | 'too-old' | 'old-configuration' | 'stopping';
 
 /** Limit on the ids in a log line. */
 const maximumIds = 200;
--- a/packages/host/src/request-context.ts
+++ b/packages/host/src/request-context.ts
@@ -7,10 +7,12 @@
 import type {BackendConnectionPool} from './requests/backend-connection-pool.js';
 import type {Dispatcher} from './requests/dispatcher.js';
 import type {PipelineContext} from './requests/pipeline-context.js';
+import type {RunningRequests} from './requests/running-requests.js';
 import type {RetryBudgets} from './requests/retry-budgets.js';
 import type {ClusterState} from './state/cluster-state.js';
 import type {PromptPlacementTracker} from './state/prompt-placement-tracker.js';
 import type {ServerCrashDetector} from './state/server-crash-detector.js';
+import type {PlannedStop} from './stopping/index.js';
 
 /** The components of a host that its requests use. */
 export type RequestComponents = {
@@ -24,12 +26,12 @@
 	readonly retryBudgets: RetryBudgets;
 	readonly placementTracker: PromptPlacementTracker;
 	readonly crashDetector: ServerCrashDetector;
+	readonly runningRequests: RunningRequests;
+	readonly plannedStop: PlannedStop;
 	/** @returns Whether this host is behind with its work. */
 	isOverloaded(): boolean;
 	/** @returns The earliest monotonic time at which data that is read now may have reached this machine. */
 	earliestArrival(): Milliseconds;
-	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
-	onRequestFinished(isAbandoned: boolean): void;
 };
 
 /**
@@ -45,6 +47,8 @@
 	const {settings, adapter, log, metrics, random, now} = dependencies;
 	return {
 		hostName: settings.description.name,
+		runningRequests: components.runningRequests,
+		plannedStop: components.plannedStop,
 		clusterState,
 		dispatcher: components.dispatcher,
 		connections: components.connections,
@@ -83,8 +87,7 @@
 		onServerUnreachable(server) {
 			crashDetector.recordUnreachable(server);
 		},
-		onRequestFinished(isAbandoned) {
-			components.onRequestFinished(isAbandoned);
+		onRequestFinished() {
 			fleet.gossip.recordTotalsChanged('all');
 		},
 	};
--- a/packages/host/src/requests/client-listener.ts
+++ b/packages/host/src/requests/client-listener.ts
@@ -7,7 +7,7 @@
 import type {
 	ClientProtocol, ClientRequest, HeaderList, ReceivedRequest, ResponseWriter,
 } from '../ports.js';
-import {type OverloadGuard, type Rejection, rejectionMessages} from '../overload/overload-guard.js';
+import {type AdmissionGuard, type Rejection, rejectionMessages} from '../overload/overload-guard.js';
 import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 
 export type ClientListenerOptions = {
@@ -16,8 +16,8 @@
 	/** Limit on the total size of all request bodies held in memory. */
 	readonly bodyMemoryLimit: Bytes;
 	readonly now: () => Milliseconds;
-	/** Decides from the head whether a request is rejected unread; absent if the host does not guard against overload. */
-	readonly guard?: Pick<OverloadGuard, 'evaluate' | 'isBehind'> | undefined;
+	/** Decides from the head whether a request is rejected unread; if absent, none is. */
+	readonly guard?: AdmissionGuard | undefined;
 	/** @returns The limits of the current configuration; `undefined` before a configuration is known. */
 	limits(): ClientLimits | undefined;
 	/** @returns Whether connections are to be closed after the current response. */
@@ -44,6 +44,12 @@
 	connectionCount(): number;
 	/** Takes no more connections. Those that are open, and the requests on them, go on. */
 	stopListening(): void;
+	/**
+	 * Refuses the requests whose bodies have not arrived completely.
+	 *
+	 * @param reason - Why they are refused.
+	 */
+	refuseIncompleteRequests(reason: string): void;
 	/** @returns The number of requests whose heads were read and whose responses are not delivered yet. */
 	undeliveredResponses(): number;
 	/** Stops listening and closes all connections. */
@@ -134,6 +140,7 @@
 	const openResponses = new Set<ResponseWriter>();
 	let bufferedBytes = 0;
 	let deferredRequests = 0;
+	const incompleteRequests = new Set<(reason: string) => void>();
 	const server: Server = createServer({
 		maxHeaderSize: parserHeaderLimit, noDelay: true, keepAlive: true, keepAliveInitialDelay: 5000, requestTimeout: 0, connectionsCheckingInterval: 500,
 	}, (request: IncomingMessage, response: ServerResponse) => {
@@ -191,6 +198,13 @@
 		const chunks: Uint8Array[] = [];
 		let receivedBytes = 0;
 		let isRejected = false;
+		const refuseIncomplete = (reason: string) => {
+			isRejected = true;
+			reject(decodedHead.value.id, 503, reason);
+		};
+
+		incompleteRequests.add(refuseIncomplete);
+		delivery.onEnded(() => incompleteRequests.delete(refuseIncomplete));
 		request.on('data', (chunk: Uint8Array) => {
 			if (isRejected || responseWriter.isDisconnected) {
 				return;
@@ -213,6 +227,7 @@
 		});
 		request.on('error', () => {/* The end of the exchange follows. */});
 		request.on('end', () => {
+			incompleteRequests.delete(refuseIncomplete);
 			if (isRejected || responseWriter.isDisconnected) {
 				return;
 			}
@@ -259,6 +274,11 @@
 			// The method of an HTTP server also destroys connections whose last response has ended but is not sent completely.
 			NetServer.prototype.close.call(server);
 		},
+		refuseIncompleteRequests(reason) {
+			for (const refuse of incompleteRequests) {
+				refuse(reason);
+			}
+		},
 		undeliveredResponses: () => openResponses.size + deferredRequests,
 		async dispose() {
 			server.close();
--- a/packages/host/src/requests/forwarded-request-listener.ts
+++ b/packages/host/src/requests/forwarded-request-listener.ts
@@ -92,6 +92,11 @@
 		this.#options = options;
 	}
 
+	/** @returns The number of requests of peers whose responses are not delivered yet. */
+	undeliveredResponses(): number {
+		return this.#runningRequests;
+	}
+
 	/**
 	 * Reads a request and passes it to `onRequest`.
 	 *
--- a/packages/host/src/requests/pipeline-context.ts
+++ b/packages/host/src/requests/pipeline-context.ts
@@ -9,14 +9,18 @@
 import type {BrokenRequest} from '../state/server-crash-detector.js';
 import type {BackendProtocol, ReceivedRequest} from '../ports.js';
 import type {ChosenServer} from '../placement/placement-request.js';
+import type {PlannedStop} from '../stopping/planned-stop.js';
 import type {ArrivalBarrier} from './arrival-barrier.js';
 import type {BackendConnectionPool} from './backend-connection-pool.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {PeerForwarder} from './peer-forwarder.js';
+import type {RunningRequests} from './running-requests.js';
 
 /** The components of a host that all its requests share, and callbacks to the host. */
 export type PipelineContext = {
 	readonly hostName: string;
+	readonly runningRequests: RunningRequests;
+	readonly plannedStop: PlannedStop;
 	readonly clusterState: ClusterState;
 	readonly dispatcher: Dispatcher;
 	readonly connections: BackendConnectionPool;
@@ -65,6 +69,6 @@
 	findStreamOrigin(service: string, requestId: string | undefined): Promise<string | undefined>;
 	/** Called when a server could not be reached or has stalled. */
 	onServerUnreachable(server: string): void;
-	/** Called once the outcome of a request is final; `isAbandoned` if its client has not waited for it. */
-	onRequestFinished(isAbandoned: boolean): void;
+	/** Called once the outcome of a request is final. */
+	onRequestFinished(): void;
 };
--- a/packages/host/src/requests/request-completion.ts
+++ b/packages/host/src/requests/request-completion.ts
@@ -31,8 +31,8 @@
 	readonly request: RoutedRequest;
 	readonly response: RelayedResponse;
 	readonly quotaCharge: QuotaCharge;
-	/** Called once, before the outcome is reported. */
-	readonly onFinished: () => void;
+	/** Called once, before the outcome is reported; `isAbandoned` if the client has not waited for it. */
+	readonly onFinished: (isAbandoned: boolean) => void;
 };
 
 /** Determines the final outcome of a request, reports it and ends the response. */
@@ -127,7 +127,7 @@
 
 		const {context, request, response, onFinished} = this.#options;
 		this.#isFinished = true;
-		onFinished();
+		onFinished(outcome === clientGone || cause === outOfTime);
 		reportRequest(context, {
 			received: request.received,
 			longestReadDelay: request.longestReadDelay,
@@ -144,6 +144,6 @@
 			weightsVersion: response.weightsVersion,
 			attempts: this.#attempts?.records ?? [],
 		});
-		context.onRequestFinished(outcome === clientGone || cause === outOfTime);
+		context.onRequestFinished();
 	}
 }
--- a/packages/host/src/requests/request-pipeline.ts
+++ b/packages/host/src/requests/request-pipeline.ts
@@ -2,11 +2,12 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {RequestWait} from '../admission/request-wait.js';
 import type {ReceivedRequest} from '../ports.js';
+import {stopDeadlineReason, stoppingReason} from '../stopping/planned-stop.js';
 import type {ChosenServer, PlacementResult} from '../placement/placement-request.js';
 import type {AttemptListener} from './attempt.js';
 import {AttemptRunner} from './attempt-runner.js';
 import type {PendingRequest} from './dispatcher.js';
-import {ForwardedAttempt} from './forwarded-attempt.js';
+import {PeerAttempts} from './peer-attempts.js';
 import type {PipelineContext} from './pipeline-context.js';
 import {QuotaCharge} from './quota-charge.js';
 import {RelayedResponse} from './relayed-response.js';
@@ -14,6 +15,7 @@
 import {RequestCompletion, outOfTime} from './request-completion.js';
 import {RetryAllowance} from './retry-allowance.js';
 import {RoutedRequest} from './routed-request.js';
+import type {RunningRequest} from './running-requests.js';
 import {TriedServers} from './tried-servers.js';
 import {
 	decideWait, defaultRetryAfter, limitRetryAfter, maximumWaitAfterRejections, minimumRemainingTime,
@@ -22,26 +24,22 @@
 /** The number of servers that a request finds out of reach before it is forwarded to a peer: one may have crashed. */
 const unreachableServersBeforeForwarding = 2;
 
-/** The number of peers to which a request is sent. */
-const maximumPeers = 3;
-
 /**
  * Handles one request from its arrival to its outcome: matches a route, authorizes, charges the quota, chooses a server or queues, and
  * does so again when an attempt has failed and the route allows another.
  */
-export class RequestPipeline implements PendingRequest, AttemptListener {
+export class RequestPipeline implements PendingRequest, AttemptListener, RunningRequest {
 	readonly #context: PipelineContext;
 	readonly #request: RoutedRequest;
 	readonly #response: RelayedResponse;
 	readonly #quotaCharge: QuotaCharge;
 	readonly #completion: RequestCompletion;
 	readonly #triedServers = new TriedServers();
-	readonly #triedPeers = new Set<string>();
+	readonly #peerAttempts: PeerAttempts;
 
 	#retries = new RetryAllowance(0, () => false);
 	#attempts: AttemptRunner | undefined;
 	#wait: RequestWait | undefined;
-	#forwardedAttempt: ForwardedAttempt | undefined;
 	#unreachableServers = 0;
 	#isQueued = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
@@ -60,31 +58,37 @@
 		this.#response = new RelayedResponse(received.responseWriter, version => {
 			this.#recordOrigin(version);
 		});
+		this.#peerAttempts = new PeerAttempts({
+			context, request: this.#request, response: this.#response, listener: this, onEnded: record => {
+				this.#attempts!.ledger.addRecord(record);
+			},
+		});
 		this.#quotaCharge = new QuotaCharge(context.clusterState.rateLimiter);
 		this.#completion = new RequestCompletion({
 			context,
 			request: this.#request,
 			response: this.#response,
 			quotaCharge: this.#quotaCharge,
-			onFinished: () => {
-				this.#onFinished();
+			onFinished: isAbandoned => {
+				this.#onFinished(isAbandoned);
 			},
 		});
 	}
 
 	/** Processes the request until it is sent to a server, queued or refused. */
 	start(): void {
+		this.#context.runningRequests.add(this);
 		const route = this.#admit();
 		if (route === undefined) {
 			return;
 		}
 
-		const {retryBudget, random, now} = this.#context;
+		const {retryBudget, hostCount, random, now} = this.#context;
 		const {responseWriter, forwarding} = this.#request.received;
 		this.#request.selectService(route, random.next());
 		this.#wait = new RequestWait(this.#context.dispatcher.admission, this.#request, now());
 		this.#originVersion = forwarding?.requiredVersion;
-		this.#retries = new RetryAllowance(Math.min(route.maxServers, forwarding?.executionsLeft ?? Number.POSITIVE_INFINITY), () => this.#acquireRetryBudget());
+		this.#retries = new RetryAllowance(Math.min(route.maxServers, forwarding?.executionsLeft ?? Number.POSITIVE_INFINITY), () => retryBudget(this.#request.service).tryAcquire(hostCount(), now()));
 		const attempts = new AttemptRunner({
 			context: this.#context, request: this.#request, route, response: this.#response, retries: this.#retries, triedServers: this.#triedServers, listener: this,
 		});
@@ -100,7 +104,7 @@
 		});
 		responseWriter.onDrain(() => {
 			attempts.resume();
-			this.#forwardedAttempt?.resume();
+			this.#peerAttempts.resume();
 		});
 		this.#deadlineTimer = setTimeout(() => {
 			this.#onDeadline();
@@ -112,6 +116,10 @@
 		}
 	}
 
+	get isQueued(): boolean {
+		return this.#isQueued;
+	}
+
 	get waitsForCapacity(): boolean {
 		return this.#wait?.waitsForCapacity === true;
 	}
@@ -186,9 +194,15 @@
 		this.#completion.fail(reason, retryAfter);
 	}
 
+	endForStop(): void {
+		if (!this.#response.hasStarted) {
+			this.#end(stopDeadlineReason, limitRetryAfter(defaultRetryAfter, this.#request.remainingTime()));
+		}
+	}
+
 	// Returns the route of a request that may be sent to servers; refuses others.
 	#admit(): Route | undefined {
-		const {clusterState, quarantine, now} = this.#context;
+		const {clusterState, quarantine, plannedStop, now} = this.#context;
 		const {request} = this.#request.received;
 		const routes = clusterState.routes;
 		if (routes === undefined) {
@@ -203,6 +217,12 @@
 			return undefined;
 		}
 
+		const remainingTime = this.#request.remainingTime();
+		if (!plannedStop.admits(remainingTime)) {
+			this.#completion.refuse(503, stoppingReason, plannedStop.retryAfter(remainingTime));
+			return undefined;
+		}
+
 		this.#request.computeFingerprint();
 		if (quarantine.evaluateStatus(this.#request.fingerprint, now()) === 'quarantined') {
 			this.#completion.refuse(503, 'the request is quarantined: servers crashed while executing it', undefined);
@@ -222,11 +242,6 @@
 		return admission.route;
 	}
 
-	#acquireRetryBudget(): boolean {
-		const {retryBudget, hostCount, now} = this.#context;
-		return retryBudget(this.#request.service).tryAcquire(hostCount(), now());
-	}
-
 	#place(): PlacementResult {
 		const {received, route, service, workspace} = this.#request;
 		return this.#context.dispatcher.place({
@@ -268,32 +283,8 @@
 		this.#attempts!.run(chosen);
 	}
 
-	// Sends the request to a peer that reaches servers, unless it has come from a peer.
 	#forward(): boolean {
-		const {forwarder} = this.#context;
-		const {received} = this.#request;
-		if (received.forwarding !== undefined || this.#triedPeers.size >= maximumPeers || this.#request.remainingTime() < minimumRemainingTime) {
-			return false;
-		}
-
-		const peer = forwarder.choosePeer(this.#triedPeers);
-		if (peer === undefined) {
-			return false;
-		}
-
-		this.#triedPeers.add(peer.name);
-		this.#forwardedAttempt = new ForwardedAttempt(peer, {
-			context: this.#context,
-			request: this.#request,
-			response: this.#response,
-			retries: this.#retries,
-			requiredVersion: this.#response.softwareVersion ?? this.#originVersion,
-			listener: this,
-			onEnded: record => {
-				this.#attempts!.ledger.addRecord(record);
-			},
-		});
-		return true;
+		return this.#peerAttempts.forward(this.#retries, this.#response.softwareVersion ?? this.#originVersion);
 	}
 
 	#failIfPartQuarantined(): boolean {
@@ -369,11 +360,22 @@
 			return;
 		}
 
-		if (this.#attempts?.abort(outOfTime) === true || this.#forwardedAttempt?.abort(outOfTime) === true) {
+		this.#end(outOfTime, undefined);
+	}
+
+	// Ends what runs of the request, without another attempt.
+	#end(reason: string, retryAfter: Milliseconds | undefined): void {
+		if (this.#abort(reason)) {
 			this.#retries.executions++;
 		}
 
-		this.#completion.fail(outOfTime, undefined);
+		this.#completion.fail(reason, retryAfter);
+	}
+
+	// Returns whether an attempt was running that a server may have executed.
+	#abort(result: string): boolean {
+		const hasAbortedAttempt = this.#attempts?.abort(result) === true;
+		return this.#peerAttempts.abort(result) || hasAbortedAttempt;
 	}
 
 	#onClientDisconnect(): void {
@@ -381,13 +383,12 @@
 			return;
 		}
 
-		const hasAbortedAttempt = this.#attempts?.abort('client gone') === true;
-		const hasAbortedForwarding = this.#forwardedAttempt?.abort('client gone') === true;
-		const isSent = hasAbortedAttempt || hasAbortedForwarding;
+		const isSent = this.#abort('client gone');
 		this.#completion.abandon(this.#response.hasStarted ? 'answering' : (isSent ? 'sent' : 'waiting'));
 	}
 
-	#onFinished(): void {
+	#onFinished(isAbandoned: boolean): void {
+		this.#context.runningRequests.remove(this, isAbandoned);
 		clearTimeout(this.#deadlineTimer);
 		this.#attempts?.stop();
 		if (this.#isQueued) {
--- a/packages/host/src/requests/routed-request.ts
+++ b/packages/host/src/requests/routed-request.ts
@@ -3,7 +3,8 @@
 import type {ReceivedRequest} from '../ports.js';
 import {type Admission, selectService} from './request-admission.js';
 
-const defaultDeadline: Milliseconds = 30_000;
+/** The deadline of requests whose clients state none. */
+export const defaultDeadline: Milliseconds = 30_000;
 
 /** A request and what its admission has determined so far. */
 export class RoutedRequest {
