A second SIGTERM does not end a stopping host

Cause: Host.stop returned at once if a stop was under way, and the signal handler then ended the process. All calls wait for the same stop now. The test with signals after 300, 1000, 1100 and 4000 ms failed before and passes now.

--- a/packages-private/local-cluster/__tests__/planned-stop.test.ts
+++ b/packages-private/local-cluster/__tests__/planned-stop.test.ts
@@ -230,4 +230,10 @@
 	checkStop(run);
 });
 
+// Guards against a process that ends at a second SIGTERM, as the first stop is not awaited.
+test('more SIGTERM signals do not end a stopping host sooner', async () => {
+	const run = await runStop({stoppedCount: 1, eventInterval: 25, repeatedSignals: [300, 1000, 1100, 4000]});
+	checkStop(run);
+});
+
 test.run();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -69,6 +69,7 @@
 	#clientListeners: readonly ClientListener[] = [];
 	readonly #runningRequests = new RunningRequests();
 	readonly #plannedStop: PlannedStop;
+	#stopped: Promise<void> | undefined;
 	#bounds: HostBounds;
 
 	constructor(dependencies: HostDependencies) {
@@ -312,9 +313,8 @@
 	 * finished, at most for the grace period.
 	 */
 	async stop(): Promise<void> {
-		if (!this.#plannedStop.isStopping) {
-			await this.#runStop();
-		}
+		this.#stopped ??= this.#runStop();
+		return this.#stopped;
 	}
 
 	/** Stops at once, as a loss of power would; running requests are cut off. */
