--- a/packages/host/__tests__/arrival-barrier.test.ts
+++ b/packages/host/__tests__/arrival-barrier.test.ts
@@ -47,4 +47,32 @@
 	assert.is(count, 3);
 });
 
+// Guards against requests that hang until their deadline because another one of the same turn has failed.
+test('an action that throws does not keep others from running', async () => {
+	const barrier = new ArrivalBarrier();
+	const uncaught: unknown[] = [];
+	const previousListeners = process.listeners('uncaughtException');
+	process.removeAllListeners('uncaughtException');
+	process.once('uncaughtException', error => {
+		uncaught.push(error);
+	});
+	let hasRun = false;
+	const failure = new Error('invalid');
+	barrier.pass(() => {
+		throw failure;
+	});
+	barrier.pass(() => {
+		hasRun = true;
+	});
+	await new Promise(resolve => {
+		setTimeout(resolve, 50);
+	});
+	for (const listener of previousListeners) {
+		process.on('uncaughtException', listener);
+	}
+
+	assert.ok(hasRun);
+	assert.equal(uncaught, [failure]);
+});
+
 test.run();
--- a/packages/host/__tests__/backend-connection-pool.test.ts
+++ b/packages/host/__tests__/backend-connection-pool.test.ts
@@ -163,4 +163,25 @@
 	});
 });
 
+// Guards against an exception in the place of a failed attempt, which left the request without an outcome.
+test('a server whose address no socket can have is not reached', async () => {
+	const pool = new BackendConnectionPool({
+		connectTimeout: 1000, idleTimeout: 4000, maxIdleConnections: 4, reuseDelay, now: () => performance.now(), onResponseHead() {/* Nothing responds. */}, onConnectionOpened() {/* Not tested here. */},
+	});
+	for (const address of ['127.0.0.1:65536', '127.0.0.1:99999', '999.1.1.1:80']) {
+		const target = {id: 's', incarnation: '1', address};
+		const failure = await new Promise(resolve => {
+			pool.send(target, {
+				method: 'GET', target: '/', headers: [], body: undefined,
+			}, {
+				onHead() {/* Nothing responds. */}, onData() {/* Nothing responds. */}, onEnd() {/* Nothing responds. */}, onFailure: resolve,
+			});
+		});
+		assert.is((failure as {readonly wasWritten: boolean}).wasWritten, false);
+	}
+
+	assert.is(await pool.canConnect({id: 's', incarnation: '1', address: '127.0.0.1:65536'}), false);
+	pool.dispose();
+});
+
 test.run();
--- a/packages/host/src/requests/arrival-barrier.ts
+++ b/packages/host/src/requests/arrival-barrier.ts
@@ -44,7 +44,14 @@
 		}
 
 		for (const action of ready) {
-			action();
+			try {
+				action();
+			} catch (error) {
+				// Reported as uncaught, while the requests whose actions follow go on.
+				process.nextTick(() => {
+					throw error;
+				});
+			}
 		}
 	}
 }
--- a/packages/host/src/requests/backend-connection-pool.ts
+++ b/packages/host/src/requests/backend-connection-pool.ts
@@ -1,6 +1,7 @@
 import {type Milliseconds, getErrorMessage} from '@lacewingpoint/shared';
 import {Client} from 'undici';
 import type {HeaderList} from '../ports.js';
+import {createFailedExchange} from './failed-exchange.js';
 import {type OpenSocket, connectToServer, openTcpSocket} from './server-connector.js';
 import {
 	type ResetCheck, type SocketState, createSocketState, detectReset, isCloseDelimited,
@@ -119,7 +120,13 @@
 	 * @returns Controls of the exchange: pause, resume and abort.
 	 */
 	send(target: ConnectionTarget, request: OutgoingRequest, handler: ExchangeHandler): Exchange {
-		const connection = this.#acquire(target);
+		let connection: Connection;
+		try {
+			connection = this.#acquire(target);
+		} catch (error) {
+			return createFailedExchange(handler, getErrorMessage(error));
+		}
+
 		const {onResponseHead, now} = this.#options;
 		const sentAt = now();
 		let requestController: {pause(): void; resume(): void; abort(reason: Error): void} | undefined;
--- a/packages/host/src/requests/dispatcher.ts
+++ b/packages/host/src/requests/dispatcher.ts
@@ -172,17 +172,20 @@
 		}
 
 		this.#isDispatching = true;
-		for (const [service, queue] of this.#queues) {
-			if (queue.size > 0) {
-				for (const item of queue.removeExpired(this.#now())) {
-					item.onQueueTimeout();
+		try {
+			for (const [service, queue] of this.#queues) {
+				if (queue.size > 0) {
+					for (const item of queue.removeExpired(this.#now())) {
+						item.onQueueTimeout();
+					}
+
+					this.#offer(service, queue);
 				}
-
-				this.#offer(service, queue);
 			}
+		} finally {
+			this.#isDispatching = false;
 		}
 
-		this.#isDispatching = false;
 		if (this.queuedRequests === 0) {
 			clearInterval(this.#timer);
 			this.#timer = undefined;
--- a/packages/host/src/requests/server-connector.ts
+++ b/packages/host/src/requests/server-connector.ts
@@ -25,7 +25,15 @@
  */
 export function connectToServer(address: string, {timeout, openSocket}: ConnectOptions, callback: (outcome: Result<Socket, Error>) => void): void {
 	const separator = address.lastIndexOf(':');
-	const socket = openSocket({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
+	let socket: Socket;
+	try {
+		socket = openSocket({host: address.slice(0, separator), port: Number(address.slice(separator + 1))});
+	} catch (error) {
+		// Thrown for a port that no socket can have.
+		setImmediate(callback, Result.err(error as Error));
+		return;
+	}
+
 	socket.setNoDelay(true);
 	socket.setKeepAlive(true, keepAliveDelay);
 	const timer = setTimeout(() => {
