A host that is cut off together with relays does not guess the version of a stream

What callers saw (report by operators): while servers of a new software version joined, streams that had begun on these were taken up at a host that was cut off from the others, and went on at a server of another version.

Cause: StreamOriginFinder went by the relays that answered. Relays that are cut off together with the host have not heard of the new version either, and answer that there is only one; those on the other side of the cut, which have the records, were not missed. A host that knew no relay went by its own list of servers.

Evidence: with one relay that answers 'only v1' and one that does not answer, while the store lists servers of v1 and v2, the finder returned v1.

Now, unless every relay answers or one has a record, the version counts only if a read of the store that begins after the stream was taken up lists servers of no other. Streams that are taken up together share a read.

Three tests of stream-origin-finder.test.ts failed before and pass now. That for a host without peers had accepted the guess; it now requires the store's listing, and refuses without it.

--- a/packages-private/measure/src/simulated-fleet.ts
+++ b/packages-private/measure/src/simulated-fleet.ts
@@ -126,8 +126,8 @@
 			sentBytes: 0,
 			fleet: new Fleet({
 				description,
-				seedAddresses: ['host-0:2', 'host-1:2', 'host-2:2'],
-				seedSnapshotAddresses: ['host-0:3', 'host-1:3', 'host-2:3'],
+				seedAddresses: ['host-0:2', 'host-1:2', 'host-2:2'], seedSnapshotAddresses: ['host-0:3', 'host-1:3', 'host-2:3'],
+				readServers: async () => undefined,
 				clusterState,
 				quarantine: new Quarantine({crashThreshold: 3, domainFailureWindow: 0, suspicionLifetime: 60_000}),
 				transport: this.#createTransport(name, () => host),
--- a/packages/host/__tests__/odd-messages.test.ts
+++ b/packages/host/__tests__/odd-messages.test.ts
@@ -41,6 +41,7 @@
 		scheduler: {schedule: () => ignore},
 		log: silentLogger, metrics: new Metrics(), random: createSeededRandom(1),
 		now: () => clock.now, earliestArrival: () => clock.now, hostState: () => 'serving', isDetached: () => false, canConnect: async () => false,
+		readServers: async () => undefined,
 		hasStoreContact: () => false, mustBeRelay: () => true, onReaderChanged: ignore, onRoleChanged: ignore,
 	});
 	return {
--- a/packages/host/__tests__/stream-origin-finder.test.ts
+++ b/packages/host/__tests__/stream-origin-finder.test.ts
@@ -19,9 +19,13 @@
 	name, incarnation: '1', failureDomain: 'a', region: 'r', clientAddress: `${name}:1`, peerAddress: `${name}:2`, snapshotAddress: name, capacity: 1,
 });
 
-/** A host that has observed servers of some versions for a time, and relays that give these answers; `undefined` for none. */
-function create(versions: readonly string[], observedFor: number, answers: ReadonlyArray<StreamOrigin | undefined>) {
+/**
+ * A host that has observed servers of some versions for a time, relays that give these answers (`undefined` for none), and a store that
+ * lists servers of some versions; `undefined` if it does not respond.
+ */
+function create(versions: readonly string[], observedFor: number, answers: ReadonlyArray<StreamOrigin | undefined>, stored?: readonly string[]) {
 	const asked: unknown[] = [];
+	let storeReads = 0;
 	const clusterState = new ClusterState(silentLogger, () => observedFor, () => 12_000, listener);
 	for (const now of [0, observedFor]) {
 		clusterState.streamOrigins.observeServers(versions.map(version => createEntry(version)), now);
@@ -38,8 +42,14 @@
 				return answer === undefined ? Result.err({layer: 'host', code: 'unreachable', message: 'no response'}) : Result.ok(answer);
 			},
 		} as unknown as PeerClient,
+		async readServers() {
+			storeReads++;
+			return stored?.map(version => createEntry(version));
+		},
 	});
-	return {asked, clusterState, finder};
+	return {
+		asked, clusterState, finder, storeReads: () => storeReads,
+	};
 }
 
 test('uses its own record without asking', async () => {
@@ -67,9 +77,29 @@
 	assert.is(await create(['v2'], 100, [{type: 'several'}]).finder.findVersion('s', 'first'), undefined);
 });
 
-test('a host without peers goes by the servers that it knows', async () => {
-	assert.is(await create(['v1'], 100, []).finder.findVersion('s', undefined), 'v1');
-	assert.is(await create(['v1', 'v2'], 100, []).finder.findVersion('s', undefined), undefined);
+test('a host without peers goes by the servers that it knows, if the store lists no others', async () => {
+	assert.is(await create(['v1'], 100, [], ['v1']).finder.findVersion('s', undefined), 'v1');
+	assert.is(await create(['v1'], 100, [], ['v1', 'v2']).finder.findVersion('s', undefined), undefined);
+	assert.is(await create(['v1', 'v2'], 100, [], ['v1']).finder.findVersion('s', undefined), undefined);
+});
+
+// Guards against streams that go on at another version at a host that is cut off while servers of a new version join: relays that are cut
+// off together with it know as little.
+test('beside relays that do not answer, the store has to confirm that no other version serves', async () => {
+	const only = {type: 'only', version: 'v1'} as const;
+	assert.is(await create(['v1'], originRetention, [only, undefined]).finder.findVersion('s', 'first'), undefined);
+	assert.is(await create(['v1'], originRetention, [only, undefined], ['v1', 'v2']).finder.findVersion('s', 'first'), undefined);
+	assert.is(await create(['v1'], originRetention, [only, undefined], ['v1']).finder.findVersion('s', 'first'), 'v1');
+	assert.is(await create(['v1'], originRetention, [], undefined).finder.findVersion('s', 'first'), undefined);
+});
+
+test('the store is not read if every relay answers, and once for streams that are taken up together', async () => {
+	const confirmed = create(['v1'], originRetention, [{type: 'only', version: 'v1'}]);
+	assert.is(await confirmed.finder.findVersion('s', 'first'), 'v1');
+	assert.is(confirmed.storeReads(), 0);
+	const lonely = create(['v1'], originRetention, [], ['v1']);
+	assert.equal(await Promise.all(['a', 'b', 'c'].map(async id => lonely.finder.findVersion('s', id))), ['v1', 'v1', 'v1']);
+	assert.is(lonely.storeReads(), 1);
 });
 
 test.run();
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -32,6 +32,7 @@
 import {ModelServerClient, controlCallTimeout} from './weights/model-server-client.js';
 import {RolloutConstraint} from './rollouts/rollout-constraint.js';
 import {RolloutController} from './rollouts/rollout-controller.js';
+import {readServers} from './state/read-servers.js';
 import {readStateGauges} from './state/state-gauges.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
@@ -136,6 +137,7 @@
 			isDetached: () => this.#forwarding.serverLinks.isDetached,
 			canConnect: async server => this.#connectionPool.canConnect(server),
 			hostState: () => this.#hostState(),
+			readServers: async () => readServers(adapter.store),
 			hasStoreContact: () => this.#storeWatch.isConnected,
 			mustBeRelay: () => this.#weightsLease.term !== undefined || (this.#plannedStop.isStopping && this.#fleet.role === 'relay'),
 			onReaderChanged: isReader => {
--- a/packages/host/src/members/fleet.ts
+++ b/packages/host/src/members/fleet.ts
@@ -1,5 +1,5 @@
 import type {HostDescription, HostRole, HostState} from '@lacewingpoint/coordination';
-import type {Quarantine} from '@lacewingpoint/routing';
+import type {Quarantine, ServerEntry} from '@lacewingpoint/routing';
 import type {
 	Disposable, Logger, Metrics, Milliseconds, RandomSource, Scheduler,
 } from '@lacewingpoint/shared';
@@ -41,6 +41,8 @@
 	isDetached(): boolean;
 	/** @returns Whether a server accepts a connection. */
 	canConnect(server: ConnectionTarget): Promise<boolean>;
+	/** @returns The servers that the store lists at present; `undefined` if it does not respond. */
+	readServers(): Promise<readonly ServerEntry[] | undefined>;
 	/** @returns Whether this host reads the store and has contact to it. */
 	hasStoreContact(): boolean;
 	/** @returns Whether this host has a task for which it has to stay a relay. */
@@ -104,7 +106,7 @@
 			},
 		});
 		this.streamOriginFinder = new StreamOriginFinder({
-			clusterState, peerClient, now, relays: () => clusterState.hosts.listRelays(now()).filter(({name}) => name !== description.name),
+			clusterState, peerClient, now, readServers: async () => options.readServers(), relays: () => clusterState.hosts.listRelays(now()).filter(({name}) => name !== description.name),
 		});
 		this.serverWitnesses = new ServerWitnesses({
 			hostName: description.name, clusterState, peerClient, random: options.random, now, isDetached: () => options.isDetached(), canConnect: async server => options.canConnect(server),
