Soak: planned stops that lose nothing, answers in time, odd entries and events without an end

The soak sent SIGTERM to hosts, but an answer that is cut off around a planned stop broke none of its promises; its servers never sent an event without an end, and nobody left odd entries in the store. It has two more promises now, with the excuses of the platform's rule and no others, two profiles of faults (planned work only; malformed responses and entries), streams and calls that last for seconds, and a second SIGTERM.

The schedules of the mixed profile are unchanged.

--- a/packages-private/soak/__tests__/soak.test.ts
+++ b/packages-private/soak/__tests__/soak.test.ts
@@ -2,7 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type ClientOutcome, checkLog, checkOutcomes, createExpectedBody, createFaultSchedule, runSoak,
+	type ClientOutcome, checkAnswersInTime, checkLog, checkOutcomes, checkPlannedStops, createExpectedBody, createFaultSchedule, runSoak,
 } from '../src/index.js';
 
 const test = suite('soak');
@@ -15,13 +15,13 @@
 
 const createOutcome = (overrides: Partial<ClientOutcome>): ClientOutcome => {
 	const outcome = {
-		id: 'r-1', kind: 'draft', host: 'h', status: 200, body: '', isComplete: true, ...overrides,
+		id: 'r-1', kind: 'draft', host: 'h', status: 200, body: '', isComplete: true, sentAt: 0, endedAt: 10, ...overrides,
 	} as const;
 	return {...outcome, body: overrides.body ?? createExpectedBody(outcome)};
 };
 
 test('truncated, foreign, repeated and wrongly refused requests are found', () => {
-	const find = (overrides: Partial<ClientOutcome>, executionCount = 1) => checkOutcomes([createOutcome(overrides)], new Map([['r-1', executionCount]])).map(({promise}) => promise);
+	const find = (overrides: Partial<ClientOutcome>, executionCount = 1) => checkOutcomes([createOutcome(overrides)], {count: () => executionCount}).map(({promise}) => promise);
 	const whole = createExpectedBody({id: 'r-1', kind: 'draft'});
 	assert.equal(find({}), []);
 	assert.equal(find({body: whole.slice(0, -40)}), ['whole answers']);
@@ -33,6 +33,48 @@
 	assert.equal(find({status: 502, body: ''}), []);
 });
 
+test('answers that are cut off around a planned stop are found, with the excuses of the platform only', () => {
+	const stop = {host: 'h', from: 10_000, to: 17_500};
+	const find = (overrides: Partial<ClientOutcome>, options: {readonly count?: number; readonly isAtWork?: boolean; readonly impairedFrom?: number} = {}) => {
+		const {count = 1, isAtWork = false, impairedFrom} = options;
+		const impairments = impairedFrom === undefined ? [] : [{host: undefined, from: impairedFrom, to: impairedFrom + 100}];
+		const outcome = createOutcome({
+			kind: 'chat', isComplete: false, sentAt: 13_500, endedAt: 17_300, ...overrides,
+		});
+		return checkPlannedStops([outcome], {count: () => count, wasAtWork: () => isAtWork}, [stop], impairments).map(({promise}) => promise);
+	};
+
+	const lost = ['planned stops'];
+	assert.equal(find({}), lost);
+	assert.equal(find({status: 0}), lost);
+	assert.equal(find({isComplete: true}), []);
+	// Sent late in the stop, or cut off early in it, work in progress is no excuse.
+	assert.equal(find({}, {isAtWork: true}), lost);
+	assert.equal(find({sentAt: 12_900}, {isAtWork: true}), []);
+	assert.equal(find({sentAt: 12_900, endedAt: 16_000}, {isAtWork: true}), lost);
+	assert.equal(find({sentAt: 12_900}), lost);
+	// Not executed, and closed at once or not.
+	assert.equal(find({status: 0, sentAt: 17_300, endedAt: 17_400}, {count: 0}), []);
+	assert.equal(find({status: 0, sentAt: 17_000, endedAt: 17_400}, {count: 0}), lost);
+	assert.equal(find({sentAt: 10_100, endedAt: 20_101}), []);
+	assert.equal(find({sentAt: 19_100, endedAt: 20_000}), []);
+	assert.equal(find({host: 'other'}), []);
+	assert.equal(find({}, {impairedFrom: 10_000}), lost);
+	assert.equal(find({}, {impairedFrom: 10_600}), []);
+	assert.equal(find({}, {impairedFrom: 17_200}), []);
+});
+
+test('a host that does not answer in time is found, unless it was disturbed', () => {
+	const outcomes = Array.from({length: 8}, (_, index) => createOutcome({
+		id: `r-${index}`, kind: 'book', sentAt: 1000, endedAt: 4600,
+	}));
+	assert.equal(checkAnswersInTime(outcomes, []).map(({promise}) => promise), ['answers in time']);
+	assert.equal(checkAnswersInTime(outcomes, [{host: 'h', from: 900, to: 1100}]), []);
+	assert.is(checkAnswersInTime(outcomes, [{host: 'other', from: 900, to: 1100}]).length, 1);
+	assert.equal(checkAnswersInTime(outcomes.slice(1), []), []);
+	assert.equal(checkAnswersInTime(outcomes.map(outcome => ({...outcome, endedAt: 4400})), []), []);
+});
+
 test('configurations that go back and uncaught errors are found in logs', () => {
 	const line = (version: number) => `{"event":"configuration","version":${version},"revision":1}`;
 	assert.equal(checkLog('h', [line(1), line(3), line(2)].join('\n')).map(({promise}) => promise), ['no way back']);
@@ -56,4 +98,15 @@
 	});
 }
 
+// Guards against stopping hosts that cut off what they have accepted, and against malformed responses and entries that block or break hosts.
+for (const [profile, seed] of [['planned', 1], ['malformed', 1]] as const) {
+	test(`hosts keep their promises under ${profile} faults of seed ${seed}`, async () => {
+		const report = await runSoak({
+			seed, profile, duration: 8000, hostCount: 3, clientCount: 12, seriesCount: 8,
+		});
+		assert.equal(report.violations, []);
+		assert.ok(report.requests.served > 0);
+	});
+}
+
 test.run();
--- a/packages-private/soak/src/client-traffic.ts
+++ b/packages-private/soak/src/client-traffic.ts
@@ -2,8 +2,11 @@
 import {Agent} from 'undici';
 import {createEvent, createPlainBody, eventCount} from './soak-server.js';
 
-/** What a client requests. Only `look` and `check` may run more than once. */
-export type RequestKind = 'look' | 'book' | 'check' | 'draft';
+/** What a client requests. Only `look`, `check` and `chat` may run more than once. */
+export type RequestKind = 'look' | 'book' | 'check' | 'draft' | 'chat' | 'long';
+
+/** Kinds of which each request may run once at most. */
+export const onceKinds: ReadonlySet<RequestKind> = new Set(['book', 'draft', 'long']);
 
 /** The outcome of a request, as its client saw it. */
 export type ClientOutcome = {
@@ -15,11 +18,19 @@
 	readonly body: string;
 	/** Whether the response ended as its framing says. */
 	readonly isComplete: boolean;
+	/** Monotonic times at which the request was sent and at which its response or connection ended. */
+	readonly sentAt: Milliseconds;
+	readonly endedAt: Milliseconds;
 };
 
-const kinds: readonly RequestKind[] = ['look', 'book', 'check', 'draft'];
+const kinds: readonly RequestKind[] = ['look', 'book', 'check', 'draft', 'chat', 'long'];
+
+const streamKinds: ReadonlySet<RequestKind> = new Set(['check', 'draft', 'chat']);
 
-const deadline: Milliseconds = 3000;
+/** How long clients wait. Two kinds of requests may run longer than a stopping host has left. */
+export const deadlines: Readonly<Record<RequestKind, Milliseconds>> = {
+	look: 3000, book: 3000, check: 3000, draft: 3000, chat: 10_000, long: 10_000,
+};
 
 const longestPauseBetweenRequests: Milliseconds = 30;
 
@@ -28,7 +39,7 @@
 	readonly outcomes: ClientOutcome[] = [];
 	readonly #name: string;
 	readonly #random: RandomSource;
-	readonly #agent = new Agent({connections: 2, bodyTimeout: deadline * 2, headersTimeout: deadline * 2});
+	readonly #agent = new Agent({connections: 2, bodyTimeout: deadlines.chat * 2, headersTimeout: deadlines.chat * 2});
 	#isStopped = false;
 
 	/**
@@ -64,7 +75,7 @@
 	 * @returns The outcome.
 	 */
 	async send(host: string, kind: RequestKind, id: string): Promise<ClientOutcome> {
-		const isStream = kind === 'check' || kind === 'draft';
+		const sentAt = performance.now();
 		let [status, body, isComplete] = [0, '', false];
 		try {
 			const response = await this.#agent.request({
@@ -75,8 +86,8 @@
 					host: 'h.example',
 					'attempt-id': id,
 					'api-key': 'red-key',
-					'deadline-ms': String(deadline),
-					...(isStream ? {model: 'm', 'token-count': '30,10', 'prompt-prefix': `a1:10,b2:10,${id.replaceAll(/\D/gv, '')}:10`} : {}),
+					'deadline-ms': String(deadlines[kind]),
+					...(streamKinds.has(kind) ? {model: 'm', 'token-count': '30,10', 'prompt-prefix': `a1:10,b2:10,${id.replaceAll(/\D/gv, '')}:10`} : {}),
 				},
 			});
 			status = response.statusCode;
@@ -90,7 +101,7 @@
 		}
 
 		return {
-			id, kind, host, status, body, isComplete,
+			id, kind, host, status, body, isComplete, sentAt, endedAt: performance.now(),
 		};
 	}
 
@@ -112,7 +123,7 @@
  * @returns The whole body.
  */
 export function createExpectedBody({id, kind}: Pick<ClientOutcome, 'id' | 'kind'>): string {
-	return kind === 'check' || kind === 'draft'
+	return streamKinds.has(kind)
 		? Array.from({length: eventCount}, (_, index) => createEvent(id, index + 1)).join('')
 		: createPlainBody(id);
 }
--- a/packages-private/soak/src/fault-injector.ts
+++ b/packages-private/soak/src/fault-injector.ts
@@ -3,8 +3,9 @@
 import {
 	type LinkFault, type LoopbackProxy, type StoreCopy, type StoreFailureMode, createConfiguration,
 } from '@lacewingpoint/stand-ins';
-import type {Violation} from './checks.js';
-import type {ScheduledFault} from './fault-schedule.js';
+import type {Disturbance, Violation} from './checks.js';
+import type {FaultKind, ScheduledFault} from './fault-schedule.js';
+import {createOddEntry} from './odd-entry.js';
 import type {ServerBehaviour} from './soak-server.js';
 
 const linkFaults: readonly LinkFault[] = ['delay', 'reset', 'silent', 'one-way'];
@@ -19,11 +20,19 @@
 
 const restartDelay: Milliseconds = 300;
 
+const plannedKinds: ReadonlySet<FaultKind> = new Set(['host-stop', 'host-reload', 'server-leave', 'configuration', 'weights']);
+
 /** Injects scheduled faults into a cluster from outside of its processes. Of two faults with the same target, the later one ends both. */
 export class FaultInjector {
 	/** The output of each process of a host that has ended. */
 	readonly endedLogs: Array<{readonly host: string; readonly log: string}> = [];
 	readonly unexpectedExits: Violation[] = [];
+	/** The planned stops of hosts, from their first signal to the end of the process. */
+	readonly plannedStops: Disturbance[] = [];
+	/** The times in which processes of hosts were killed or suspended. */
+	readonly interruptions: Disturbance[] = [];
+	/** The times of all other faults that are no planned work. */
+	readonly impairments: Disturbance[] = [];
 	/** Version of the newest configuration in the store. */
 	configurationVersion = 1;
 	readonly #cluster: LocalCluster;
@@ -64,12 +73,25 @@
 		const startedAt = performance.now();
 		await Promise.all(schedule.map(async fault => {
 			await pause(startedAt + fault.at - performance.now());
-			await this.#inject(fault);
+			await this.#record(fault);
 		}));
 		clearInterval(timer);
 		this.#restartEndedHosts();
 	}
 
+	async #record(fault: ScheduledFault): Promise<void> {
+		const {hosts} = this.#cluster;
+		const disturbance = {host: hosts[fault.target % hosts.length]!.clientAddress, from: performance.now(), to: Number.POSITIVE_INFINITY};
+		if (fault.kind === 'host-kill' || fault.kind === 'host-suspend') {
+			this.interruptions.push(disturbance);
+		} else if (!plannedKinds.has(fault.kind)) {
+			this.impairments.push({...disturbance, host: undefined});
+		}
+
+		await this.#inject(fault);
+		disturbance.to = performance.now();
+	}
+
 	async #inject(fault: ScheduledFault): Promise<void> {
 		const {store, hosts, servers} = this.#cluster;
 		const host = hosts[fault.target % hosts.length]!;
@@ -82,9 +104,17 @@
 			}
 
 			case 'host-stop': {
+				if (this.#endingHosts.has(host)) {
+					// The platform, or an operator, may send it again.
+					host.process.sendSignal('SIGTERM');
+				}
+
 				await this.#endHost(host, async () => {
+					const stop = {host: host.clientAddress, from: performance.now(), to: Number.POSITIVE_INFINITY};
+					this.plannedStops.push(stop);
 					host.process.sendSignal('SIGTERM');
 					await host.process.waitForExit();
+					stop.to = performance.now();
 				});
 				break;
 			}
@@ -140,6 +170,21 @@
 				break;
 			}
 
+			case 'server-endless': {
+				behaviour.isEndless = true;
+				await pause(fault.duration);
+				behaviour.isEndless = false;
+				break;
+			}
+
+			case 'odd-entry': {
+				const key = `servers/odd-${fault.target}`;
+				store.putText(key, createOddEntry(server, fault.variant));
+				await pause(fault.duration);
+				store.remove(key);
+				break;
+			}
+
 			case 'server-pause': {
 				behaviour.pauseSeconds = 0.2 + (fault.variant / 1000);
 				await pause(fault.duration);
--- a/packages-private/soak/src/fault-schedule.ts
+++ b/packages-private/soak/src/fault-schedule.ts
@@ -4,8 +4,14 @@
 export type FaultKind
 	= | 'host-kill' | 'host-suspend' | 'host-stop' | 'host-reload'
 		| 'server-link' | 'store-link' | 'store-refuse' | 'store-forget' | 'store-restore'
-		| 'server-break-off' | 'server-leave' | 'server-pause'
-		| 'configuration' | 'weights';
+		| 'server-break-off' | 'server-leave' | 'server-pause' | 'server-endless'
+		| 'odd-entry' | 'configuration' | 'weights';
+
+/**
+ * Which faults are drawn: `mixed` ones of most kinds; `planned` work only, around which nothing may be lost; or `malformed` responses and
+ * entries, beside planned work.
+ */
+export type FaultProfile = 'mixed' | 'planned' | 'malformed';
 
 export type ScheduledFault = {
 	readonly kind: FaultKind;
@@ -17,7 +23,7 @@
 	readonly variant: number;
 };
 
-const kinds: readonly FaultKind[] = [
+const mixedKinds: readonly FaultKind[] = [
 	'host-kill',
 	'host-suspend',
 	'host-stop',
@@ -35,6 +41,14 @@
 	'weights',
 ];
 
+const plannedKinds: readonly FaultKind[] = ['host-stop', 'host-stop', 'host-stop', 'host-reload', 'server-leave', 'configuration', 'weights'];
+
+const kindsByProfile: Readonly<Record<FaultProfile, readonly FaultKind[]>> = {
+	mixed: mixedKinds,
+	planned: plannedKinds,
+	malformed: ['server-endless', 'server-endless', 'odd-entry', 'odd-entry', 'server-break-off', ...plannedKinds],
+};
+
 const longestSeries = 3;
 
 const durationRange = {shortest: 200, longest: 2000} as const;
@@ -45,10 +59,12 @@
  * @param random - Source of the random numbers.
  * @param duration - Time in which faults begin.
  * @param seriesCount - Number of series.
+ * @param profile - Which faults are drawn.
  * @returns The faults in order of time.
  */
-export function createFaultSchedule(random: RandomSource, duration: Milliseconds, seriesCount: number): readonly ScheduledFault[] {
+export function createFaultSchedule(random: RandomSource, duration: Milliseconds, seriesCount: number, profile: FaultProfile = 'mixed'): readonly ScheduledFault[] {
 	const draw = (bound: number) => Math.floor(random.next() * bound);
+	const kinds = kindsByProfile[profile];
 	const faults: ScheduledFault[] = [];
 	for (let series = 0; series < seriesCount; series++) {
 		const kind = kinds[draw(kinds.length)]!;
--- a/packages-private/soak/src/main.ts
+++ b/packages-private/soak/src/main.ts
@@ -1,6 +1,7 @@
 import {mkdir, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import meow from 'meow';
+import type {FaultProfile} from './fault-schedule.js';
 import {runSoak} from './soak.js';
 
 const cli = meow(`
@@ -14,6 +15,7 @@
 	  --hosts    Number of hosts (3)
 	  --clients  Number of clients (12)
 	  --series   Number of series of faults (10)
+	  --profile  Faults: mixed, planned (planned work only) or malformed (responses and entries) (mixed)
 	  --logs     Folder for the logs of hosts of seeds with violations
 	  --json     Print one JSON object a seed
 `, {
@@ -25,18 +27,19 @@
 		hosts: {type: 'number', default: 3},
 		clients: {type: 'number', default: 12},
 		series: {type: 'number', default: 10},
+		profile: {type: 'string', default: 'mixed', choices: ['mixed', 'planned', 'malformed']},
 		logs: {type: 'string'},
 		json: {type: 'boolean', default: false},
 	},
 });
 
 const {
-	first, seeds, seconds, hosts, clients, series, json, logs: logFolder,
+	first, seeds, seconds, hosts, clients, series, json, logs: logFolder, profile,
 } = cli.flags;
 let failedSeeds = 0;
 for (let seed = first; seed < first + seeds; seed++) {
 	const report = await runSoak({
-		seed, duration: seconds * 1000, hostCount: hosts, clientCount: clients, seriesCount: series,
+		seed, duration: seconds * 1000, hostCount: hosts, clientCount: clients, seriesCount: series, profile: profile as FaultProfile,
 	});
 	const {logs, ...printed} = report;
 	if (logFolder !== undefined && report.violations.length > 0) {
--- a/packages-private/soak/src/soak-server.ts
+++ b/packages-private/soak/src/soak-server.ts
@@ -10,14 +10,27 @@
 /** Time between the events of a stream. */
 const eventInterval = 8;
 
+/** Time between the events of a long stream, so that it lasts for seconds. */
+const longEventInterval = 250;
+
 /** Longest time after which a plain service responds. */
 const longestServiceTime = 20;
 
+/** Time after which it responds to a long call. */
+const longServiceTime = 800;
+
+/** What a server sends of an event without an end: pieces of this size, so many every ten milliseconds, until this size. */
+const endless = {
+	piece: Buffer.alloc(1000, 'x'), piecesAtOnce: 50, interval: 10, largestSize: 8_000_000,
+} as const;
+
 const breakOffShare = 0.4;
 
 /** How a server behaves at present. */
 export type ServerBehaviour = {
 	isBreakingOff: boolean;
+	/** Whether some streams go on with an event without an end. */
+	isEndless?: boolean;
 	isLeaving: boolean;
 	/** Value of `Retry-After` in refusals; `undefined` while it takes requests. */
 	pauseSeconds: number | undefined;
@@ -44,6 +57,52 @@
 	return `id: ${eventId}\ndata: ${requestId} piece ${eventId}\n\n`;
 }
 
+/** Which requests servers have executed, and when they were at work on them. */
+export class ExecutionLog {
+	readonly #executions = new Map<string, {count: number; runningCount: number; endedAt: number}>();
+
+	/**
+	 * Records the beginning of an execution.
+	 *
+	 * @param requestId - Id of the request.
+	 */
+	begin(requestId: string): void {
+		const execution = this.#executions.get(requestId) ?? {count: 0, runningCount: 0, endedAt: 0};
+		this.#executions.set(requestId, execution);
+		execution.count++;
+		execution.runningCount++;
+	}
+
+	/**
+	 * Records the end of an execution, as the server sees it.
+	 *
+	 * @param requestId - Id of the request.
+	 */
+	end(requestId: string): void {
+		const execution = this.#executions.get(requestId)!;
+		execution.runningCount--;
+		execution.endedAt = performance.now();
+	}
+
+	/**
+	 * @param requestId - Id of the request.
+	 * @returns How often servers began to execute it.
+	 */
+	count(requestId: string): number {
+		return this.#executions.get(requestId)?.count ?? 0;
+	}
+
+	/**
+	 * @param requestId - Id of the request.
+	 * @param time - A monotonic time in the past.
+	 * @returns Whether a server was still at work on it.
+	 */
+	wasAtWork(requestId: string, time: number): boolean {
+		const execution = this.#executions.get(requestId);
+		return execution !== undefined && (execution.runningCount > 0 || execution.endedAt >= time);
+	}
+}
+
 const ways = ['end within an event', 'reset within an event', 'reset after an event'] as const;
 
 /**
@@ -51,10 +110,10 @@
  *
  * @param behaviour - Read with each request.
  * @param random - Source of the random numbers.
- * @param executions - Receives the number of executions by request id.
+ * @param executions - Receives the executions.
  * @returns The handler.
  */
-export function createSoakHandler(behaviour: ServerBehaviour, random: RandomSource, executions: Map<string, number>): RequestHandler {
+export function createSoakHandler(behaviour: ServerBehaviour, random: RandomSource, executions: ExecutionLog): RequestHandler {
 	return (request, socket, server) => {
 		const notice = behaviour.isLeaving ? ['Server-Leaving: 1'] : [];
 		if (behaviour.pauseSeconds !== undefined) {
@@ -64,16 +123,21 @@
 		}
 
 		const id = request.headers.get('attempt-id') ?? '';
-		executions.set(id, (executions.get(id) ?? 0) + 1);
+		executions.begin(id);
+		const onEnd = () => {
+			executions.end(id);
+		};
+
 		const isBrokenOff = behaviour.isBreakingOff && random.next() < breakOffShare;
 		if (server.id.startsWith('models')) {
 			streamEvents(request, socket, {
-				notice, isChunked: random.next() < 0.5, breakAt: isBrokenOff ? 1 + Math.floor(random.next() * eventCount) : undefined, way: ways[Math.floor(random.next() * ways.length)]!,
+				notice, onEnd, isEndless: behaviour.isEndless === true && random.next() < breakOffShare, isChunked: random.next() < 0.5, breakAt: isBrokenOff ? 1 + Math.floor(random.next() * eventCount) : undefined, way: ways[Math.floor(random.next() * ways.length)]!,
 			});
 			return;
 		}
 
 		setTimeout(() => {
+			onEnd();
 			const body = createPlainBody(id);
 			const hasLength = random.next() < 0.5;
 			const head = formatResponseHead(request, [...notice, ...(hasLength ? [`Content-Length: ${body.length}`] : [])]);
@@ -86,35 +150,60 @@
 			} else {
 				socket.end(`${head}${body}`);
 			}
-		}, random.next() * longestServiceTime);
+		}, request.target.startsWith('/long/') ? longServiceTime : random.next() * longestServiceTime);
 	};
 }
 
-type StreamPlan = {readonly notice: readonly string[]; readonly isChunked: boolean; readonly breakAt: number | undefined; readonly way: (typeof ways)[number]};
+type StreamPlan = {readonly onEnd: () => void; readonly isEndless: boolean; readonly notice: readonly string[]; readonly isChunked: boolean; readonly breakAt: number | undefined; readonly way: (typeof ways)[number]};
 
 function streamEvents(request: PlatformRequest, socket: Socket, plan: StreamPlan): void {
 	const id = request.headers.get('attempt-id') ?? '';
 	const frame = (text: string) => plan.isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text;
 	socket.write(formatResponseHead(request, ['Content-Type: text/event-stream', ...plan.notice, ...(plan.isChunked ? ['Transfer-Encoding: chunked'] : [])]));
 	let next = Number(request.headers.get('last-event-id') ?? 0) + 1;
+	const stop = () => {
+		clearInterval(timer);
+		plan.onEnd();
+	};
+
 	const timer = setInterval(() => {
 		if (socket.destroyed) {
-			clearInterval(timer);
+			stop();
 		} else if (next > eventCount) {
-			clearInterval(timer);
+			stop();
 			if (plan.isChunked) {
 				socket.write('0\r\n\r\n');
 			} else {
 				socket.end();
 			}
 		} else if (next === plan.breakAt) {
-			clearInterval(timer);
+			stop();
 			breakOff(socket, frame(createEvent(id, next).slice(0, 9)), plan.way);
+		} else if (plan.isEndless && next > 1) {
+			stop();
+			sendWithoutEnd(socket, frame);
 		} else {
 			socket.write(frame(createEvent(id, next)));
 			next++;
 		}
-	}, eventInterval);
+	}, request.target.startsWith('/chat/') ? longEventInterval : eventInterval);
+}
+
+function sendWithoutEnd(socket: Socket, frame: (text: string) => string): void {
+	const piece = frame(endless.piece.toString());
+	let sentBytes = 0;
+	const timer = setInterval(() => {
+		if (socket.destroyed || sentBytes > endless.largestSize) {
+			clearInterval(timer);
+			socket.destroy();
+			return;
+		}
+
+		for (let count = 0; count < endless.piecesAtOnce && !socket.writableNeedDrain; count++) {
+			socket.write(piece);
+			sentBytes += piece.length;
+		}
+	}, endless.interval);
 }
 
 function breakOff(socket: Socket, partialEvent: string, way: (typeof ways)[number]): void {
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -4,12 +4,12 @@
 } from '@lacewingpoint/shared';
 import {LoopbackProxy, createConfiguration} from '@lacewingpoint/stand-ins';
 import {
-	type Violation, checkLog, checkOutcomes, findLogLines,
+	type Violation, checkAnswersInTime, checkLog, checkOutcomes, checkPlannedStops, findLogLines,
 } from './checks.js';
 import {type ClientOutcome, SoakClient} from './client-traffic.js';
 import {FaultInjector} from './fault-injector.js';
-import {createFaultSchedule} from './fault-schedule.js';
-import {type ServerBehaviour, createSoakHandler} from './soak-server.js';
+import {type FaultProfile, createFaultSchedule} from './fault-schedule.js';
+import {ExecutionLog, type ServerBehaviour, createSoakHandler} from './soak-server.js';
 
 export type SoakOptions = {
 	readonly seed: number;
@@ -19,6 +19,8 @@
 	readonly clientCount: number;
 	/** Number of series of faults. */
 	readonly seriesCount: number;
+	/** Which faults are drawn; `mixed` by default. */
+	readonly profile?: FaultProfile;
 };
 
 /** What a run found. */
@@ -53,9 +55,9 @@
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
 	// The traffic draws a varying number of values, so the schedule has a source of its own.
-	const schedule = createFaultSchedule(createSeededRandom(options.seed), options.duration, options.seriesCount);
+	const schedule = createFaultSchedule(createSeededRandom(options.seed), options.duration, options.seriesCount, options.profile);
 	const random = createSeededRandom(hashText(`traffic ${options.seed}`));
-	const executions = new Map<string, number>();
+	const executions = new ExecutionLog();
 	const behaviours: ServerBehaviour[] = Array.from({length: plainServerCount + modelServerCount}, () => ({isBreakingOff: false, isLeaving: false, pauseSeconds: undefined}));
 	const handlers = behaviours.map(behaviour => createSoakHandler(behaviour, random, executions));
 	const proxies = new Map<string, LoopbackProxy>();
@@ -86,7 +88,12 @@
 		const outcomes = clients.flatMap(client => client.outcomes);
 		return {
 			seed: options.seed,
-			violations: [...[...violations, ...checkOutcomes(outcomes, executions)].map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
+			violations: [...[
+				...violations,
+				...checkOutcomes(outcomes, executions),
+				...checkPlannedStops(outcomes, executions, injector.plannedStops, [...injector.interruptions, ...injector.impairments]),
+				...checkAnswersInTime(outcomes, [...injector.interruptions, ...injector.plannedStops]),
+			].map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
 			requests: countOutcomes(outcomes),
 			faults: countBy(schedule.map(({kind}) => kind)),
 			logs: injector.logs,
