A stream of events goes out without the length of one server's body

Cause: RelayedResponse forwarded the Content-Length of the first server's body. After a failure the events of another server follow, whose body is another one. Headers that describe a whole body (length and digests) are left out of streams of events now, so that chunks mark the end, or a reset for a client of HTTP/1.0. Other bodies come from one execution and keep theirs.

--- a/packages/host/src/requests/relayed-response.ts
+++ b/packages/host/src/requests/relayed-response.ts
@@ -5,6 +5,14 @@
 /** The reason for the failure of an attempt whose server has sent too large an event. */
 export const oversizedEvent = `an event exceeds the limit of ${maximumEventSize} bytes`;
 
+/** Headers that describe the whole body of one execution. */
+const bodyDescriptionHeaders: ReadonlySet<string> = new Set(['content-length', 'content-md5', 'digest', 'content-digest', 'repr-digest']);
+
+// A stream of events may go on at another server, whose body is another one.
+function removeBodyDescriptions(headers: HeaderList): HeaderList {
+	return headers.filter((_, index) => !bodyDescriptionHeaders.has(headers[index - (index % 2)]!.toLowerCase()));
+}
+
 /** The head of a response that is forwarded to the client. */
 export type RelayedHead = {
 	readonly status: number;
@@ -83,7 +91,7 @@
 		this.#hasStarted = true;
 		this.#isEventStream = head.isEventStream;
 		this.#weightsVersion = head.weightsVersion;
-		this.#writer.writeHead(head.status, headers);
+		this.#writer.writeHead(head.status, head.isEventStream ? removeBodyDescriptions(headers) : headers);
 	}
 
 	/**
