A new holder of the weights lease waits unless its record shows that another one has

Cause, one for both: a host took the record of the last term for proof that no other host could give orders. With its own name it ordered at once, although the record is written before the wait is over; without a record it took the lease for never held, although the store may have been restored from a copy before this process started. On the same path, a holder that released the lease during its wait stated that it had been quiet for long, so that the third host waited 300 ms only.

Now the record says whether its holder has waited (isSettled, written once more when it has), a missing record means the longest wait, and a release hands on the time since the last orders of the holder before.

A test that let the first holder order at once waits first now: with an empty store, the process cannot know.

--- a/packages/host/__tests__/weights-lease.test.ts
+++ b/packages/host/__tests__/weights-lease.test.ts
@@ -109,12 +109,25 @@
 	throw new Error('the lease was not acquired in time');
 }
 
+/** Lets time pass for a holder, which renews its lease meanwhile. */
+async function passTime({lease, advance}: Candidate, time: number): Promise<void> {
+	for (let passed = 0; passed < time; passed += timing.renewalInterval) {
+		advance(timing.renewalInterval);
+		lease.renewOrExpire();
+		await pause(1);
+	}
+}
+
 test('a holder gives no orders after a restore until it holds the lease again, under a higher term', async () => {
 	const store = new MemoryStore();
 	const copy = store.copy();
-	const {lease} = createCandidate(store, 'a');
+	const candidate = createCandidate(store, 'a');
+	const {lease} = candidate;
 	lease.updateHolder(undefined);
 	const term = await waitForTerm(lease);
+	// The store shows no term, but this process cannot know whether it was restored before.
+	assert.not.ok(lease.mayGiveOrders);
+	await passTime(candidate, computeRestoreDelay(timing));
 	assert.ok(lease.mayGiveOrders);
 	store.restore(copy);
 	assert.not.ok(lease.mayGiveOrders);
@@ -154,4 +167,56 @@
 	assert.ok(computeRestoreDelay(timing) >= timing.handoverGap + timing.validityWindow + timing.operationTimeout);
 });
 
+// Guards against a host that orders at once after its restart, because it takes its own name in the record for proof that no other host did.
+test('a host that was killed while it waited for the holder before waits again', async () => {
+	const store = new MemoryStore();
+	const first = createCandidate(store, 'a');
+	first.lease.updateHolder(undefined);
+	const term = await waitForTerm(first.lease);
+	await passTime(first, computeRestoreDelay(timing));
+	assert.ok(first.lease.mayGiveOrders);
+	first.lease.recordOrder();
+	await first.lease.release();
+	const killed = createCandidate(store, 'b');
+	killed.lease.updateHolder(undefined);
+	const secondTerm = await waitForTerm(killed.lease, term);
+	killed.lease.stopCampaigning();
+	const restarted = createCandidate(store, 'b');
+	restarted.lease.updateHolder('b');
+	await waitForTerm(restarted.lease, secondTerm);
+	assert.not.ok(restarted.lease.mayGiveOrders);
+	await passTime(restarted, timing.handoverGap - timing.renewalInterval);
+	assert.not.ok(restarted.lease.mayGiveOrders);
+	await passTime(restarted, computeRestoreDelay(timing));
+	assert.ok(restarted.lease.mayGiveOrders);
+	// Having waited, it need not wait after its next restart.
+	const again = createCandidate(store, 'b');
+	restarted.lease.stopCampaigning();
+	again.lease.updateHolder('b');
+	await waitForTerm(again.lease, restarted.lease.term);
+	assert.ok(again.lease.mayGiveOrders);
+});
+
+// Guards against orders soon after those of an earlier holder, when the one between releases the lease without having given any.
+test('a holder that releases the lease before it may order hands on the time since the orders of the one before', async () => {
+	const store = new MemoryStore();
+	const holders = ['a', 'b', 'c'].map(name => createCandidate(store, name));
+	const [first, second, third] = holders as [Candidate, Candidate, Candidate];
+	first.lease.updateHolder(undefined);
+	let term = await waitForTerm(first.lease);
+	await passTime(first, computeRestoreDelay(timing));
+	first.lease.recordOrder();
+	await first.lease.release();
+	second.lease.updateHolder(undefined);
+	term = await waitForTerm(second.lease, term);
+	await passTime(second, 800);
+	await second.lease.release();
+	third.lease.updateHolder(undefined);
+	await waitForTerm(third.lease, term);
+	await passTime(third, timing.handoverGap - 800 - timing.renewalInterval);
+	assert.not.ok(third.lease.mayGiveOrders);
+	await passTime(third, 2 * timing.renewalInterval);
+	assert.ok(third.lease.mayGiveOrders);
+});
+
 test.run();
--- a/packages/host/src/weights/weights-lease.ts
+++ b/packages/host/src/weights/weights-lease.ts
@@ -29,6 +29,8 @@
 	quiet: v.optional(v.number()),
 	/** Era of the store in which the record was written; absent in records of earlier versions. */
 	era: v.optional(v.number(), 0),
+	/** Whether the holder had waited until no earlier holder could give orders; absent in records of earlier versions. */
+	isSettled: v.optional(v.boolean(), false),
 });
 
 /** Terms of a later era are higher than all of earlier ones, whose records may be lost. */
@@ -41,8 +43,12 @@
 	readonly lease: number;
 	readonly term: number;
 	/** Store revision of the term's record. */
-	readonly termRevision: number;
+	termRevision: number;
 	readonly leaseValidity: LeaseValidity;
+	/** Monotonic time from which no earlier holder can give orders any more. */
+	readonly settledAt: Milliseconds;
+	/** The write that records this; `undefined` before. */
+	settlement: Promise<void> | undefined;
 	renewalSentAt: Milliseconds;
 };
 
@@ -68,7 +74,6 @@
 	#isWithdrawn = false;
 	/** The era that began while this host certainly held the lease, so that no other host gave orders at the end of the era before. */
 	#heldUntilEra: number | undefined;
-	#hasSeenRestore = false;
 
 	constructor(options: WeightsLeaseOptions) {
 		this.#options = options;
@@ -114,7 +119,6 @@
 	 */
 	handleRestore(era: number): void {
 		const heldLease = this.#heldLease;
-		this.#hasSeenRestore = true;
 		if (this.mayGiveOrders) {
 			this.#heldUntilEra = era;
 		}
@@ -143,9 +147,16 @@
 		if (heldLease.leaseValidity.isExpired(this.#readClocks())) {
 			this.#heldLease = undefined;
 			log.warn('weights-lease-lost', {term: heldLease.term, reason: 'not renewed within its time to live'});
-		} else if (!this.#isRenewing && now() - heldLease.renewalSentAt >= leaseTiming.renewalInterval) {
+			return;
+		}
+
+		if (!this.#isRenewing && now() - heldLease.renewalSentAt >= leaseTiming.renewalInterval) {
 			void this.#renew(heldLease);
 		}
+
+		if (now() >= heldLease.settledAt) {
+			heldLease.settlement ??= this.#recordSettlement(heldLease);
+		}
 	}
 
 	/** Releases the lease and stores the time since the last order, so that the next holder waits no longer than necessary. */
@@ -157,11 +168,13 @@
 			return;
 		}
 
+		await heldLease.settlement;
 		const {store, hostName, now, leaseTiming} = this.#options;
-		const timeSinceLastOrder = Math.min(now() - this.#lastOrderAt, leaseTiming.handoverGap);
+		// A holder that has not waited to the end hands on the time since the orders of the one before.
+		const lastOrderAt = Math.max(this.#lastOrderAt, heldLease.settledAt - leaseTiming.handoverGap);
 		const written = await store.write([{
 			key: leaseTermKey, value: JSON.stringify({
-				term: heldLease.term, holder: hostName, quiet: timeSinceLastOrder, era: store.era,
+				term: heldLease.term, holder: hostName, quiet: Math.min(now() - lastOrderAt, leaseTiming.handoverGap), era: store.era, isSettled: now() >= heldLease.settledAt,
 			}), expectedRevision: heldLease.termRevision,
 		}]);
 		// Revoked without this record, the lease would look expired, and the next holder would assume a longer time since the last order.
@@ -189,6 +202,19 @@
 		}
 	}
 
+	// Without this record, a process that starts anew on this host would have to wait once more.
+	async #recordSettlement(heldLease: HeldLease): Promise<void> {
+		const {store, hostName} = this.#options;
+		const written = await store.write([{
+			key: leaseTermKey, value: JSON.stringify({
+				term: heldLease.term, holder: hostName, era: store.era, isSettled: true,
+			}), expectedRevision: heldLease.termRevision,
+		}]);
+		if (written.isOk && written.value !== undefined) {
+			heldLease.termRevision = written.value;
+		}
+	}
+
 	async #campaign(): Promise<void> {
 		if (this.#isCampaigning || this.#heldLease !== undefined) {
 			return;
@@ -234,7 +260,11 @@
 			{
 				key: leaseHolderKey, value: hostName, expectedRevision: storedHolder.value?.revision ?? 0, lease: lease.value,
 			},
-			{key: leaseTermKey, value: JSON.stringify({term, holder: hostName, era}), expectedRevision: storedTerm.value?.revision ?? 0},
+			{
+				key: leaseTermKey, value: JSON.stringify({
+					term, holder: hostName, era, isSettled: this.#computeOrderDelay(previousTerm, era) === 0,
+				}), expectedRevision: storedTerm.value?.revision ?? 0,
+			},
 		]);
 		if (written.isErr || written.value === undefined || store.era !== era) {
 			await store.revokeLease(lease.value);
@@ -251,9 +281,10 @@
 		const {hostName, leaseTiming, log, now} = this.#options;
 		const {lease, term, termRevision, sentAt} = grantedLease;
 		const handoverDelay = this.#computeOrderDelay(previousTerm, era);
+		const settledAt = now() + handoverDelay;
 		this.#currentHolder = hostName;
 		this.#heldLease = {
-			lease, term, termRevision, leaseValidity: new LeaseValidity(leaseTiming, sentAt, now() + handoverDelay), renewalSentAt: sentAt.steady,
+			lease, term, termRevision, leaseValidity: new LeaseValidity(leaseTiming, sentAt, settledAt), settledAt, settlement: handoverDelay === 0 ? Promise.resolve() : undefined, renewalSentAt: sentAt.steady,
 		};
 		log.info('weights-lease-held', {
 			term, before: previousTerm?.holder, quiet: previousTerm?.quiet, ordersIn: handoverDelay,
@@ -262,12 +293,17 @@
 
 	#computeOrderDelay(previousTerm: TermRecord | undefined, era: number): Milliseconds {
 		const {hostName, leaseTiming} = this.#options;
-		const isPreviousHolderKnown = previousTerm === undefined ? !this.#hasSeenRestore : previousTerm.era === era;
-		if (!isPreviousHolderKnown) {
+		// Without a record of this era, any host may have held the lease until the store was restored.
+		if (previousTerm?.era !== era) {
 			return this.#heldUntilEra === era ? 0 : computeRestoreDelay(leaseTiming);
 		}
 
-		return previousTerm === undefined || previousTerm.holder === hostName ? 0 : computeHandoverDelay(leaseTiming, previousTerm.quiet);
+		if (previousTerm.holder === hostName && previousTerm.isSettled) {
+			return 0;
+		}
+
+		// A process of this host that was killed before it had waited for the holder before leaves the wait to the next one.
+		return previousTerm.holder === hostName && previousTerm.quiet === undefined ? computeRestoreDelay(leaseTiming) : computeHandoverDelay(leaseTiming, previousTerm.quiet);
 	}
 
 	#parseTermRecord(item: StoreItem): TermRecord | undefined {
