A failed assertion does not make a host parse its own program

Cause: an assertion of the HTTP client library fails, and Node.js reads the file that the call comes from and parses it, to quote the expression. The minified bundle is one line of 1.2 MB. The launcher compiles it under a name that no file has, so that there is nothing to read; the same holds for assertions in any other library. The code cache is still accepted.

The new test of processes.test.ts failed before (a completion beside the response took 5,358 ms; 1,500 are allowed) and passes now.

--- a/packages-private/local-cluster/__tests__/processes.test.ts
+++ b/packages-private/local-cluster/__tests__/processes.test.ts
@@ -1,8 +1,9 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import {runCommand} from '@lacewingpoint/command-line';
 import {
-	createCompletionChunk, resetConnection, respondWithBody, streamCompletion,
+	type RequestHandler, createCompletionChunk, resetConnection, respondWithBody, streamCompletion,
 } from '@lacewingpoint/stand-ins';
+import {request} from 'undici';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
@@ -152,6 +153,30 @@
 	});
 });
 
+// Guards against a host that handles nothing else for seconds while Node.js parses the minified program, to compose the message of an
+// assertion of the HTTP client library that a malformed response has failed.
+test('a response with status 000 does not keep a host from answering other requests', async () => {
+	const respondWithInvalidStatus: RequestHandler = (received, socket, server) => {
+		server.executedRequests.push(received);
+		socket.write('HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n');
+	};
+
+	await withCluster({hostCount: 1, plainHandlers: [respondWithInvalidStatus]}, async (cluster, client) => {
+		const [host] = cluster.hosts;
+		const headers = {
+			host: 'h.example', 'attempt-id': 'odd', 'api-key': 'red-key', 'deadline-ms': '2500',
+		};
+		const odd = request(`http://${host!.clientAddress}/book/1`, {method: 'POST', headers});
+		await waitFor('the response', () => cluster.servers.some(server => server.executedRequests.length > 0));
+		const startedAt = performance.now();
+		assert.is((await client.complete(host!.completionsAddress, 'red-key', createBody('Meanwhile'))).status, 200);
+		assert.ok(performance.now() - startedAt < 1500, `${Math.round(performance.now() - startedAt)} ms`);
+		const response = await odd;
+		await response.body.dump();
+		assert.is(response.statusCode, 502);
+	});
+});
+
 async function errorStatusOf(pendingResult: ReturnType<CompletionClient['complete']>): Promise<[number, string | undefined]> {
 	const result = await pendingResult;
 	return [result.status, result.executionStatus];
--- a/scripts/launcher.js
+++ b/scripts/launcher.js
@@ -1,5 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {createRequire} from 'node:module';
+import path from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {cachedDataVersionTag} from 'node:v8';
 import {Script} from 'node:vm';
@@ -15,10 +16,12 @@
  * @returns {{script: Script, exports: Record<string, Function>}} The compiled script and the exports of the module.
  */
 export function loadBundle(bundle, cache) {
-	const path = fileURLToPath(bundle);
-	const script = new Script(`(function (exports, require, module, __filename) {${readFileSync(path, 'latin1')}\n})`, {filename: path, cachedData: readCache(cache)});
+	const file = fileURLToPath(bundle);
+	// No file has this name: to compose the message of a failed assertion, Node.js would parse the whole program, which takes seconds.
+	const filename = `bundle:${path.basename(file)}`;
+	const script = new Script(`(function (exports, require, module, __filename) {${readFileSync(file, 'latin1')}\n})`, {filename, cachedData: readCache(cache)});
 	const module = {exports: {}};
-	script.runInThisContext()(module.exports, createRequire(bundle), module, path);
+	script.runInThisContext()(module.exports, createRequire(bundle), module, file);
 	return {script, exports: module.exports};
 }
 
