Soak: streams with lengths, malformed heads, and the orders of two holders

Streams state their length, and each execution writes other bytes, so that the length of one body does not fit a continued one; some responses have a status that does not exist; servers record when orders arrive. The profiles without link faults check that the orders of two hosts keep the time of the lease.

--- a/packages-private/soak/__tests__/soak.test.ts
+++ b/packages-private/soak/__tests__/soak.test.ts
@@ -2,7 +2,7 @@
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import {
-	type ClientOutcome, checkAnswersInTime, checkLog, checkOutcomes, checkPlannedStops, createExpectedBody, createFaultSchedule, runSoak,
+	type ClientOutcome, checkAnswersInTime, checkLog, checkOrders, checkOutcomes, checkPlannedStops, createExpectedBody, createFaultSchedule, runSoak,
 } from '../src/index.js';
 
 const test = suite('soak');
@@ -75,6 +75,12 @@
 	assert.equal(checkAnswersInTime(outcomes.map(outcome => ({...outcome, endedAt: 4400})), []), []);
 });
 
+test('orders of two hosts within the time of the lease are found', () => {
+	const find = (...orders: ReadonlyArray<readonly [string, number]>) => checkOrders('s', orders.map(([holder, receivedAt]) => ({holder, receivedAt}))).length;
+	assert.is(find(['a', 0], ['a', 10], ['b', 1010]), 0);
+	assert.is(find(['a', 0], ['b', 900]), 1);
+});
+
 test('configurations that go back and uncaught errors are found in logs', () => {
 	const line = (version: number) => `{"event":"configuration","version":${version},"revision":1}`;
 	assert.equal(checkLog('h', [line(1), line(3), line(2)].join('\n')).map(({promise}) => promise), ['no way back']);
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -1,11 +1,12 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
+import type {ReceivedOrder} from '@lacewingpoint/stand-ins';
 import {
 	type ClientOutcome, createExpectedBody, deadlines, onceKinds,
 } from './client-traffic.js';
 import type {ExecutionLog} from './soak-server.js';
 
 /** A promise that was broken, and how. */
-export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery' | 'planned stops' | 'answers in time'; readonly detail: string; readonly requestId?: string | undefined};
+export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery' | 'planned stops' | 'answers in time' | 'one holder'; readonly detail: string; readonly requestId?: string | undefined};
 
 /** Statuses which state that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -110,6 +111,24 @@
 	return violations;
 }
 
+/** The time that has to pass between the orders of two holders, as the settings files of the cluster state it. */
+const leaseTime: Milliseconds = 1000;
+
+/**
+ * Checks that hosts do not take turns in giving orders to a server within the time of the lease.
+ *
+ * @param server - The server's id.
+ * @param orders - The orders that it got, in order of arrival.
+ * @returns The broken promises.
+ */
+export function checkOrders(server: string, orders: ReadonlyArray<Pick<ReceivedOrder, 'holder' | 'receivedAt'>>): readonly Violation[] {
+	return orders.flatMap((order, index) => {
+		const previous = orders[index - 1];
+		const gap = previous === undefined || previous.holder === order.holder ? Number.POSITIVE_INFINITY : order.receivedAt - previous.receivedAt;
+		return gap >= leaseTime ? [] : [{promise: 'one holder', detail: `${server} got orders of ${previous!.holder} and ${order.holder} ${Math.round(gap)} ms apart`} as const];
+	});
+}
+
 /**
  * Finds what hosts logged of a request.
  *
--- a/packages-private/soak/src/client-traffic.ts
+++ b/packages-private/soak/src/client-traffic.ts
@@ -32,6 +32,9 @@
 	look: 3000, book: 3000, check: 3000, draft: 3000, chat: 10_000, long: 10_000,
 };
 
+/** Lines that are no part of an event; each execution writes others. */
+const comments = /^:.*(?:\n|$)/gmv;
+
 const longestPauseBetweenRequests: Milliseconds = 30;
 
 /** A client that sends one request after the other and keeps its connections open until their host is gone. */
@@ -76,7 +79,7 @@
 	 */
 	async send(host: string, kind: RequestKind, id: string): Promise<ClientOutcome> {
 		const sentAt = performance.now();
-		let [status, body, isComplete] = [0, '', false];
+		let [status, received, isComplete] = [0, '', false];
 		try {
 			const response = await this.#agent.request({
 				origin: `http://${host}`,
@@ -92,7 +95,7 @@
 			});
 			status = response.statusCode;
 			for await (const chunk of response.body) {
-				body += String(chunk);
+				received += String(chunk);
 			}
 
 			isComplete = true;
@@ -101,7 +104,7 @@
 		}
 
 		return {
-			id, kind, host, status, body, isComplete, sentAt, endedAt: performance.now(),
+			id, kind, host, status, body: received.replaceAll(comments, ''), isComplete, sentAt, endedAt: performance.now(),
 		};
 	}
 
--- a/packages-private/soak/src/fault-injector.ts
+++ b/packages-private/soak/src/fault-injector.ts
@@ -170,10 +170,10 @@
 				break;
 			}
 
-			case 'server-endless': {
-				behaviour.isEndless = true;
+			case 'server-malformed': {
+				behaviour.isMalformed = true;
 				await pause(fault.duration);
-				behaviour.isEndless = false;
+				behaviour.isMalformed = false;
 				break;
 			}
 
--- a/packages-private/soak/src/fault-schedule.ts
+++ b/packages-private/soak/src/fault-schedule.ts
@@ -4,7 +4,7 @@
 export type FaultKind
 	= | 'host-kill' | 'host-suspend' | 'host-stop' | 'host-reload'
 		| 'server-link' | 'store-link' | 'store-refuse' | 'store-forget' | 'store-restore'
-		| 'server-break-off' | 'server-leave' | 'server-pause' | 'server-endless'
+		| 'server-break-off' | 'server-leave' | 'server-pause' | 'server-malformed'
 		| 'odd-entry' | 'configuration' | 'weights';
 
 /**
@@ -46,7 +46,7 @@
 const kindsByProfile: Readonly<Record<FaultProfile, readonly FaultKind[]>> = {
 	mixed: mixedKinds,
 	planned: plannedKinds,
-	malformed: ['server-endless', 'server-endless', 'odd-entry', 'odd-entry', 'server-break-off', ...plannedKinds],
+	malformed: ['server-malformed', 'server-malformed', 'odd-entry', 'odd-entry', 'server-break-off', ...plannedKinds],
 };
 
 const longestSeries = 3;
--- a/packages-private/soak/src/index.ts
+++ b/packages-private/soak/src/index.ts
@@ -1,6 +1,6 @@
 export {type SoakOptions, type SoakReport, runSoak} from './soak.js';
 export {
-	type Disturbance, type Violation, checkAnswersInTime, checkLog, checkOutcomes, checkPlannedStops,
+	type Disturbance, type Violation, checkAnswersInTime, checkLog, checkOrders, checkOutcomes, checkPlannedStops,
 } from './checks.js';
 export {
 	type ClientOutcome, type RequestKind, SoakClient, createExpectedBody,
--- a/packages-private/soak/src/soak-server.ts
+++ b/packages-private/soak/src/soak-server.ts
@@ -24,13 +24,19 @@
 	piece: Buffer.alloc(1000, 'x'), piecesAtOnce: 50, interval: 10, largestSize: 8_000_000,
 } as const;
 
+/** How the end of a stream is marked. */
+const framings = ['chunks', 'length', 'close'] as const;
+
+/** Longest comment line before each event, in characters. */
+const longestPadding = 30;
+
 const breakOffShare = 0.4;
 
 /** How a server behaves at present. */
 export type ServerBehaviour = {
 	isBreakingOff: boolean;
-	/** Whether some streams go on with an event without an end. */
-	isEndless?: boolean;
+	/** Whether some streams go on with an event without an end, and some other responses have a status that does not exist. */
+	isMalformed?: boolean;
 	isLeaving: boolean;
 	/** Value of `Retry-After` in refusals; `undefined` while it takes requests. */
 	pauseSeconds: number | undefined;
@@ -131,11 +137,17 @@
 		const isBrokenOff = behaviour.isBreakingOff && random.next() < breakOffShare;
 		if (server.id.startsWith('models')) {
 			streamEvents(request, socket, {
-				notice, onEnd, isEndless: behaviour.isEndless === true && random.next() < breakOffShare, isChunked: random.next() < 0.5, breakAt: isBrokenOff ? 1 + Math.floor(random.next() * eventCount) : undefined, way: ways[Math.floor(random.next() * ways.length)]!,
+				notice, onEnd, isEndless: behaviour.isMalformed === true && random.next() < breakOffShare, framing: framings[Math.floor(random.next() * framings.length)]!, padding: ': '.padEnd(Math.floor(random.next() * longestPadding), '.'), breakAt: isBrokenOff ? 1 + Math.floor(random.next() * eventCount) : undefined, way: ways[Math.floor(random.next() * ways.length)]!,
 			});
 			return;
 		}
 
+		if (behaviour.isMalformed === true && random.next() < breakOffShare) {
+			onEnd();
+			socket.write('HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n');
+			return;
+		}
+
 		setTimeout(() => {
 			onEnd();
 			const body = createPlainBody(id);
@@ -154,13 +166,18 @@
 	};
 }
 
-type StreamPlan = {readonly onEnd: () => void; readonly isEndless: boolean; readonly notice: readonly string[]; readonly isChunked: boolean; readonly breakAt: number | undefined; readonly way: (typeof ways)[number]};
+type StreamPlan = {readonly onEnd: () => void; readonly isEndless: boolean; readonly notice: readonly string[]; readonly framing: (typeof framings)[number]; readonly padding: string; readonly breakAt: number | undefined; readonly way: (typeof ways)[number]};
 
 function streamEvents(request: PlatformRequest, socket: Socket, plan: StreamPlan): void {
 	const id = request.headers.get('attempt-id') ?? '';
-	const frame = (text: string) => plan.isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text;
-	socket.write(formatResponseHead(request, ['Content-Type: text/event-stream', ...plan.notice, ...(plan.isChunked ? ['Transfer-Encoding: chunked'] : [])]));
+	const isChunked = plan.framing === 'chunks';
+	const frame = (text: string) => isChunked ? `${text.length.toString(16)}\r\n${text}\r\n` : text;
+	// Each execution writes other bytes, so that the length of one is not that of another.
+	const formatEvent = (index: number) => `${plan.padding}\n${createEvent(id, index)}`;
 	let next = Number(request.headers.get('last-event-id') ?? 0) + 1;
+	const wholeBody = Array.from({length: Math.max(eventCount - next + 1, 0)}, (_, index) => formatEvent(next + index)).join('');
+	const framingLines = {chunks: ['Transfer-Encoding: chunked'], length: [`Content-Length: ${wholeBody.length}`], close: []}[plan.framing];
+	socket.write(formatResponseHead(request, ['Content-Type: text/event-stream', ...plan.notice, ...framingLines]));
 	const stop = () => {
 		clearInterval(timer);
 		plan.onEnd();
@@ -171,19 +188,19 @@
 			stop();
 		} else if (next > eventCount) {
 			stop();
-			if (plan.isChunked) {
+			if (isChunked) {
 				socket.write('0\r\n\r\n');
-			} else {
+			} else if (plan.framing === 'close') {
 				socket.end();
 			}
 		} else if (next === plan.breakAt) {
 			stop();
-			breakOff(socket, frame(createEvent(id, next).slice(0, 9)), plan.way);
+			breakOff(socket, frame(formatEvent(next).slice(0, -9)), plan.way);
 		} else if (plan.isEndless && next > 1) {
 			stop();
 			sendWithoutEnd(socket, frame);
 		} else {
-			socket.write(frame(createEvent(id, next)));
+			socket.write(frame(formatEvent(next)));
 			next++;
 		}
 	}, request.target.startsWith('/chat/') ? longEventInterval : eventInterval);
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -4,7 +4,7 @@
 } from '@lacewingpoint/shared';
 import {LoopbackProxy, createConfiguration} from '@lacewingpoint/stand-ins';
 import {
-	type Violation, checkAnswersInTime, checkLog, checkOutcomes, checkPlannedStops, findLogLines,
+	type Violation, checkAnswersInTime, checkLog, checkOrders, checkOutcomes, checkPlannedStops, findLogLines,
 } from './checks.js';
 import {type ClientOutcome, SoakClient} from './client-traffic.js';
 import {FaultInjector} from './fault-injector.js';
@@ -93,6 +93,8 @@
 				...checkOutcomes(outcomes, executions),
 				...checkPlannedStops(outcomes, executions, injector.plannedStops, [...injector.interruptions, ...injector.impairments]),
 				...checkAnswersInTime(outcomes, [...injector.interruptions, ...injector.plannedStops]),
+				// Links that hold orders back, and suspended hosts, excuse turns; these faults are drawn for the mixed profile only.
+				...(options.profile === undefined || options.profile === 'mixed' ? [] : cluster.servers.flatMap(server => checkOrders(server.id, server.receivedOrders))),
 			].map(violation => addLogLines(violation, injector)), ...injector.logs.flatMap(({host, log}) => checkLog(host, log)), ...injector.unexpectedExits],
 			requests: countOutcomes(outcomes),
 			faults: countBy(schedule.map(({kind}) => kind)),
--- a/packages-private/stand-ins/src/platform-server.ts
+++ b/packages-private/stand-ins/src/platform-server.ts
@@ -14,8 +14,11 @@
 /** Handles a request by writing raw bytes to the socket, so that tests can produce any kind of invalid response. */
 export type RequestHandler = (request: PlatformRequest, socket: Socket, server: PlatformServerStandIn) => void;
 
-/** An order to load weights. `holder` is the host that holds the rollout lease, `fence` its fencing token. */
-export type ReceivedOrder = {readonly version: number; readonly holder: string; readonly fence: number; readonly expected: number};
+/**
+ * An order to load weights. `holder` is the host that holds the rollout lease, `fence` its fencing token, `receivedAt` the monotonic time at
+ * which the server got it.
+ */
+export type ReceivedOrder = {readonly version: number; readonly holder: string; readonly fence: number; readonly expected: number; readonly receivedAt: number};
 
 /** Stand-in for a backend server of the platform: parses requests and responds with a handler chosen by the test. */
 export class PlatformServerStandIn {
@@ -116,7 +119,7 @@
 		}
 
 		if (request.target === '/order') {
-			const order = JSON.parse(request.body) as ReceivedOrder;
+			const order = {...JSON.parse(request.body) as Omit<ReceivedOrder, 'receivedAt'>, receivedAt: performance.now()};
 			this.weightsVersion = order.version;
 			this.orderCount++;
 			this.receivedOrders.push(order);
