A stopping host accepts nothing after its last request has ended

Found while reading the change of planned stops: once all requests had ended, Host.stop waited for the store to release the leases, up to seconds if the store is slow, and still accepted requests on idle connections. Its end then cut them off without an answer. They are refused with 503 now.

--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -352,6 +352,7 @@
 		const undelivered = await drainListeners({
 			listeners: this.#clientListeners, deadline, now, undeliveredToPeers: () => this.#forwarding.listener.undeliveredResponses(), runningRequests: this.#runningRequests,
 		});
+		this.#plannedStop.recordDrained();
 		await this.#weightsController.release();
 		log.info('stopped', {requests: this.#runningRequests.count, undelivered, took: Math.round(now() - startedAt)});
 		this.#fleet.gossip.broadcastState();
--- a/packages/host/src/stopping/planned-stop.ts
+++ b/packages/host/src/stopping/planned-stop.ts
@@ -19,6 +19,7 @@
 	readonly #now: () => Milliseconds;
 	readonly #hasOtherHosts: () => boolean;
 	#times: StopTimes | undefined;
+	#hasDrained = false;
 
 	/**
 	 * @param now - Monotonic clock.
@@ -44,6 +45,11 @@
 		return this.#times;
 	}
 
+	/** Records that all requests have ended, so that no more are accepted. */
+	recordDrained(): void {
+		this.#hasDrained = true;
+	}
+
 	/**
 	 * Decides whether a request is accepted. Clients that cannot know of the stop yet are served whatever they ask for. After that, a request
 	 * that could still run at the end is refused: its client can try another host at once, and loses the response if it is cut off.
@@ -52,6 +58,10 @@
 	 * @returns False if the request may not end in time.
 	 */
 	admits(remainingTime: Milliseconds): boolean {
+		if (this.#hasDrained) {
+			return false;
+		}
+
 		return this.#times === undefined || this.#now() < this.#times.limitedFrom || this.#now() + remainingTime <= this.#times.deadline;
 	}
 
