--- a/packages/host/src/weights/weights-lease.ts
+++ b/packages/host/src/weights/weights-lease.ts
@@ -6,7 +6,7 @@
 	type Logger, type Milliseconds, type RandomSource, describeError,
 } from '@lacewingpoint/shared';
 import * as v from 'valibot';
-import type {ControlStore, StoreItem} from '../ports.js';
+import type {ControlStore, StoreItem, StoreWrite} from '../ports.js';
 
 /** Store key of the current holder's name, bound to its lease. */
 export const leaseHolderKey = 'lacewingpoint/weights/holder';
@@ -169,14 +169,12 @@
 		}
 
 		await heldLease.settlement;
-		const {store, hostName, now, leaseTiming} = this.#options;
+		const {store, now, leaseTiming} = this.#options;
 		// A holder that has not waited to the end hands on the time since the orders of the one before.
 		const lastOrderAt = Math.max(this.#lastOrderAt, heldLease.settledAt - leaseTiming.handoverGap);
-		const written = await store.write([{
-			key: leaseTermKey, value: JSON.stringify({
-				term: heldLease.term, holder: hostName, quiet: Math.min(now() - lastOrderAt, leaseTiming.handoverGap), era: store.era, isSettled: now() >= heldLease.settledAt,
-			}), expectedRevision: heldLease.termRevision,
-		}]);
+		const written = await store.write([this.#createTermWrite({
+			term: heldLease.term, quiet: Math.min(now() - lastOrderAt, leaseTiming.handoverGap), era: store.era, isSettled: now() >= heldLease.settledAt,
+		}, heldLease.termRevision)]);
 		// Revoked without this record, the lease would look expired, and the next holder would assume a longer time since the last order.
 		if (written.isOk && written.value !== undefined) {
 			await store.revokeLease(heldLease.lease);
@@ -204,12 +202,8 @@
 
 	// Without this record, a process that starts anew on this host would have to wait once more.
 	async #recordSettlement(heldLease: HeldLease): Promise<void> {
-		const {store, hostName} = this.#options;
-		const written = await store.write([{
-			key: leaseTermKey, value: JSON.stringify({
-				term: heldLease.term, holder: hostName, era: store.era, isSettled: true,
-			}), expectedRevision: heldLease.termRevision,
-		}]);
+		const {store} = this.#options;
+		const written = await store.write([this.#createTermWrite({term: heldLease.term, era: store.era, isSettled: true}, heldLease.termRevision)]);
 		if (written.isOk && written.value !== undefined) {
 			heldLease.termRevision = written.value;
 		}
@@ -256,15 +250,12 @@
 		const previousTerm = storedTerm.value === undefined ? undefined : this.#parseTermRecord(storedTerm.value);
 		const {era} = store;
 		const term = Math.max(previousTerm?.term ?? 0, era * termsPerEra) + 1;
+		const handoverDelay = this.#computeOrderDelay(previousTerm, era);
 		const written = await store.write([
 			{
 				key: leaseHolderKey, value: hostName, expectedRevision: storedHolder.value?.revision ?? 0, lease: lease.value,
 			},
-			{
-				key: leaseTermKey, value: JSON.stringify({
-					term, holder: hostName, era, isSettled: this.#computeOrderDelay(previousTerm, era) === 0,
-				}), expectedRevision: storedTerm.value?.revision ?? 0,
-			},
+			this.#createTermWrite({term, era, isSettled: handoverDelay === 0}, storedTerm.value?.revision ?? 0),
 		]);
 		if (written.isErr || written.value === undefined || store.era !== era) {
 			await store.revokeLease(lease.value);
@@ -273,14 +264,13 @@
 
 		this.#startTerm({
 			lease: lease.value, term, termRevision: written.value, sentAt,
-		}, previousTerm, era);
+		}, previousTerm, handoverDelay);
 		return true;
 	}
 
-	#startTerm(grantedLease: {readonly lease: number; readonly term: number; readonly termRevision: number; readonly sentAt: ClockReading}, previousTerm: TermRecord | undefined, era: number): void {
+	#startTerm(grantedLease: {readonly lease: number; readonly term: number; readonly termRevision: number; readonly sentAt: ClockReading}, previousTerm: TermRecord | undefined, handoverDelay: Milliseconds): void {
 		const {hostName, leaseTiming, log, now} = this.#options;
 		const {lease, term, termRevision, sentAt} = grantedLease;
-		const handoverDelay = this.#computeOrderDelay(previousTerm, era);
 		const settledAt = now() + handoverDelay;
 		this.#currentHolder = hostName;
 		this.#heldLease = {
@@ -306,6 +296,10 @@
 		return previousTerm.holder === hostName && previousTerm.quiet === undefined ? computeRestoreDelay(leaseTiming) : computeHandoverDelay(leaseTiming, previousTerm.quiet);
 	}
 
+	#createTermWrite(record: Omit<TermRecord, 'holder'>, expectedRevision: number): StoreWrite {
+		return {key: leaseTermKey, value: JSON.stringify({...record, holder: this.#options.hostName}), expectedRevision};
+	}
+
 	#parseTermRecord(item: StoreItem): TermRecord | undefined {
 		const parsed = v.safeParse(v.pipe(v.string(), v.parseJson(), termSchema), item.value);
 		if (!parsed.success) {
