Match a request's target to a route, and compute the time that it may take, in one place each

The stop guard repeated both: the path of a target was cut from its query in three places, in two ways, and the shorter of deadline and time-out was computed in two.

--- a/packages/host/src/overload/overload-guard.ts
+++ b/packages/host/src/overload/overload-guard.ts
@@ -5,6 +5,7 @@
 	type Bytes, type Disposable, type Logger, type Metrics, type Milliseconds, type RandomSource, bytesPerMebibyte,
 } from '@lacewingpoint/shared';
 import type {RequestPreview} from '../ports.js';
+import {findRoute} from '../requests/request-admission.js';
 import {stoppingReason} from '../stopping/planned-stop.js';
 import {RejectionLog, type RejectionReason} from './rejection-log.js';
 import {YoungGenerationLimit} from './young-generation-limit.js';
@@ -120,9 +121,8 @@
 		}
 
 		const {id, host, credential, deadline} = preview();
-		const query = target.indexOf('?');
 		const index = this.#options.routes();
-		const route = host === undefined ? undefined : index?.findRoute(host, query === -1 ? target : target.slice(0, query));
+		const route = host === undefined || index === undefined ? undefined : findRoute(index, host, target);
 		const workspace = credential === undefined ? undefined : index?.findWorkspace(credential);
 		const rank = workspace?.rank ?? route?.rank;
 		const mayBeGivenUp = route?.repeatability === 'idempotent' || route?.repeatability === 'resumable-stream';
--- a/packages/host/src/requests/request-admission.ts
+++ b/packages/host/src/requests/request-admission.ts
@@ -6,6 +6,19 @@
 	= | {readonly type: 'admitted'; readonly route: Route; readonly workspace: Workspace | undefined}
 		| {readonly type: 'refused'; readonly status: number; readonly reason: string; readonly route: Route | undefined};
 
+/**
+ * Matches a request to a route.
+ *
+ * @param routes - Routes of the current configuration.
+ * @param host - The requested host.
+ * @param target - Path and query.
+ * @returns The route; `undefined` if none matches.
+ */
+export function findRoute(routes: RouteIndex, host: string, target: string): Route | undefined {
+	const query = target.indexOf('?');
+	return routes.findRoute(host, query === -1 ? target : target.slice(0, query));
+}
+
 /**
  * Matches a request to a route and authorizes it by its key.
  *
@@ -14,8 +27,7 @@
  * @returns The route and workspace, or status and reason of the refusal.
  */
 export function admitRequest(request: ClientRequest, routes: RouteIndex): Admission {
-	const query = request.target.indexOf('?');
-	const route = routes.findRoute(request.host, query === -1 ? request.target : request.target.slice(0, query));
+	const route = findRoute(routes, request.host, request.target);
 	if (route === undefined) {
 		return {
 			type: 'refused', status: 404, reason: `no route for ${request.host}${request.target}`, route,
--- a/packages/host/src/requests/routed-request.ts
+++ b/packages/host/src/requests/routed-request.ts
@@ -4,7 +4,18 @@
 import {type Admission, selectService} from './request-admission.js';
 
 /** The deadline of requests whose clients state none. */
-export const defaultDeadline: Milliseconds = 30_000;
+const defaultDeadline: Milliseconds = 30_000;
+
+/**
+ * Computes how long a request may take.
+ *
+ * @param deadline - The client's deadline; `undefined` if it states none.
+ * @param timeout - The time-out of the route; `undefined` if none matches.
+ * @returns The shorter of the two.
+ */
+export function allowedTime(deadline: Milliseconds | undefined, timeout: Milliseconds | undefined): Milliseconds {
+	return Math.min(deadline ?? defaultDeadline, timeout ?? defaultDeadline);
+}
 
 /** A request and what its admission has determined so far. */
 export class RoutedRequest {
@@ -65,8 +76,7 @@
 
 	/** @returns Time until the deadline of the client or the time-out of the route, whichever is first; negative after it. */
 	remainingTime(): Milliseconds {
-		const allowed = Math.min(this.received.request.deadline ?? defaultDeadline, this.#route?.timeout ?? defaultDeadline);
-		return this.received.receivedAt + allowed - this.#now();
+		return this.received.receivedAt + allowedTime(this.received.request.deadline, this.#route?.timeout) - this.#now();
 	}
 
 	/**
--- a/packages/host/src/stopping/stop-guard.ts
+++ b/packages/host/src/stopping/stop-guard.ts
@@ -1,8 +1,9 @@
 import type {RouteIndex} from '@lacewingpoint/routing';
-import type {Logger, Metrics, Milliseconds} from '@lacewingpoint/shared';
+import type {Logger, Metrics} from '@lacewingpoint/shared';
 import type {RequestPreview} from '../ports.js';
 import type {AdmissionGuard, Rejection} from '../overload/overload-guard.js';
-import {defaultDeadline} from '../requests/routed-request.js';
+import {findRoute} from '../requests/request-admission.js';
+import {allowedTime} from '../requests/routed-request.js';
 import {type PlannedStop, stoppingReason} from './planned-stop.js';
 
 export type StopGuardOptions = {
@@ -31,9 +32,9 @@
 		const {plannedStop, overloadGuard, routes, log, metrics} = this.#options;
 		if (plannedStop.isStopping) {
 			const {id, host, deadline} = preview();
-			const [path] = target.split('?', 1);
-			const timeout = host === undefined ? undefined : routes()?.findRoute(host, path!)?.timeout;
-			const remainingTime: Milliseconds = Math.min(deadline ?? defaultDeadline, timeout ?? defaultDeadline);
+			const index = routes();
+			const route = host === undefined || index === undefined ? undefined : findRoute(index, host, target);
+			const remainingTime = allowedTime(deadline, route?.timeout);
 			if (!plannedStop.admits(remainingTime)) {
 				metrics.incrementCounter('requests', {route: 'none', outcome: 'rejected', status: '503'});
 				log.info('request', {
