--- a/packages-private/local-cluster/src/local-cluster.ts
+++ b/packages-private/local-cluster/src/local-cluster.ts
@@ -26,6 +26,10 @@
 	readonly readinessAddress: string;
 	readonly directoryAddress: string;
 	readonly metricsAddress: string;
+	/** Address for datagrams of peers. */
+	readonly datagramAddress: string;
+	/** Address for the state that peers fetch and the requests that they forward. */
+	readonly snapshotAddress: string;
 	/** Path of the host's settings file in the platform's format. */
 	readonly settingsFile: string;
 	/** Path of a file with the ports to which the host cannot connect, separated by spaces; it need not exist. */
@@ -45,6 +49,12 @@
 	readonly buildDirectories?: readonly string[];
 	/** Fields that replace those of the default configuration. */
 	readonly configurationOverrides?: Readonly<Record<string, unknown>>;
+	/** Memory of each host in MiB; 200 by default. */
+	readonly memory?: number;
+	/** Largest number of descriptors of each host; not stated in the settings by default. */
+	readonly maximumDescriptors?: number;
+	/** Flags of Node.js for the hosts, separated by spaces. */
+	readonly nodeFlags?: string;
 	/**
 	 * Puts something between a link's two ends, such as a proxy. Links are named `store NAME` after their host and `server ID`.
 	 *
@@ -160,7 +170,8 @@
 ready = "${formatAddress('readiness')}"
 directory = "${formatAddress('directory')}"
 [limits]
-memoryMb = 200
+memoryMb = ${this.#options.memory ?? 200}
+${this.#options.maximumDescriptors === undefined ? '' : `maxFds = ${this.#options.maximumDescriptors}`}
 [bounds]
 leaseMs = 1000
 ttl_max_s = 1
@@ -178,6 +189,8 @@
 			readinessAddress: formatAddress('readiness'),
 			directoryAddress: formatAddress('directory'),
 			metricsAddress: formatAddress('metrics'),
+			datagramAddress: `${ipAddress}:${firstPeerPort}`,
+			snapshotAddress: `${ipAddress}:${firstPeerPort + 1}`,
 			settingsFile: join(this.#directory, `${name}.toml`),
 			refusedPortsFile: join(this.#directory, `${name}.refused`),
 			buildDirectory: this.#options.buildDirectories?.[index] ?? currentBuildDirectory,
@@ -192,7 +205,7 @@
 	#startProcess({name, ipAddress, buildDirectory, refusedPortsFile}: Pick<LocalHost, 'name' | 'ipAddress' | 'buildDirectory' | 'refusedPortsFile'>): LocalProcess {
 		return new LocalProcess(name, 'lacewingpoint-host', ['--settings', join(this.#directory, `${name}.jsonc`)], {
 			LACEWINGPOINT_NODE_FILE: join(this.#directory, `${name}.toml`),
-			NODE_OPTIONS: `--import ${createConnectModule(ipAddress, refusedPortsFile)}`,
+			NODE_OPTIONS: `${this.#options.nodeFlags ?? ''} --import ${createConnectModule(ipAddress, refusedPortsFile)}`,
 		}, buildDirectory);
 	}
 }
