Limit what clients and peers can make a host hold and do, at every listener

What callers saw: one client that sent 7 MB in chunks of one byte, or ten that pipelined requests and read nothing, ended a host; connections that sent nothing took all descriptors, so that other addresses answered nothing.

Cause: limits counted bytes of payload and nothing else. Each chunk was held as an object, a packet could begin thousands of requests, unread responses and idle or refused connections stayed, and maxFds was read by nothing.

InboundLedger, which knows no sockets, has an account for each connection of each listener, and decides which wait, are refused or end. SocketMeter hands 4 KiB and one request head at a time to the parser, ReadScheduler shares the processor time between connections that have much to parse, RequestBody copies chunks into one buffer. After a refusal little is read, and the connection is closed after a second. Each limit has a setting with a default in the section inbound; they are counted (inbound_limited_total) and logged (inbound-limited).

--- a/packages-private/local-cluster/src/raw-request.ts
+++ b/packages-private/local-cluster/src/raw-request.ts
@@ -1,3 +1,4 @@
+import {once} from 'node:events';
 import {connect} from 'node:net';
 
 export type RawRequestOptions = {
@@ -23,6 +24,9 @@
 export async function sendRawRequest(address: string, options: RawRequestOptions): Promise<RawResponse> {
 	const [host, port] = address.split(':');
 	const socket = connect(Number(port), host);
+	const closed = new Promise(resolve => {
+		socket.once('close', resolve);
+	});
 	return new Promise(resolve => {
 		let received = '';
 		const finish = () => {
@@ -40,7 +44,7 @@
 		});
 		socket.on('error', () => {/* The close event follows. */});
 		socket.on('close', finish);
-		void writePieces();
+		writePieces().catch(() => {/* The close event follows. */});
 
 		async function writePieces(): Promise<void> {
 			for await (const piece of options.pieces) {
@@ -49,12 +53,7 @@
 				}
 
 				if (!socket.write(piece, 'latin1')) {
-					await new Promise<void>(continueWriting => {
-						socket.once('drain', continueWriting);
-						socket.once('close', () => {
-							continueWriting();
-						});
-					});
+					await Promise.race([once(socket, 'drain'), closed]);
 				}
 			}
 		}
--- a/packages/host/__tests__/client-listener.test.ts
+++ b/packages/host/__tests__/client-listener.test.ts
@@ -3,10 +3,12 @@
 } from 'node:net';
 import {once} from 'node:events';
 import {setTimeout as pause} from 'node:timers/promises';
+import {Metrics, silentLogger} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
 import type {ClientProtocol, ReceivedRequest} from '../src/index.js';
+import {Inbound} from '../src/inbound/index.js';
 import {type ClientListener, type ClientListenerOptions, serveClients} from '../src/requests/client-listener.js';
 import {drainListeners} from '../src/requests/listener-drain.js';
 
@@ -34,11 +36,19 @@
 
 async function listenForClients(options: Pick<ClientListenerOptions, 'guard' | 'isStopping' | 'onRequest'>): Promise<{readonly listener: ClientListener; openClient(): Socket}> {
 	const address = await findFreeAddress();
+	const inbound = new Inbound({
+		settings: {memory: 2_000_000_000}, log: silentLogger, metrics: new Metrics(), now: () => performance.now(), idleTime: () => 15_000,
+	});
 	const listener = await serveClients({
-		...options, address, protocol, bodyMemoryLimit: 1_000_000, now: () => performance.now(), limits: () => undefined, onRejected() {/* Not tested here. */},
+		...options, address, protocol, inbound, now: () => performance.now(), limits: () => undefined, allowedTime: () => 30_000, onRejected() {/* Not tested here. */},
 	});
 	return {
-		listener,
+		listener: {
+			...listener, async dispose() {
+				await listener.dispose();
+				await inbound.dispose();
+			},
+		},
 		openClient: () => connect(Number(address.split(':')[1]), '127.0.0.1').on('error', () => {/* The test looks at what was received. */}),
 	};
 }
--- a/packages/host/src/forwarding.ts
+++ b/packages/host/src/forwarding.ts
@@ -1,5 +1,6 @@
-import type {Bytes} from '@lacewingpoint/shared';
+import type {Inbound} from './inbound/index.js';
 import type {BackendConnectionPool} from './requests/backend-connection-pool.js';
+import {defaultClientLimits} from './requests/client-listener.js';
 import {ForwardedRequestListener} from './requests/forwarded-request-listener.js';
 import {PeerForwarder} from './requests/peer-forwarder.js';
 import type {ClusterState} from './state/cluster-state.js';
@@ -7,16 +8,11 @@
 import type {HostDependencies} from './host-dependencies.js';
 import type {ReceivedRequest} from './ports.js';
 
-/** Share of the memory that requests may use which peers forward. */
-const forwardedMemoryShare = 0.05;
-
-/** The body limit before a configuration is known. */
-const defaultBodyLimit: Bytes = 4_194_304;
-
 export type ForwardingOptions = {
 	readonly dependencies: HostDependencies;
 	readonly clusterState: ClusterState;
 	readonly connections: BackendConnectionPool;
+	readonly inbound: Inbound;
 	/** @returns Whether this host serves with links of its own. */
 	isServing(): boolean;
 	/** Called when this host has lost its links to all servers, or has regained some. */
@@ -59,10 +55,10 @@
 			description: settings.description, random, metrics, now, listServing: () => clusterState.hosts.listServing(now()),
 		}),
 		listener: new ForwardedRequestListener({
-			memoryLimit: settings.memory * forwardedMemoryShare,
+			inbound: options.inbound,
 			log,
 			now,
-			bodyLimit: () => clusterState.configuration?.limits.bodyBytes ?? defaultBodyLimit,
+			bodyLimit: () => clusterState.configuration?.limits.bodyBytes ?? defaultClientLimits.bodyBytes,
 			isServing: () => options.isServing(),
 			onRequest(received) {
 				options.onRequest(received);
--- a/packages/host/src/host-endpoints.ts
+++ b/packages/host/src/host-endpoints.ts
@@ -1,18 +1,17 @@
-import {
-	type IncomingMessage, type Server, type ServerResponse, createServer,
-} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {HostDescription, HostState} from '@lacewingpoint/coordination';
-import {selectNearbyHosts} from '@lacewingpoint/routing';
+import {type ListenerKind, selectNearbyHosts} from '@lacewingpoint/routing';
 import {
 	type Disposable, type Logger, type Milliseconds, type RandomSource, getErrorMessage,
 } from '@lacewingpoint/shared';
 import createRouter from 'find-my-way';
-import {listen} from './requests/client-listener.js';
+import {type Inbound, serveInbound} from './inbound/index.js';
 import type {DirectoryProtocol, HostSettings} from './ports.js';
 import {addressTimeToLive} from './stopping/index.js';
 
 export type HostEndpointsOptions = {
 	readonly settings: HostSettings;
+	readonly inbound: Inbound;
 	readonly directoryProtocol: DirectoryProtocol;
 	readonly log: Logger;
 	readonly random: RandomSource;
@@ -24,6 +23,8 @@
 	formatMetrics(): string;
 };
 
+const headLimits = {headerBytes: 16_384, headerTime: 3000, idleTime: 5000} as const;
+
 /**
  * Serves the readiness, address lookup and metrics endpoints. An address that cannot be bound is logged and skipped.
  *
@@ -31,37 +32,41 @@
  * @returns A handle that closes the servers.
  */
 export async function serveEndpoints(options: HostEndpointsOptions): Promise<Disposable> {
-	const {settings, directoryProtocol, log} = options;
-	const routers = new Map<string, ReturnType<typeof createRouter>>();
-	const addRoute = (address: string, path: string, handler: (request: IncomingMessage, response: ServerResponse) => void) => {
-		const router = routers.get(address) ?? createRouter({
-			defaultRoute(_request, response) {
-				response.writeHead(404).end();
-			},
-		});
-		routers.set(address, router);
-		router.on('GET', path, (request, response) => {
+	const {settings, directoryProtocol, log, inbound} = options;
+	const routers = new Map<string, {readonly router: ReturnType<typeof createRouter>; readonly kind: ListenerKind}>();
+	const addRoute = (address: string, kind: ListenerKind, path: string, handler: (request: IncomingMessage, response: ServerResponse) => void) => {
+		const endpoint = routers.get(address) ?? {
+			router: createRouter({
+				defaultRoute(_request, response) {
+					response.writeHead(404).end();
+				},
+			}), kind,
+		};
+		routers.set(address, endpoint);
+		endpoint.router.on('GET', path, (request, response) => {
 			handler(request as IncomingMessage, response as ServerResponse);
 		});
 	};
 
-	addRoute(settings.readinessAddress, directoryProtocol.readinessPath, (_request, response) => {
+	addRoute(settings.readinessAddress, 'readiness', directoryProtocol.readinessPath, (_request, response) => {
 		response.writeHead(options.hostState() === 'serving' || options.hostState() === 'detached' ? 200 : 503).end();
 	});
-	addRoute(settings.lookupAddress, directoryProtocol.lookupPath, (request, response) => {
+	addRoute(settings.lookupAddress, 'lookup', directoryProtocol.lookupPath, (request, response) => {
 		respondToLookup(options, request, response);
 	});
-	addRoute(settings.metricsAddress, '/metrics', (_request, response) => {
+	addRoute(settings.metricsAddress, 'metrics', '/metrics', (_request, response) => {
 		response.writeHead(200, {'Content-Type': 'text/plain; charset=utf-8'}).end(options.formatMetrics());
 	});
 	const servers: Server[] = [];
-	for (const [address, router] of routers) {
-		const server = createServer({keepAliveTimeout: 5000}, (request, response) => {
-			router.lookup(request, response);
-		});
-		servers.push(server);
+	for (const [address, {router, kind}] of routers) {
 		try {
-			await listen(server, address);
+			const {server} = await serveInbound({
+				address, kind, inbound, pipelinedRequests: 1, limits: () => headLimits, onRequest(exchange) {
+					exchange.connection.ignoreBody(exchange);
+					router.lookup(exchange.request, exchange.response);
+				},
+			});
+			servers.push(server);
 		} catch (error) {
 			log.warn('endpoint-failed', {address, reason: getErrorMessage(error)});
 		}
--- a/packages/host/src/host.ts
+++ b/packages/host/src/host.ts
@@ -9,11 +9,11 @@
 import {quarantineOptions} from './state/cluster-state-options.js';
 import {StoreWatch} from './state/store-watch.js';
 import {ClusterState} from './state/cluster-state.js';
-import {serveInterfaces} from './client-interfaces.js';
-import type {ClientListener} from './requests/client-listener.js';
+import {type ClientListener, defaultClientLimits} from './requests/client-listener.js';
 import {drainListeners} from './requests/listener-drain.js';
 import {Dispatcher} from './requests/dispatcher.js';
-import {serveEndpoints} from './host-endpoints.js';
+import {serveHost} from './host-listeners.js';
+import {Inbound} from './inbound/index.js';
 import {type Forwarding, createForwarding} from './forwarding.js';
 import {type OverloadGuard, createOverloadGuard} from './overload/index.js';
 import {Fleet} from './members/fleet.js';
@@ -36,7 +36,7 @@
 import {readStateGauges} from './state/state-gauges.js';
 import {ServerCrashDetector} from './state/server-crash-detector.js';
 import {ServerNoticeRecorder} from './state/server-notice-recorder.js';
-import {httpPeerClient, serveSnapshots} from './state/peer-snapshots.js';
+import {httpPeerClient} from './state/peer-snapshots.js';
 import {PlannedStop, StopGuard} from './stopping/index.js';
 import {WeightsController} from './weights/weights-controller.js';
 import {WeightsLease} from './weights/weights-lease.js';
@@ -70,6 +70,7 @@
 	#clientListeners: readonly ClientListener[] = [];
 	readonly #runningRequests = new RunningRequests();
 	readonly #plannedStop: PlannedStop;
+	readonly #inbound: Inbound;
 	#stopped: Promise<void> | undefined;
 	#bounds: HostBounds;
 
@@ -79,6 +80,9 @@
 		this.#bounds = settings.bounds;
 		this.#plannedStop = new PlannedStop(now, () => this.#clusterState.hosts.listOffered(now()).length > 0);
 		this.#retryBudgets = new RetryBudgets(settings.bounds, now());
+		this.#inbound = this.#disposables.add(new Inbound({
+			settings, log, metrics, now, idleTime: () => (this.#clusterState.configuration?.limits ?? defaultClientLimits).idleTime,
+		}));
 		this.#clusterState = new ClusterState(log, now, () => this.#bounds.weightsWithin, {
 			onServersChanged: () => {
 				this.#fleet.reviewStreamOrigins();
@@ -165,6 +169,7 @@
 			dependencies,
 			clusterState: this.#clusterState,
 			connections: this.#connectionPool,
+			inbound: this.#inbound,
 			isServing: () => this.#hostState() === 'serving',
 			onDetachedChanged: () => {
 				gossip.broadcastState();
@@ -215,31 +220,27 @@
 
 	/** Starts serving. Clients get 503 until a configuration is known. */
 	async start(): Promise<void> {
-		const {settings, adapter, log, metrics, random, now} = this.#dependencies;
+		const {settings, adapter, log, metrics, now} = this.#dependencies;
 		await this.#fleet.start();
-		this.#clientListeners = await serveInterfaces(this.#dependencies, {
-			limits: () => this.#clusterState.configuration?.limits,
-			isStopping: () => this.#plannedStop.isStopping,
+		const listeners = await serveHost({
+			dependencies: this.#dependencies,
+			inbound: this.#inbound,
+			clusterState: this.#clusterState,
+			plannedStop: this.#plannedStop,
 			guard: new StopGuard({
 				plannedStop: this.#plannedStop, overloadGuard: this.#overloadGuard, routes: () => this.#clusterState.routes, log, metrics,
 			}),
+			snapshotSource: this.#fleet.snapshotSource,
+			forwardedRequests: this.#forwarding.listener,
+			hostState: () => this.#hostState(),
+			offeredHosts: () => this.#clusterState.hosts.listOffered(now()),
+			formatMetrics: () => this.#formatMetrics(),
 			onRequest: received => {
 				new RequestPipeline(received, this.#pipelineContext).start();
 			},
 		});
-		this.#disposables.add(await serveSnapshots(settings.snapshotAddress, this.#fleet.snapshotSource, (request, response) => {
-			this.#forwarding.listener.handle(request, response);
-		}));
-		this.#disposables.add(await serveEndpoints({
-			settings,
-			directoryProtocol: adapter.directory,
-			ownTimeToLive: () => this.#plannedStop.ownTimeToLive(),
-			log,
-			random,
-			hostState: () => this.#hostState(),
-			offeredHosts: () => this.#clusterState.hosts.listOffered(now()),
-			formatMetrics: () => this.#formatMetrics(),
-		}));
+		this.#clientListeners = listeners.clients;
+		this.#disposables.add(listeners);
 		this.#weightsController.start();
 		this.#rolloutController.start();
 		const maintenanceTimer = setInterval(() => {
@@ -330,10 +331,6 @@
 		this.#connectionPool.dispose();
 		this.#forwarding.forwarder.dispose();
 		this.#dispatcher.dispose();
-		for (const listener of this.#clientListeners) {
-			await listener.dispose();
-		}
-
 		await this.#disposables.dispose();
 	}
 
--- a/packages/host/src/ports.ts
+++ b/packages/host/src/ports.ts
@@ -1,6 +1,6 @@
 import type {HostDescription} from '@lacewingpoint/coordination';
 import type {
-	Configuration, PromptPart, RolloutProgress, RolloutRequest, RolloutState, ServerEntry,
+	Configuration, InboundLimitSettings, PromptPart, RolloutProgress, RolloutRequest, RolloutState, ServerEntry,
 } from '@lacewingpoint/routing';
 import type {
 	Bytes, LayerError, Milliseconds, Tokens,
@@ -308,6 +308,10 @@
 	/** Datagram addresses of the same hosts. */
 	readonly seedDatagramAddresses: readonly string[];
 	readonly memory: Bytes;
+	/** The number of sockets that the host may open; what the operating system allows by default. */
+	readonly maximumSockets?: number | undefined;
+	/** Limits on what clients and peers can make the host hold and do. */
+	readonly inbound?: InboundLimitSettings | undefined;
 	/** Whether hosts keep one order of waiting while requests of different ranks compete for a service; each has a queue of its own by default. */
 	readonly sharesWaitingOrder?: boolean;
 	/** Processor time that the host may use, in cores; `undefined` if it is not limited, so that the host does not guard against overload. */
--- a/packages/host/src/requests/forwarded-request-listener.ts
+++ b/packages/host/src/requests/forwarded-request-listener.ts
@@ -1,10 +1,10 @@
-import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
+import type {ServerResponse} from 'node:http';
 import type {Bytes, Logger, Milliseconds} from '@lacewingpoint/shared';
+import {type Inbound, type InboundExchange, receiveBody} from '../inbound/index.js';
 import type {HeaderList, ReceivedRequest, ResponseWriter} from '../ports.js';
 import {hostProtocolVersion} from '../members/host-protocol.js';
-import {ClientConnection, type ResponseDelivery} from './client-connection.js';
 import {type ForwardedHead, decodeForwardedRequest, encodeForwardedHead} from './forwarded-request.js';
+import {allowedTime} from './routed-request.js';
 
 /** Limit on the running requests that peers have forwarded: the clients of this host come first. */
 const maximumRequests = 512;
@@ -16,8 +16,7 @@
 const refusalRetryAfter: Milliseconds = 300;
 
 export type ForwardedRequestListenerOptions = {
-	/** Limit on the total size of the forwarded requests held in memory. */
-	readonly memoryLimit: Bytes;
+	readonly inbound: Pick<Inbound, 'limits' | 'ledger'>;
 	readonly log: Logger;
 	readonly now: () => Milliseconds;
 	/** @returns Largest size of a client's request body. */
@@ -29,17 +28,17 @@
 
 /** Writes the response to a peer, which passes it on to the client. */
 class PeerResponseWriter implements ResponseWriter {
+	readonly #exchange: InboundExchange;
 	readonly #response: ServerResponse;
-	readonly #delivery: ResponseDelivery;
 
-	constructor(response: ServerResponse, delivery: ResponseDelivery) {
-		this.#response = response;
-		this.#delivery = delivery;
-		response.sendDate = false;
+	constructor(exchange: InboundExchange) {
+		this.#exchange = exchange;
+		this.#response = exchange.response;
+		this.#response.sendDate = false;
 	}
 
 	get isDisconnected(): boolean {
-		return this.#delivery.isDisconnected;
+		return this.#exchange.delivery.isDisconnected;
 	}
 
 	writeHead(status: number, headers: HeaderList): void {
@@ -47,7 +46,12 @@
 	}
 
 	write(chunk: Uint8Array): boolean {
-		return this.#response.write(chunk);
+		const isSent = this.#response.write(chunk);
+		if (!isSent) {
+			this.#exchange.connection.recordUnsent();
+		}
+
+		return isSent;
 	}
 
 	end(): void {
@@ -68,7 +72,7 @@
 	}
 
 	onDisconnect(listener: () => void): void {
-		this.#delivery.onDisconnect(listener);
+		this.#exchange.delivery.onDisconnect(listener);
 	}
 
 	onDrain(listener: () => void): void {
@@ -84,9 +88,7 @@
 /** Takes requests that peers without links to servers forward to this host, and refuses them at once when it cannot serve them. */
 export class ForwardedRequestListener {
 	readonly #options: ForwardedRequestListenerOptions;
-	readonly #connections = new WeakMap<Socket, ClientConnection>();
 	#runningRequests = 0;
-	#heldBytes = 0;
 
 	constructor(options: ForwardedRequestListenerOptions) {
 		this.#options = options;
@@ -100,74 +102,60 @@
 	/**
 	 * Reads a request and passes it to `onRequest`.
 	 *
-	 * @param request - The call of the peer.
-	 * @param response - The response to it.
+	 * @param exchange - The call of the peer.
 	 */
-	handle(request: IncomingMessage, response: ServerResponse): void {
-		const {memoryLimit, log, now, bodyLimit, isServing, onRequest} = this.#options;
+	handle(exchange: InboundExchange): void {
+		const {inbound, now, bodyLimit, isServing} = this.#options;
+		const {response, connection, delivery} = exchange;
 		const receivedAt = now();
-		const delivery = this.#findConnection(request.socket).addExchange(response);
-		const responseWriter = new PeerResponseWriter(response, delivery);
-		const chunks: Uint8Array[] = [];
-		let receivedBytes = 0;
+		const responseWriter = new PeerResponseWriter(exchange);
 		this.#runningRequests++;
 		delivery.onEnded(() => {
 			this.#runningRequests--;
-			this.#heldBytes -= receivedBytes;
 		});
-		const refuse = (status: number, message: string) => {
+		if (!isServing() || this.#runningRequests > maximumRequests || inbound.ledger.isFull) {
 			// The unread rest of the body must not be parsed as the next request.
 			response.shouldKeepAlive = false;
-			responseWriter.sendError(status, message, refusalRetryAfter);
-		};
-
-		if (!isServing() || this.#runningRequests > maximumRequests) {
-			refuse(503, 'the peer takes no forwarded requests');
+			connection.stopReading();
+			responseWriter.sendError(503, 'the peer takes no forwarded requests', refusalRetryAfter);
 			return;
 		}
 
-		request.on('error', () => {/* The end of the exchange follows. */});
-		request.on('data', (chunk: Uint8Array) => {
-			if (responseWriter.isDisconnected) {
-				return;
-			}
-
-			receivedBytes += chunk.length;
-			this.#heldBytes += chunk.length;
-			if (receivedBytes > bodyLimit() + maximumDescription || this.#heldBytes > memoryLimit) {
-				refuse(503, 'the memory limit for forwarded requests is reached');
-			} else {
-				chunks.push(chunk);
-			}
-		});
-		request.on('end', () => {
-			if (response.headersSent || responseWriter.isDisconnected) {
-				return;
-			}
-
-			const decoded = decodeForwardedRequest(Buffer.concat(chunks));
-			if (decoded.isErr) {
-				log.warn('forwarded-request-invalid', {reason: decoded.error});
-				refuse(503, `the forwarded request is invalid: ${decoded.error}`);
-				return;
-			}
-
-			const {request: clientRequest, body, protocol, ...forwarding} = decoded.value;
-			if (protocol > hostProtocolVersion) {
-				log.warn('forwarded-request-invalid', {reason: `protocol ${protocol} is newer than ${hostProtocolVersion}`});
-				refuse(503, `the forwarded request needs protocol ${protocol}, the peer knows ${hostProtocolVersion}`);
-				return;
-			}
-
-			onRequest({
-				request: clientRequest, body, receivedAt, responseWriter, requestsAhead: 0, forwarding,
-			});
+		receiveBody(exchange, {
+			framingFactor: inbound.limits.framingFactor,
+			limit: () => bodyLimit() + maximumDescription,
+			allowedTime: () => allowedTime(undefined, undefined),
+			onComplete: bytes => {
+				this.#decode(bytes, responseWriter, receivedAt);
+			},
+			onRefused(_status, message) {
+				responseWriter.sendError(503, message, refusalRetryAfter);
+			},
 		});
 	}
 
-	#findConnection(socket: Socket): ClientConnection {
-		const connection = this.#connections.get(socket) ?? new ClientConnection(socket);
-		this.#connections.set(socket, connection);
-		return connection;
+	#decode(bytes: Uint8Array, responseWriter: PeerResponseWriter, receivedAt: Milliseconds): void {
+		const {log, onRequest} = this.#options;
+		const refuse = (message: string) => {
+			responseWriter.sendError(503, message, refusalRetryAfter);
+		};
+
+		const decoded = decodeForwardedRequest(bytes);
+		if (decoded.isErr) {
+			log.warn('forwarded-request-invalid', {reason: decoded.error});
+			refuse(`the forwarded request is invalid: ${decoded.error}`);
+			return;
+		}
+
+		const {request: clientRequest, body, protocol, ...forwarding} = decoded.value;
+		if (protocol > hostProtocolVersion) {
+			log.warn('forwarded-request-invalid', {reason: `protocol ${protocol} is newer than ${hostProtocolVersion}`});
+			refuse(`the forwarded request needs protocol ${protocol}, the peer knows ${hostProtocolVersion}`);
+			return;
+		}
+
+		onRequest({
+			request: clientRequest, body, receivedAt, responseWriter, requestsAhead: 0, forwarding,
+		});
 	}
 }
--- a/packages/host/src/state/peer-snapshots.ts
+++ b/packages/host/src/state/peer-snapshots.ts
@@ -1,4 +1,3 @@
-import {type IncomingMessage, type ServerResponse, createServer} from 'node:http';
 import type {FleetLink, HostReport} from '@lacewingpoint/coordination';
 import type {StreamOrigin} from '@lacewingpoint/routing';
 import {
@@ -10,8 +9,8 @@
 import {Result} from 'true-myth';
 import * as v from 'valibot';
 import {hostProtocolVersion} from '../members/host-protocol.js';
+import {type Inbound, type InboundExchange, serveInbound} from '../inbound/index.js';
 import type {ChangeBatch} from '../ports.js';
-import {listen} from '../requests/client-listener.js';
 import {forwardedRequestPath} from '../requests/forwarded-request.js';
 import type {ContactQuestion, ServerContact} from './server-contact.js';
 import {addTransferTime} from './transfer-time.js';
@@ -79,24 +78,43 @@
 /** The error of a request that failed or timed out. */
 export type SnapshotError = LayerError<'unreachable'>;
 
+/** Limits on the calls of peers, whose heads contain what they know. */
+const headLimits = {headerBytes: 16_384, headerTime: 3000, idleTime: 5000} as const;
+
+export type SnapshotServerOptions = {
+	/** The address to listen on, `host:port`. */
+	readonly address: string;
+	readonly inbound: Inbound;
+	/** Creates the responses. */
+	readonly source: SnapshotSource;
+	/** Handles a forwarded request. */
+	onForwarded(exchange: InboundExchange): void;
+};
+
 /**
  * Serves this host's state to peers that are outdated, and takes requests that peers forward.
  *
- * @param address - The address to listen on, `host:port`.
- * @param source - Creates the responses.
- * @param onForwarded - Handles a forwarded request.
+ * @param options - The address, the state and the receiver of forwarded requests.
  * @returns A handle that closes the server, once it is listening; rejects if the address cannot be bound.
  */
-export async function serveSnapshots(address: string, source: SnapshotSource, onForwarded: (request: IncomingMessage, response: ServerResponse) => void): Promise<Disposable> {
-	const handleCall = createHTTPHandler({router: snapshotRouter, createContext: () => ({source})});
-	const server = createServer({noDelay: true}, (request, response) => {
-		if (request.url === forwardedRequestPath) {
-			onForwarded(request, response);
-		} else {
-			handleCall(request, response);
-		}
+export async function serveSnapshots({address, inbound, source, onForwarded}: SnapshotServerOptions): Promise<Disposable> {
+	const handleCall = createHTTPHandler({router: snapshotRouter, createContext: () => ({source}), allowBatching: false});
+	const {server} = await serveInbound({
+		address, kind: 'peers', inbound, pipelinedRequests: 1, limits: () => headLimits, onRequest(exchange) {
+			const {request, response, connection} = exchange;
+			if (request.url === forwardedRequestPath) {
+				onForwarded(exchange);
+				return;
+			}
+
+			connection.ignoreBody(exchange);
+			if (request.method === 'GET') {
+				handleCall(request, response);
+			} else {
+				response.writeHead(405, {'Content-Length': 0}).end();
+			}
+		},
 	});
-	await listen(server, address);
 	return {
 		dispose() {
 			server.close();
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -64,3 +64,7 @@
 	type ConfigurationFreshness, type HeldResponse, type LoadMeasurement, type OverloadControllerOptions, type RequestArrival, type SlowReader, type SlowReaderLimitOptions, AdmissionShares, OverloadController, SlowReaderLimit, chooseTargetDelay, defaultOverloadControllerOptions, isConfigurationOutdated, spreadRetryAfter,
 } from './overload/index.js';
 export * from './rollouts/index.js';
+export {
+	type Holdings, type InboundActions, type InboundLedgerOptions, type InboundLimitSettings, type InboundLimits, type IncompleteRequest, type ListenerKind,
+	type MachineSize, type ShedReason, type UnsentResponses, InboundAccount, InboundLedger, createInboundLimits, defaultInboundLimitSettings,
+} from './inbound/index.js';
--- a/packages/settings/__tests__/product-settings.test.ts
+++ b/packages/settings/__tests__/product-settings.test.ts
@@ -1,3 +1,4 @@
+import {defaultInboundLimitSettings} from '@lacewingpoint/routing';
 import {parseSettings} from '@lacewingpoint/shared';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -35,6 +36,18 @@
 	assert.equal(faulty.isErr ? faulty.error.faults.map(({path}) => path) : [], ['waitingOrder']);
 });
 
+test('limits on clients and peers have defaults, and impossible ones are faults', () => {
+	assert.equal(defaultSettings.inbound, defaultInboundLimitSettings);
+	const settings = parseSettings('{"inbound": {"memoryShare": 0.1, "connectionShares": {"clients": 0.4}}}', productSettingsSchema);
+	assert.equal(settings.isOk ? settings.value.inbound : undefined, {
+		...defaultInboundLimitSettings, memoryShare: 0.1, connectionShares: {...defaultInboundLimitSettings.connectionShares, clients: 0.4},
+	});
+	for (const [field, value] of [['memoryShare', 0], ['memoryShare', 0.9], ['pipelinedRequests', 0], ['framingFactor', 0.5], ['lingerTime', -1], ['discardedBytes', -1], ['readTurnTime', 0], ['connectionShares', {clients: 0.7}], ['unknown', 1]] as const) {
+		const faulty = parseSettings(JSON.stringify({inbound: {[field]: value}}), productSettingsSchema);
+		assert.equal(faulty.isErr ? faulty.error.faults.map(({path}) => path) : [], [`inbound.${field}`]);
+	}
+});
+
 test('the error for an unreadable file contains its name', async () => {
 	const result = await readProductSettings(examplePath('nowhere.jsonc'));
 	assert.match(result.isErr ? result.error.message : '', /nowhere\.jsonc.*no such file/v);
