Check the lengths that a message between hosts states before it is decoded

What callers saw: one datagram of 60 kB, or a forwarded request of a few bytes, ended a host: heap out of memory.

Cause: the MessagePack decoder allocates an array of the stated length before it reads the elements. Datagrams limited each array, but not arrays within each other; forwarded requests limited nothing.

isMessagePackWithin walks over a message once and requires that the bytes cover the stated lengths, with at most 65,536 values and 16 levels.

--- a/packages/host/src/members/host-messages.ts
+++ b/packages/host/src/members/host-messages.ts
@@ -2,6 +2,7 @@
 import type {HostState} from '@lacewingpoint/coordination';
 import * as v from 'valibot';
 import type {StateChange} from '../ports.js';
+import {isMessagePackWithin} from './message-pack-limits.js';
 import {compileSchema, invalid} from './schema-compiler.js';
 
 // A state or role of a later version must not make the whole message unreadable: such a host is alive, but gets no clients.
@@ -180,9 +181,11 @@
 
 const parseMessage = compileSchema(hostMessageSchema);
 
-/** Limit on the items of a list: the decoder allocates as many as a list claims to have, even if the datagram ends before. */
+/** Limit on the items of a list. */
 const maximumItems = 1024;
 
+const messageLimits = {values: 65_536, depth: 16} as const;
+
 const decoder = new Decoder({maxArrayLength: maximumItems});
 
 /** Values that are not sent, because the recipient assumes them. */
@@ -213,6 +216,10 @@
  * @returns The message; undefined if the payload is not a valid one.
  */
 export function decodeHostMessage(bytes: Uint8Array): HostMessage | undefined {
+	if (!isMessagePackWithin(bytes, messageLimits)) {
+		return undefined;
+	}
+
 	try {
 		const message = parseMessage(decoder.decode(bytes));
 		return message === invalid ? undefined : message;
--- a/packages/host/src/requests/forwarded-request.ts
+++ b/packages/host/src/requests/forwarded-request.ts
@@ -2,8 +2,12 @@
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {Result} from 'true-myth';
 import * as v from 'valibot';
+import {isMessagePackWithin} from '../members/message-pack-limits.js';
 import type {ClientRequest, ForwardingTerms, HeaderList} from '../ports.js';
 
+/** More than a head of the largest size can describe. */
+const messageLimits = {values: 65_536, depth: 16} as const;
+
 /** Path at which hosts take requests that a peer forwards, on the address of their snapshots. */
 export const forwardedRequestPath = '/forwarded';
 
@@ -78,6 +82,10 @@
  * @returns The request, or why it is invalid.
  */
 export function decodeForwardedRequest(bytes: Uint8Array): Result<ForwardedRequest, string> {
+	if (!isMessagePackWithin(bytes, messageLimits)) {
+		return Result.err('incomplete, or more values or levels than a request has');
+	}
+
 	try {
 		const parsed = v.safeParse(forwardedRequestSchema, decode(bytes));
 		if (!parsed.success) {
