Count the values of a completion request before it is parsed

What callers saw: four clients that sent 4 MB of empty objects as JSON ended a host: heap out of memory.

Cause: an empty object takes many times its three bytes once it is parsed, and the limit on bodies counts bytes.

A body with more than completions.maximumValues values (100,000 by default, names of fields included) gets 413 unparsed. Strings do not count.

--- a/packages/completions/__tests__/completion-protocol.test.ts
+++ b/packages/completions/__tests__/completion-protocol.test.ts
@@ -4,7 +4,7 @@
 
 const test = suite('completion protocol');
 
-const protocol = createCompletionProtocol({defaultOutputTokens: 512, createRequestId: () => 'made'});
+const protocol = createCompletionProtocol({defaultOutputTokens: 512, maximumValues: 1000, createRequestId: () => 'made'});
 
 function decode(target: string, rawHeaders: readonly string[], body?: unknown) {
 	const bodyText = typeof body === 'string' ? body : JSON.stringify(body ?? '');
--- a/packages/completions/src/completion-body.ts
+++ b/packages/completions/src/completion-body.ts
@@ -1,6 +1,7 @@
 import type {RequestDecodeError} from '@lacewingpoint/host';
 import {Result} from 'true-myth';
 import * as v from 'valibot';
+import {hasValuesWithin} from './json-size.js';
 
 const completionBodySchema = v.pipe(
 	v.looseObject({
@@ -22,9 +23,15 @@
  * Parses and validates the body of a completion request.
  *
  * @param bytes - The body, JSON encoded as UTF-8.
- * @returns The validated body, or an error with status 400: the body is not JSON encoded as UTF-8, or the path of the first invalid field.
+ * @param maximumValues - Limit on the number of values in the body, names of fields included.
+ * @returns The validated body, or an error: with status 413, the body has too many values; with status 400, it is not JSON encoded as UTF-8, or
+ * the path of the first invalid field.
  */
-export function parseCompletionBody(bytes: Uint8Array): Result<CompletionBody, RequestDecodeError> {
+export function parseCompletionBody(bytes: Uint8Array, maximumValues: number): Result<CompletionBody, RequestDecodeError> {
+	if (!hasValuesWithin(bytes, maximumValues)) {
+		return Result.err({status: 413, message: `the body has more than ${maximumValues} values`});
+	}
+
 	let json: unknown;
 	try {
 		json = JSON.parse(new TextDecoder('utf-8', {fatal: true}).decode(bytes));
--- a/packages/completions/src/completion-protocol.ts
+++ b/packages/completions/src/completion-protocol.ts
@@ -10,6 +10,8 @@
 export type CompletionProtocolOptions = {
 	/** Maximum output tokens of a request that sets no limit. */
 	readonly defaultOutputTokens: Tokens;
+	/** Limit on the number of JSON values in a body, names of fields included. */
+	readonly maximumValues: number;
 	/** Creates the id of a request without `X-Request-Id`. Ids must be unique. */
 	createRequestId(): string;
 };
@@ -95,7 +97,7 @@
 				return Result.ok(request);
 			}
 
-			return parseCompletionBody(body).map(completion => {
+			return parseCompletionBody(body, options.maximumValues).map(completion => {
 				const prompt = extractPromptText(completion);
 				return {
 					...request,
--- a/packages/settings/src/product-settings.ts
+++ b/packages/settings/src/product-settings.ts
@@ -17,6 +17,8 @@
 	port: portSchema,
 	/** Maximum number of output tokens of a request that sets no limit. */
 	answerTokens: v.optional(positiveIntegerSchema, 1024),
+	/** Limit on the number of JSON values in a body, names of fields included. */
+	maximumValues: v.optional(positiveIntegerSchema, 100_000),
 });
 
 const secondTriesSchema = v.strictObject({
