Soak: clients that misbehave, and a check of the hosts' memory

The profile clients draws crowds that act at one listener of a host, beside configurations, reloads and kills.

--- a/packages-private/soak/__tests__/soak.test.ts
+++ b/packages-private/soak/__tests__/soak.test.ts
@@ -104,8 +104,9 @@
 	});
 }
 
-// Guards against stopping hosts that cut off what they have accepted, and against malformed responses and entries that block or break hosts.
-for (const [profile, seed] of [['planned', 1], ['malformed', 1]] as const) {
+// Guards against stopping hosts that cut off what they have accepted, against malformed responses and entries that block or break hosts, and against
+// clients that take their memory.
+for (const [profile, seed] of [['planned', 1], ['malformed', 1], ['clients', 2]] as const) {
 	test(`hosts keep their promises under ${profile} faults of seed ${seed}`, async () => {
 		const report = await runSoak({
 			seed, profile, duration: 8000, hostCount: 3, clientCount: 12, seriesCount: 8,
--- a/packages-private/soak/src/checks.ts
+++ b/packages-private/soak/src/checks.ts
@@ -6,7 +6,7 @@
 import type {ExecutionLog} from './soak-server.js';
 
 /** A promise that was broken, and how. */
-export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery' | 'planned stops' | 'answers in time' | 'one holder'; readonly detail: string; readonly requestId?: string | undefined};
+export type Violation = {readonly promise: 'whole answers' | 'at most once' | 'truthful refusals' | 'no way back' | 'no end by itself' | 'recovery' | 'planned stops' | 'answers in time' | 'one holder' | 'memory'; readonly detail: string; readonly requestId?: string | undefined};
 
 /** Statuses which state that a request has not run and never will. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages-private/soak/src/fault-injector.ts
+++ b/packages-private/soak/src/fault-injector.ts
@@ -1,9 +1,10 @@
-import type {LocalCluster, LocalHost} from '@lacewingpoint/local-cluster';
+import {ClientCrowd, type LocalCluster, type LocalHost} from '@lacewingpoint/local-cluster';
 import type {Milliseconds} from '@lacewingpoint/shared';
 import {
 	type LinkFault, type LoopbackProxy, type StoreCopy, type StoreFailureMode, createConfiguration,
 } from '@lacewingpoint/stand-ins';
 import type {Disturbance, Violation} from './checks.js';
+import {createCrowd} from './crowd-fault.js';
 import type {FaultKind, ScheduledFault} from './fault-schedule.js';
 import {createOddEntry} from './odd-entry.js';
 import type {ServerBehaviour} from './soak-server.js';
@@ -20,6 +21,9 @@
 
 const restartDelay: Milliseconds = 300;
 
+/** Time in which the process of a crowd starts. */
+const crowdStartTime: Milliseconds = 500;
+
 const plannedKinds: ReadonlySet<FaultKind> = new Set(['host-stop', 'host-reload', 'server-leave', 'configuration', 'weights']);
 
 /** Injects scheduled faults into a cluster from outside of its processes. Of two faults with the same target, the later one ends both. */
@@ -185,6 +189,13 @@
 				break;
 			}
 
+			case 'client-crowd': {
+				const crowd = new ClientCrowd(createCrowd(host, fault));
+				await pause(crowdStartTime + fault.duration);
+				await crowd.dispose();
+				break;
+			}
+
 			case 'server-pause': {
 				behaviour.pauseSeconds = 0.2 + (fault.variant / 1000);
 				await pause(fault.duration);
--- a/packages-private/soak/src/fault-schedule.ts
+++ b/packages-private/soak/src/fault-schedule.ts
@@ -5,13 +5,13 @@
 	= | 'host-kill' | 'host-suspend' | 'host-stop' | 'host-reload'
 		| 'server-link' | 'store-link' | 'store-refuse' | 'store-forget' | 'store-restore'
 		| 'server-break-off' | 'server-leave' | 'server-pause' | 'server-malformed'
-		| 'odd-entry' | 'configuration' | 'weights';
+		| 'odd-entry' | 'configuration' | 'weights' | 'client-crowd';
 
 /**
- * Which faults are drawn: `mixed` ones of most kinds; `planned` work only, around which nothing may be lost; or `malformed` responses and
- * entries, beside planned work.
+ * Which faults are drawn: `mixed` ones of most kinds; `planned` work only, around which nothing may be lost; `malformed` responses and
+ * entries, beside planned work; or `clients` that misbehave, beside configurations that change and hosts that are killed.
  */
-export type FaultProfile = 'mixed' | 'planned' | 'malformed';
+export type FaultProfile = 'mixed' | 'planned' | 'malformed' | 'clients';
 
 export type ScheduledFault = {
 	readonly kind: FaultKind;
@@ -47,6 +47,7 @@
 	mixed: mixedKinds,
 	planned: plannedKinds,
 	malformed: ['server-malformed', 'server-malformed', 'odd-entry', 'odd-entry', 'server-break-off', ...plannedKinds],
+	clients: ['client-crowd', 'client-crowd', 'client-crowd', 'client-crowd', 'configuration', 'host-kill', 'host-reload'],
 };
 
 const longestSeries = 3;
--- a/packages-private/soak/src/main.ts
+++ b/packages-private/soak/src/main.ts
@@ -15,7 +15,7 @@
 	  --hosts    Number of hosts (3)
 	  --clients  Number of clients (12)
 	  --series   Number of series of faults (10)
-	  --profile  Faults: mixed, planned (planned work only) or malformed (responses and entries) (mixed)
+	  --profile  Faults: mixed, planned (planned work only), malformed (responses and entries) or clients (that misbehave) (mixed)
 	  --logs     Folder for the logs of hosts of seeds with violations
 	  --json     Print one JSON object a seed
 `, {
@@ -27,7 +27,7 @@
 		hosts: {type: 'number', default: 3},
 		clients: {type: 'number', default: 12},
 		series: {type: 'number', default: 10},
-		profile: {type: 'string', default: 'mixed', choices: ['mixed', 'planned', 'malformed']},
+		profile: {type: 'string', default: 'mixed', choices: ['mixed', 'planned', 'malformed', 'clients']},
 		logs: {type: 'string'},
 		json: {type: 'boolean', default: false},
 	},
--- a/packages-private/soak/src/soak.ts
+++ b/packages-private/soak/src/soak.ts
@@ -1,6 +1,6 @@
-import {LocalCluster} from '@lacewingpoint/local-cluster';
+import {LocalCluster, readProcessUsage} from '@lacewingpoint/local-cluster';
 import {
-	type Milliseconds, type RandomSource, createSeededRandom, hashText,
+	type Milliseconds, type RandomSource, bytesPerMebibyte, createSeededRandom, hashText,
 } from '@lacewingpoint/shared';
 import {LoopbackProxy, createConfiguration} from '@lacewingpoint/stand-ins';
 import {
@@ -38,6 +38,9 @@
 const plainServerCount = 2;
 const modelServerCount = 3;
 
+/** Memory of each host in MiB, as in the settings of a small machine. */
+const hostMemory = 200;
+
 /** The first second is free of faults. */
 const warmUp: Milliseconds = 1000;
 
@@ -63,6 +66,8 @@
 	const proxies = new Map<string, LoopbackProxy>();
 	const cluster = new LocalCluster({
 		hostCount: options.hostCount,
+		memory: hostMemory,
+		nodeFlags: '--max-old-space-size=110',
 		plainHandlers: handlers.slice(0, plainServerCount),
 		modelHandlers: handlers.slice(plainServerCount),
 		async interpose(link, address) {
@@ -79,6 +84,7 @@
 		const traffic = clients.map(async client => client.run(() => selectAddress(cluster, random)));
 		await pause(warmUp);
 		await injector.run(schedule);
+		const memoryViolations = await checkMemory(cluster);
 		const violations = await checkRecovery(cluster, clients[0]!, injector.configurationVersion);
 		for (const client of clients) {
 			client.stop();
@@ -90,6 +96,7 @@
 			seed: options.seed,
 			violations: [...[
 				...violations,
+				...memoryViolations,
 				...checkOutcomes(outcomes, executions),
 				...checkPlannedStops(outcomes, executions, injector.plannedStops, [...injector.interruptions, ...injector.impairments]),
 				...checkAnswersInTime(outcomes, [...injector.interruptions, ...injector.plannedStops]),
@@ -148,6 +155,14 @@
 	return violations.flat();
 }
 
+// The peak since the start of each process that runs now.
+async function checkMemory(cluster: LocalCluster): Promise<readonly Violation[]> {
+	const usages = await Promise.all(cluster.hosts.map(async ({name, process}) => ({name, usage: await readProcessUsage(process.pid)})));
+	return usages.filter(({usage}) => usage !== undefined && usage.peakMemory > hostMemory * bytesPerMebibyte).map(({name, usage}) => ({
+		promise: 'memory', detail: `${name} took ${Math.round(usage!.peakMemory / bytesPerMebibyte)} MiB of ${hostMemory} MiB`,
+	}));
+}
+
 function countOutcomes(outcomes: readonly ClientOutcome[]): SoakReport['requests'] {
 	const counts = {
 		served: 0, refused: 0, failed: 0, 'broken off': 0,
