A complete body does not wait for memory, and nothing ends unread after a suspension

A body whose last bytes arrived while memory was scarce stayed in the queue for memory, so that its connection would have ended after four seconds, although its request was being executed. After a suspension, an incomplete request counted as stalled before what had arrived was read.

The queue is left once the body is complete; a review that comes more than a second after the last one ends nothing.

--- a/packages/routing/__tests__/inbound-ledger.test.ts
+++ b/packages/routing/__tests__/inbound-ledger.test.ts
@@ -52,6 +52,12 @@
 		},
 	});
 
+	/** Reviews twice, because the first review after a long time ends no connection. */
+	review(): void {
+		this.ledger.review();
+		this.ledger.review();
+	}
+
 	open(kind: ListenerKind = 'clients'): TestConnection {
 		const connection = new TestConnection(this.ledger);
 		connection.account = this.ledger.open(kind, connection);
@@ -117,7 +123,7 @@
 	assert.is(large.account!.waitsSince, 0);
 	fixture.time += limits.contendedStallTime;
 	small.account!.progressAt = fixture.time;
-	fixture.ledger.review();
+	fixture.review();
 	assert.equal(stalled.shedReasons, ['stalled']);
 	assert.equal(large.shedReasons, []);
 	assert.is(large.resumeCount, 1);
@@ -128,19 +134,44 @@
 	const fixture = new Fixture();
 	const connection = fixture.openBody(100_000);
 	fixture.time = idleTime - 1;
-	fixture.ledger.review();
+	fixture.review();
 	assert.equal(connection.shedReasons, []);
 	fixture.time = idleTime;
-	fixture.ledger.review();
+	fixture.review();
 	assert.equal(connection.shedReasons, ['stalled']);
 });
 
+test('a body that is complete does not wait any more, and is not refused while it is executed', () => {
+	const fixture = new Fixture();
+	const holder = fixture.openBody(limits.memory * 0.8);
+	const connection = fixture.openBody(50_000);
+	assert.is(connection.account!.waitsSince, 0);
+	connection.account!.incomplete = undefined;
+	fixture.ledger.growBody(connection.account!, {bodyBytes: 50_000, incompleteBodyBytes: 0});
+	fixture.time = 3 * limits.contendedStallTime;
+	holder.account!.progressAt = fixture.time;
+	fixture.review();
+	assert.equal(connection.shedReasons, []);
+});
+
+test('what arrived while the process was suspended is read before a connection is ended', () => {
+	const fixture = new Fixture();
+	const connection = fixture.openBody(100_000);
+	fixture.ledger.review();
+	fixture.time = 2 * idleTime;
+	fixture.ledger.review();
+	assert.equal(connection.shedReasons, []);
+	connection.account!.progressAt = fixture.time;
+	fixture.ledger.review();
+	assert.equal(connection.shedReasons, []);
+});
+
 test('a body that goes on arriving is refused when the request can no longer be answered in time', () => {
 	const fixture = new Fixture();
 	const connection = fixture.openBody(100_000, 1000);
 	for (fixture.time = 0; fixture.time <= 1000; fixture.time += 100) {
 		connection.account!.progressAt = fixture.time;
-		fixture.ledger.review();
+		fixture.review();
 	}
 
 	assert.equal(connection.shedReasons, ['late']);
@@ -155,7 +186,7 @@
 			account!.progressAt = fixture.time;
 		}
 
-		fixture.ledger.review();
+		fixture.review();
 	}
 
 	assert.equal(waiting.shedReasons, ['memory']);
@@ -187,7 +218,7 @@
 	unread.responses = {unsentBytes: 50_000, isBlocked: true, sentBytes: 100_000};
 	waiting.responses = {unsentBytes: 50_000, isBlocked: false, sentBytes: 0};
 	for (; fixture.time <= idleTime; fixture.time += 250) {
-		fixture.ledger.review();
+		fixture.review();
 	}
 
 	assert.equal(unread.shedReasons, ['unread']);
@@ -200,10 +231,10 @@
 	connection.shed('late');
 	fixture.ledger.update(connection.account!, {exchanges: 0});
 	fixture.time = limits.lingerTime - 1;
-	fixture.ledger.review();
+	fixture.review();
 	assert.not.ok(connection.account!.isClosed);
 	fixture.time = limits.lingerTime;
-	fixture.ledger.review();
+	fixture.review();
 	assert.ok(connection.account!.isClosed);
 	assert.equal(fixture.limited, []);
 });
@@ -221,7 +252,7 @@
 			fixture.time += 100;
 			const account = connections.get(key)?.account;
 			if (action === 'review') {
-				fixture.ledger.review();
+				fixture.review();
 			} else if (account === undefined || account.isClosed) {
 				connections.set(key, fixture.open());
 			} else if (action === 'close') {
--- a/packages/routing/src/inbound/inbound-ledger.ts
+++ b/packages/routing/src/inbound/inbound-ledger.ts
@@ -23,6 +23,9 @@
 /** A connection that waits for memory is refused after this multiple of the time after which stalled ones are. */
 const longestWaitFactor = 2;
 
+/** After a longer time between two reviews, the process was held up or suspended. */
+const longestReviewGap: Milliseconds = 1000;
+
 /** Less than this is not worth ending a connection for. */
 const worthwhileRelease: Bytes = 4096;
 
@@ -40,6 +43,7 @@
 	/** The one connection whose large body goes on while memory is scarce, so that bodies do not wait for each other. */
 	#preferred: InboundAccount | undefined;
 	#heldBytes: Bytes = 0;
+	#reviewedAt: Milliseconds | undefined;
 	#isEnforcing = false;
 
 	constructor(options: InboundLedgerOptions) {
@@ -151,6 +155,10 @@
 			return false;
 		}
 
+		if (changes.incompleteBodyBytes === 0) {
+			this.#stopWaiting(account);
+		}
+
 		if (changes.incompleteBodyBytes <= smallBody || !this.isContended || this.#prefer(account)) {
 			return true;
 		}
@@ -175,6 +183,13 @@
 	review(): void {
 		const {now, stallTime, limits} = this.#options;
 		const reviewedAt = now();
+		const wasHeldUp = this.#reviewedAt !== undefined && reviewedAt - this.#reviewedAt > longestReviewGap;
+		this.#reviewedAt = reviewedAt;
+		if (wasHeldUp) {
+			// What arrived in the meantime is read before the next review.
+			return;
+		}
+
 		const readers = [];
 		for (const account of this.#accounts) {
 			if (account.holdings.exchanges > 0) {
