A body that stalls is refused only while memory is scarce, or when its time is over

What callers saw: with the limits on clients, a body whose last byte came 5.2 s after its head, with an idle time of 5 s, got 408 from a host that had nothing else to do.

Cause: the idle time of the configuration applied to incomplete bodies. Nothing is gained by it while there is memory, as the time of the request, by its deadline or its route, bounds how long it can stay incomplete.

--- a/packages/routing/src/inbound/inbound-ledger.ts
+++ b/packages/routing/src/inbound/inbound-ledger.ts
@@ -8,7 +8,7 @@
 export type InboundLedgerOptions = {
 	readonly limits: InboundLimits;
 	now(): Milliseconds;
-	/** @returns How long an incomplete request may make no progress, and a client read none of a response, while memory is not scarce. */
+	/** @returns How long a client may read none of a response while memory is not scarce. */
 	stallTime(): Milliseconds;
 	/** Called for each connection that is shed, or not accepted (`connections`). */
 	onLimited(kind: ListenerKind, reason: ShedReason): void;
@@ -207,14 +207,14 @@
 		}
 
 		for (const account of this.#accounts) {
-			const reason = this.#findExpiry(account, limit, reviewedAt);
+			const reason = this.#findExpiry(account, reviewedAt);
 			if (reason !== undefined) {
 				this.#shed(account, reason);
 			}
 		}
 	}
 
-	#findExpiry(account: InboundAccount, stallTime: Milliseconds, now: Milliseconds): ShedReason | undefined {
+	#findExpiry(account: InboundAccount, now: Milliseconds): ShedReason | undefined {
 		const {limits: {lingerTime, contendedStallTime}} = this.#options;
 		if (account.refusedAt !== undefined) {
 			return now - account.refusedAt >= lingerTime && account.holdings.exchanges === 0 ? 'refused' : undefined;
@@ -228,7 +228,8 @@
 			return now - account.waitsSince >= contendedStallTime * longestWaitFactor ? 'memory' : undefined;
 		}
 
-		return account.incomplete !== undefined && now - account.progressAt >= stallTime ? 'stalled' : undefined;
+		const hasStalled = account.incomplete !== undefined && now - account.progressAt >= contendedStallTime;
+		return hasStalled && this.isContended ? 'stalled' : undefined;
 	}
 
 	#enforce(): void {
--- a/packages/routing/src/inbound/inbound-limits.ts
+++ b/packages/routing/src/inbound/inbound-limits.ts
@@ -11,7 +11,7 @@
 	readonly connectionShares: Readonly<Record<ListenerKind, number>>;
 	/** Requests of one client connection that are read before their responses are delivered. Further ones wait unread. */
 	readonly pipelinedRequests: number;
-	/** Time after which an incomplete request without progress is refused while memory is scarce; otherwise, the configuration's idle time applies. */
+	/** Time after which an incomplete request without progress is refused while memory is scarce. */
 	readonly contendedStallTime: Milliseconds;
 	/** Slowest rate at which a client may read a response, in bytes a second. */
 	readonly slowestReadRate: number;
