The end of a request no longer clears the body of the next one

What could happen: a client that sent a complete request and the beginning of another one in the same packet held the second one's body for as long as it liked. It was not refused when its time was over, nor when it stalled, and its memory counted as that of a request that is being executed, so that a crowd of these would have had new requests refused.

Cause: the end of a request is reported a tick later than its last byte is parsed. By then, the next request may have begun, and the connection's record of the incomplete body was its own. The end of an earlier response reset the size of the incomplete body as well.

A body ends only its own record, and the size of the incomplete body is derived from it.

Evidence: the two new tests failed before (no 408; 0 bytes instead of 5,000) and pass now.

--- a/packages/host/__tests__/inbound-connections.test.ts
+++ b/packages/host/__tests__/inbound-connections.test.ts
@@ -3,7 +3,7 @@
 	type AddressInfo, type Socket, connect, createServer,
 } from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
-import {defaultInboundLimitSettings} from '@lacewingpoint/routing';
+import {type InboundAccount, defaultInboundLimitSettings} from '@lacewingpoint/routing';
 import {Metrics, silentLogger} from '@lacewingpoint/shared';
 import {suite} from 'uvu';
 import * as assert from 'uvu/assert';
@@ -118,6 +118,52 @@
 	});
 });
 
+const receiveWithin = (allowedTime: number) => (exchange: InboundExchange) => {
+	receiveBody(exchange, {
+		framingFactor: 16, limit: () => 100_000, allowedTime: () => allowedTime, onComplete() {
+			exchange.response.end('ok');
+		}, onRefused(status) {
+			exchange.response.writeHead(status, {'Content-Length': 0}).end();
+		},
+	});
+};
+
+const completeRequest = 'POST /1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5\r\n\r\nhello';
+const incompleteRequest = 'POST /2 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 5000\r\n\r\nhello';
+
+test('a body that is left incomplete behind another request of the same packet is refused when its time is over', async () => {
+	await withServer(receiveWithin(300), async ({inbound, openClient}) => {
+		const client = openClient();
+		let received = '';
+		client.on('data', chunk => {
+			received += String(chunk);
+		});
+		client.write(`${createRequest('/0')}${incompleteRequest}`);
+		await waitUntil(() => received.includes('HTTP/1.1 408 '));
+		assert.match(received, /^HTTP\/1\.1 200 /v);
+		await waitUntil(() => inbound.ledger.countConnections('clients') === 0);
+	});
+});
+
+test('the memory of an incomplete body stays releasable when an earlier request on the connection ends', async () => {
+	const accounts: InboundAccount[] = [];
+	await withServer(receiveWithin(30_000), async ({exchanges, inbound, openClient}) => {
+		const {ledger} = inbound;
+		const open = ledger.open.bind(ledger);
+		ledger.open = (kind, actions) => {
+			const account = open(kind, actions)!;
+			accounts.push(account);
+			return account;
+		};
+
+		const client = openClient();
+		client.resume();
+		client.write(`${completeRequest}${completeRequest}${incompleteRequest}`);
+		await waitUntil(() => exchanges.length === 3 && accounts[0]!.holdings.exchanges === 1);
+		assert.is(accounts[0]!.holdings.incompleteBodyBytes, 5000);
+	});
+});
+
 test('a refused client gets the whole response while it sends on, and is disconnected although it stays', async () => {
 	const refuse = (exchange: InboundExchange) => {
 		receiveBody(exchange, {
--- a/packages/host/src/inbound/inbound-connection.ts
+++ b/packages/host/src/inbound/inbound-connection.ts
@@ -139,26 +139,43 @@
 	/**
 	 * Sets the body that is being received.
 	 *
-	 * @param body - The body; `undefined` once it is complete or refused.
+	 * @param body - The body.
 	 * @param allowedTime - Returns the time within which the request has to be answered.
 	 */
-	setIncompleteBody(body: RequestBody | undefined, allowedTime?: () => Milliseconds): void {
+	beginBody(body: RequestBody, allowedTime: () => Milliseconds): void {
 		this.#body = body;
 		if (this.#account !== undefined) {
-			this.#account.incomplete = body === undefined || allowedTime === undefined ? undefined : {receivedAt: this.#options.now(), allowedTime};
+			this.#account.incomplete = {receivedAt: this.#options.now(), allowedTime};
 		}
 	}
 
+	/**
+	 * Records that a body is complete or refused. The next request may have begun before.
+	 *
+	 * @param body - The body.
+	 */
+	endBody(body: RequestBody): void {
+		if (this.#body !== body) {
+			return;
+		}
+
+		this.#body = undefined;
+		if (this.#account !== undefined) {
+			this.#account.incomplete = undefined;
+		}
+
+		this.recordBody(0);
+	}
+
 	/**
 	 * Records that a body takes more memory, or that it is released.
 	 *
 	 * @param growth - The change in bytes.
-	 * @param incompleteBytes - Memory of the body that is being received.
 	 */
-	recordBody(growth: Bytes, incompleteBytes: Bytes): void {
+	recordBody(growth: Bytes): void {
 		this.#bodyBytes += growth;
 		if (this.#account !== undefined) {
-			this.#options.ledger.growBody(this.#account, {bodyBytes: this.#bodyBytes, incompleteBodyBytes: incompleteBytes});
+			this.#options.ledger.growBody(this.#account, {bodyBytes: this.#bodyBytes, incompleteBodyBytes: this.#body?.capacity ?? 0});
 		}
 	}
 
--- a/packages/host/src/inbound/request-body.ts
+++ b/packages/host/src/inbound/request-body.ts
@@ -48,6 +48,11 @@
 		this.#declaredSize = readDeclaredSize(exchange.request);
 	}
 
+	/** Memory that the body takes. */
+	get capacity(): Bytes {
+		return this.#buffer.length;
+	}
+
 	/** The bytes that are still to come of a body with a length; 0 if it has none. */
 	get declaredBytesLeft(): Bytes {
 		return Number.isFinite(this.#declaredSize) ? this.#declaredSize - this.#size : 0;
@@ -56,7 +61,7 @@
 	/** Starts to receive the body. */
 	start(): void {
 		const {request, connection, delivery} = this.#exchange;
-		connection.setIncompleteBody(this, this.#options.allowedTime);
+		connection.beginBody(this, this.#options.allowedTime);
 		request.on('data', (chunk: Uint8Array) => {
 			this.#append(chunk);
 		});
@@ -134,7 +139,7 @@
 		grown.set(this.#buffer.subarray(0, this.#size));
 		const growth = grown.length - this.#buffer.length;
 		this.#buffer = grown;
-		this.#exchange.connection.recordBody(growth, grown.length);
+		this.#exchange.connection.recordBody(growth);
 	}
 
 	#complete(): void {
@@ -149,10 +154,7 @@
 	#leave(state: 'complete' | 'refused'): void {
 		if (this.#state === 'incomplete') {
 			this.#state = state;
-			this.#exchange.connection.setIncompleteBody(undefined);
-			if (this.#buffer.length > 0) {
-				this.#exchange.connection.recordBody(0, 0);
-			}
+			this.#exchange.connection.endBody(this);
 		}
 	}
 
@@ -161,7 +163,7 @@
 		if (length > 0) {
 			this.#buffer = emptyBody;
 			this.#size = 0;
-			this.#exchange.connection.recordBody(-length, 0);
+			this.#exchange.connection.recordBody(-length);
 		}
 	}
 }
